--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,27 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+export default [
+  { ignores: ['**/gen/**', '**/dist/**', '**/coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  ...configs.node.recommended,
+  {
+    rules: {
+      'import-x/extensions': ['error', 'ignorePackages', { js: 'always', ts: 'never' }],
+      'import-x/prefer-default-export': 'off',
+      'import-x/no-default-export': 'error',
+      // effect and the tagged errors name their discriminator `_tag`.
+      'no-underscore-dangle': ['error', { allow: ['_tag'] }],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_$' }],
+    },
+  },
+  {
+    files: ['*.config.*', 'packages/*/bin/*.js'],
+    rules: { 'import-x/no-default-export': 'off', 'import-x/no-unresolved': 'off' },
+  },
+  { files: ['**/__tests__/**'], rules: { 'import-x/no-extraneous-dependencies': 'off' } },
+].flat();
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measuring command and capacity slopes. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command line berylyoke. */
+export {};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,8 @@
+/** Clock, identifiers, typed errors, rendezvous hashing, undo helpers and log prefixes. */
+export * from './Clock.js';
+export * from './Identifiers.js';
+export * from './Invariant.js';
+export * from './Logging.js';
+export * from './Randomness.js';
+export * from './Rendezvous.js';
+export * from './Undo.js';
--- /dev/null
+++ b/packages/daemon/bin/berylyoked.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The daemon berylyoked: request path, operator interface, metrics and traces. */
+export {};
--- /dev/null
+++ b/packages/duties/src/index.ts
@@ -0,0 +1,2 @@
+/** Leases and fenced orders. */
+export {};
--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's append-only log: port, HTTP adapter, group commit and tail. */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Heartbeats, digests, relays, the VM list and the directory of backend servers. */
+export {};
--- /dev/null
+++ b/packages/once/src/index.ts
@@ -0,0 +1,2 @@
+/** Claims for calls that may not be repeated. */
+export {};
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,2 @@
+/** Pure decisions: admission, fair queue, choice of backend server, retry budget, purchases. */
+export {};
--- /dev/null
+++ b/packages/usage/src/index.ts
@@ -0,0 +1,2 @@
+/** Usage counters, windows, seals and reports. */
+export {};
--- /dev/null
+++ b/vitest.config.mjs
@@ -0,0 +1,22 @@
+import fs from 'node:fs/promises';
+import path from 'node:path';
+import url from 'node:url';
+import { defineConfig } from 'vitest/config';
+
+const root = path.dirname(url.fileURLToPath(import.meta.url));
+const packages = await fs.readdir(path.join(root, 'packages'));
+
+export default defineConfig({
+  resolve: {
+    alias: packages.map((name) => ({
+      find: `@berylyoke/${name}`,
+      replacement: path.join(root, 'packages', name, 'src', 'index.ts'),
+    })),
+  },
+  test: {
+    include: ['packages/*/src/__tests__/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
