Add the log client, configuration, fake log and generated peer messages

Cause: the packages that are written side by side need the log port, the configuration schemas and a fake log with a fault table first.

Result: the log client reads back an append whose answer was lost exactly once (FakeLog.test.ts); lint and type check are clean.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,20 @@
       'import-x/no-default-export': 'error',
       // effect and the tagged errors name their discriminator `_tag`.
       'no-underscore-dangle': ['error', { allow: ['_tag'] }],
+      // Names of effect's pure synchronous functions, which do no blocking input or output.
+      'n/no-sync': ['error', {
+        ignores: [
+          'decodeSync',
+          'decodeUnknownSync',
+          'encodeSync',
+          'encodeUnknownSync',
+          'formatErrorSync',
+          'formatIssueSync',
+          'runSync',
+        ],
+      }],
+      // The typed errors of a module stand beside the interface that fails with them.
+      'max-classes-per-file': ['error', 8],
       '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_$' }],
     },
   },
--- /dev/null
+++ b/packages/config/src/ConfigState.ts
@@ -0,0 +1,124 @@
+/**
+ * Fold of the configuration stream. Every reader of the same entries reaches the same state: the
+ * first valid edit of a base version wins, and later edits of that base are rejected by all alike.
+ */
+import type * as Log from '@berylyoke/log';
+import * as Either from 'effect/Either';
+import * as Schema from 'effect/Schema';
+import * as ConfigRecords from './ConfigRecords.js';
+import * as Lists from './Lists.js';
+
+/** A key as the log knows it. A withdrawn key is kept so that it cannot be issued again. */
+export interface KeyState {
+  readonly account: string;
+  readonly digest: string;
+  readonly withdrawn: boolean;
+}
+
+/** An edit and what became of it. */
+export interface EditOutcome {
+  readonly recordId: string;
+  readonly offset: number;
+  readonly timestampMs: number;
+  readonly writer: string;
+  readonly baseVersion: number;
+  readonly accepted: boolean;
+  readonly reason: 'accepted' | 'invalid' | 'stale-base';
+}
+
+/** Configuration in force after the entries up to `offset`. */
+export interface ConfigState {
+  /** Number of accepted edits; 0 before the first one. */
+  readonly version: number;
+  readonly lists: Lists.Lists;
+  readonly keys: ReadonlyMap<string, KeyState>;
+  /** Offset of the last entry that was applied; -1 before the first one. */
+  readonly offset: number;
+  /** The newest edits, oldest first. */
+  readonly history: readonly EditOutcome[];
+}
+
+/** Edits that `config history` can show. */
+const HISTORY_LENGTH = 100;
+
+/** State before the first entry. */
+export const initialConfigState: ConfigState = {
+  history: [],
+  keys: new Map(),
+  lists: {
+    accounts: [], classes: [], models: [], plans: [], routes: [],
+  },
+  offset: -1,
+  version: 0,
+};
+
+type RecordHandler = (
+  state: ConfigState,
+  record: Log.LogRecord,
+  entry: Log.LogEntry,
+) => ConfigState;
+
+const decodeEdit = Schema.decodeUnknownEither(ConfigRecords.ConfigEdit);
+const decodeIssue = Schema.decodeUnknownEither(ConfigRecords.KeyIssue);
+const decodeWithdraw = Schema.decodeUnknownEither(ConfigRecords.KeyWithdraw);
+
+function getEditReason(
+  state: ConfigState,
+  edit: Either.Either<ConfigRecords.ConfigEdit, unknown>,
+): EditOutcome['reason'] {
+  if (Either.isLeft(edit)) return 'invalid';
+  if (Lists.checkReferences(edit.right.lists).length > 0) return 'invalid';
+  return edit.right.baseVersion === state.version ? 'accepted' : 'stale-base';
+}
+
+const applyEdit: RecordHandler = (state, record, entry) => {
+  const edit = decodeEdit(record.body);
+  const reason = getEditReason(state, edit);
+  const accepted = reason === 'accepted';
+  const outcome: EditOutcome = {
+    accepted,
+    baseVersion: Either.isRight(edit) ? edit.right.baseVersion : -1,
+    offset: entry.offset,
+    reason,
+    recordId: record.recordId,
+    timestampMs: entry.timestampMs,
+    writer: record.writer.daemonId,
+  };
+  const history = [...state.history, outcome].slice(-HISTORY_LENGTH);
+  if (!accepted || Either.isLeft(edit)) return { ...state, history };
+  return {
+    ...state, history, lists: edit.right.lists, version: state.version + 1,
+  };
+};
+
+const applyIssue: RecordHandler = (state, record) => {
+  const issue = decodeIssue(record.body);
+  if (Either.isLeft(issue) || state.keys.has(issue.right.keyId)) return state;
+  const { account, digest, keyId } = issue.right;
+  return {
+    ...state, keys: new Map(state.keys).set(keyId, { account, digest, withdrawn: false }),
+  };
+};
+
+const applyWithdraw: RecordHandler = (state, record) => {
+  const withdraw = decodeWithdraw(record.body);
+  if (Either.isLeft(withdraw)) return state;
+  const { keyId } = withdraw.right;
+  const known = state.keys.get(keyId) ?? { account: '', digest: '', withdrawn: true };
+  return { ...state, keys: new Map(state.keys).set(keyId, { ...known, withdrawn: true }) };
+};
+
+const HANDLERS: Readonly<Record<string, RecordHandler>> = {
+  [ConfigRecords.CONFIG_KINDS.edit]: applyEdit,
+  [ConfigRecords.CONFIG_KINDS.keyIssue]: applyIssue,
+  [ConfigRecords.CONFIG_KINDS.keyWithdraw]: applyWithdraw,
+};
+
+/** Steps the state by one entry. Entries that were applied before change nothing. */
+export function reduceConfig(state: ConfigState, entry: Log.LogEntry): ConfigState {
+  if (entry.offset <= state.offset) return state;
+  const next = entry.records.reduce<ConfigState>((current, record) => (
+    HANDLERS[record.kind]?.(current, record, entry) ?? current
+  ), state);
+  return { ...next, offset: entry.offset };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Clock, identifiers, typed errors, rendezvous hashing, undo helpers and log prefixes. */
 export * from './Clock.js';
+export * from './HttpJson.js';
 export * from './Identifiers.js';
 export * from './Invariant.js';
 export * from './Logging.js';
--- /dev/null
+++ b/packages/log/src/LogPort.ts
@@ -0,0 +1,46 @@
+/** Interface of the platform's append-only log, with its failures. */
+import type * as Core from '@berylyoke/core';
+import * as Data from 'effect/Data';
+import type * as Effect from 'effect/Effect';
+import type * as LogRecord from './LogRecord.js';
+
+/** The log did not answer, or refused. An append may have taken effect unless `sent` is false. */
+export class LogUnavailableError extends Data.TaggedError('LogUnavailableError')<{
+  readonly stream: string;
+  readonly sent: boolean;
+  readonly detail: string;
+}> {
+  get message(): string {
+    return `log stream ${this.stream} is unavailable: ${this.detail}`;
+  }
+}
+
+/** The offset asked for is older than the first retained one. */
+export class LogOffsetExpiredError extends Data.TaggedError('LogOffsetExpiredError')<{
+  readonly stream: string;
+  readonly first: number;
+}> {
+  get message(): string {
+    return `log stream ${this.stream} retains records from offset ${this.first} on`;
+  }
+}
+
+/** Where to read from, how many entries at most, and how long to wait for the first one. */
+export interface ReadRequest {
+  readonly stream: string;
+  readonly from: number;
+  readonly limit: number;
+  readonly waitMs: Core.Millis;
+}
+
+/** The platform's log. */
+export interface LogPort {
+  /** Appends one entry and returns its offset. The answer proves nothing until it is read back. */
+  readonly append: (
+    stream: string,
+    records: readonly LogRecord.LogRecord[],
+  ) => Effect.Effect<number, LogUnavailableError>;
+  readonly read: (
+    request: ReadRequest,
+  ) => Effect.Effect<LogRecord.LogPage, LogOffsetExpiredError | LogUnavailableError>;
+}
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -1,2 +1,5 @@
 /** Client of the platform's append-only log: port, HTTP adapter, group commit and tail. */
-export {};
+export * from './HttpLog.js';
+export * from './LogClient.js';
+export * from './LogPort.js';
+export * from './LogRecord.js';
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,2 +1,4 @@
-/** Small fakes of the platform's interfaces, each with a table of faults, and the demo. */
-export {};
+/** Small fakes of the platform's interfaces, each with a table of faults. */
+export * from './FakeLog.js';
+export * from './FakeServer.js';
+export * from './Faults.js';
