Add the fake engine, plain service and VM list

Cause: the request path has to be tested against engines that crash, fall silent, cross chunks or lag in their reports, and against a service that counts executions.

The text of the fake engine depends only on the request body, so that a stream can be resumed on any other fake. Rows of the fault table gain afterTokens and the kinds crash, crossed and slow.

--- /dev/null
+++ b/packages/testkit/src/FakeEngine.ts
@@ -0,0 +1,271 @@
+/**
+ * Fake of a model engine: OpenAI chat completions over a bounded number of slots, with a prefix
+ * cache, resumption, cancellation, lagging load reports and fenced orders. Operation `chat` takes
+ * the faults crash, crossed, delay, refusal, silence and slow.
+ */
+import * as Either from 'effect/Either';
+import * as Schema from 'effect/Schema';
+import type * as http from 'node:http';
+import * as EngineSlots from './EngineSlots.js';
+import * as EngineStream from './EngineStream.js';
+import * as EngineText from './EngineText.js';
+import * as FakeServer from './FakeServer.js';
+import type * as Faults from './Faults.js';
+import * as Lagging from './Lagging.js';
+import * as Seen from './Seen.js';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_CONFLICT = 409;
+const HTTP_NOT_FOUND = 404;
+const HTTP_OK = 200;
+const HTTP_TOO_MANY = 429;
+const HTTP_UNAVAILABLE = 503;
+/** Share of the time to first token that a fully cached prompt saves. */
+const CACHE_SAVING = 0.8;
+const LOWEST_PRIORITY = 9;
+
+/** Options of the fake; times are in milliseconds. */
+export interface FakeEngineOptions {
+  readonly port?: number;
+  readonly models?: readonly string[];
+  readonly slots?: number;
+  readonly queueLimit?: number;
+  readonly firstTokenMs?: number;
+  readonly betweenTokensMs?: number;
+  /** Tokens of an answer where the request sets no lower limit. */
+  readonly answerTokens?: number;
+  /** Prompt prefixes that the cache holds. */
+  readonly cachedPrefixes?: number;
+  readonly loadLagMs?: number;
+  /** False for an engine that ignores fencing tokens. */
+  readonly enforcesFence?: boolean;
+}
+
+const EngineOrder = Schema.Struct({
+  action: Schema.String,
+  fence: Schema.Int,
+  model: Schema.optional(Schema.String),
+  orderId: Schema.String,
+});
+/** An order that the engine carried out. */
+export type EngineOrder = typeof EngineOrder.Type;
+
+/** Totals since the start. */
+export interface EngineCounts {
+  readonly started: number;
+  readonly finished: number;
+  readonly cancelled: number;
+  readonly tokens: number;
+}
+
+/** A running fake engine. */
+export interface FakeEngine extends FakeServer.FakeServer {
+  readonly getCounts: () => EngineCounts;
+  readonly listOrders: () => readonly EngineOrder[];
+  readonly listSeen: () => readonly Seen.SeenRequest[];
+}
+
+const decodeBody = Schema.decodeUnknownEither(Schema.parseJson(EngineText.ChatBody));
+const decodeOrder = Schema.decodeUnknownSync(EngineOrder);
+
+function buildError(status: number, code: string, message: string): FakeServer.FakeAnswer {
+  return { body: { error: { code, message, type: 'engine_error' } }, status };
+}
+
+/** Adds the prefixes to a least-recently-used cache; returns the share that was cached. */
+function updateCache(cache: Set<string>, prefixes: readonly string[], limit: number): number {
+  const cached = prefixes.filter((prefix) => cache.has(prefix)).length;
+  prefixes.forEach((prefix) => {
+    cache.delete(prefix);
+    cache.add(prefix);
+  });
+  [...cache].slice(0, Math.max(0, cache.size - limit)).forEach((prefix) => cache.delete(prefix));
+  return prefixes.length === 0 ? 0 : cached / prefixes.length;
+}
+
+/** Starts the fake. */
+export async function startFakeEngine({
+  answerTokens = 32,
+  betweenTokensMs = 5,
+  cachedPrefixes = 1_000,
+  enforcesFence = true,
+  firstTokenMs = 20,
+  loadLagMs = 0,
+  models = ['small-chat'],
+  port = 0,
+  queueLimit = 64,
+  slots = 32,
+}: FakeEngineOptions = {}): Promise<FakeEngine> {
+  const loaded = new Set(models);
+  const cache = new Set<string>();
+  const cancels = new Map<string, () => void>();
+  const orders: EngineOrder[] = [];
+  const seen = Seen.createSeenList();
+  const load = Lagging.createLagging({ queued: 0, running: 0 }, loadLagMs);
+  const counts = {
+    cancelled: 0, finished: 0, started: 0, tokens: 0,
+  };
+  let highestFence = -1;
+  let requests = 0;
+  const faultSource: { take: (operation: string) => Faults.Fault | undefined } = {
+    take: () => undefined,
+  };
+  const engineSlots: EngineSlots.EngineSlots = EngineSlots.createEngineSlots(
+    slots,
+    queueLimit,
+    () => load.set(engineSlots.getCounts()),
+  );
+
+  const runChat = (
+    request: FakeServer.FakeRequest,
+    response: http.ServerResponse,
+    body: EngineText.ChatBody,
+  ): FakeServer.FakeAnswer => {
+    const fault = faultSource.take('chat');
+    if (fault?.kind === 'refusal') return buildError(HTTP_UNAVAILABLE, 'refused', 'refused');
+    requests += 1;
+    const id = request.headers['x-request-id']?.toString() ?? `engine-${requests}`;
+    const from = Number(request.headers['x-resume-from'] ?? 0);
+    const text = EngineText.buildEngineText(body, answerTokens);
+    const timers: NodeJS.Timeout[] = [];
+    const stops: (() => void)[] = [];
+    let finished = false;
+
+    const finish = (): void => {
+      finished = true;
+      counts.finished += 1;
+    };
+    const answerPlain = (): void => {
+      if (fault?.kind === 'silence') return;
+      if (fault?.kind === 'crash') {
+        response.destroy();
+        return;
+      }
+      counts.tokens += text.length - from;
+      finish();
+      response.writeHead(HTTP_OK, { 'content-type': 'application/json', 'x-request-id': id });
+      response.end(JSON.stringify(EngineStream.buildCompletion(
+        id,
+        body.model,
+        text,
+        EngineText.joinTokens(text, from),
+      )));
+    };
+    const startStream = (): void => {
+      stops.push(EngineStream.startEngineStream({
+        betweenTokensMs,
+        body,
+        fault,
+        from,
+        id,
+        onFinish: finish,
+        onToken: () => {
+          counts.tokens += 1;
+        },
+        response,
+        text,
+      }));
+    };
+
+    const start = (): void => {
+      counts.started += 1;
+      const cachedShare = updateCache(cache, text.prefixes, cachedPrefixes);
+      const waitMs = firstTokenMs * (1 - CACHE_SAVING * cachedShare)
+        + (fault?.kind === 'delay' ? fault.delayMs : 0);
+      const plainMs = betweenTokensMs * Math.max(0, text.length - from);
+      const answer = body.stream === true ? startStream : answerPlain;
+      const delayMs = body.stream === true ? waitMs : waitMs + plainMs;
+      // A timer takes at least 1 ms, which would hide what a bench measures.
+      if (delayMs === 0) answer();
+      else timers.push(setTimeout(answer, delayMs));
+    };
+    const slot = engineSlots.claim(
+      Number(request.headers['x-priority'] ?? LOWEST_PRIORITY),
+      start,
+    );
+    if (!slot.accepted) return buildError(HTTP_TOO_MANY, 'queue_full', 'the queue is full');
+    cancels.set(id, () => response.destroy());
+    response.on('close', () => {
+      timers.forEach((timer) => clearTimeout(timer));
+      stops.forEach((stop) => stop());
+      cancels.delete(id);
+      slot.release();
+      if (!finished) counts.cancelled += 1;
+    });
+    return undefined;
+  };
+
+  const server = await FakeServer.startFakeServer([
+    {
+      handle: (request, response) => {
+        seen.add({ headers: request.headers, method: request.method, path: request.path });
+        const body = decodeBody(request.text);
+        if (Either.isLeft(body)) {
+          return buildError(HTTP_BAD_REQUEST, 'invalid_body', body.left.message);
+        }
+        if (!loaded.has(body.right.model)) {
+          const message = `model ${body.right.model} is not loaded`;
+          return buildError(HTTP_NOT_FOUND, 'model_not_loaded', message);
+        }
+        return runChat(request, response, body.right);
+      },
+      name: 'chat',
+      pattern: /^POST \/v1\/chat\/completions$/,
+      takesFaults: true,
+    },
+    {
+      handle: (_, __, [, id = '']) => {
+        const cancel = cancels.get(decodeURIComponent(id));
+        cancel?.();
+        return { body: {}, status: cancel === undefined ? HTTP_NOT_FOUND : HTTP_OK };
+      },
+      name: 'cancel',
+      pattern: /^DELETE \/v1\/requests\/([^/]+)$/,
+    },
+    {
+      handle: () => ({
+        body: { ...load.get(), models: [...loaded], slots }, status: HTTP_OK,
+      }),
+      name: 'load',
+      pattern: /^GET \/load$/,
+    },
+    {
+      handle: () => ({ body: counts, status: HTTP_OK }),
+      name: 'counts',
+      pattern: /^GET \/counts$/,
+    },
+    {
+      handle: () => ({ body: seen.list(), status: HTTP_OK }),
+      name: 'seen',
+      pattern: /^GET \/seen$/,
+    },
+    {
+      handle: ({ text }) => {
+        const order = decodeOrder(JSON.parse(text));
+        if (enforcesFence && order.fence < highestFence) {
+          return { body: { fence: highestFence }, status: HTTP_CONFLICT };
+        }
+        highestFence = Math.max(highestFence, order.fence);
+        if (!orders.some(({ orderId }) => orderId === order.orderId)) {
+          orders.push(order);
+          if (order.model !== undefined) loaded.add(order.model);
+        }
+        return { body: { orderId: order.orderId }, status: HTTP_OK };
+      },
+      name: 'order',
+      pattern: /^POST \/orders$/,
+    },
+    {
+      handle: () => ({ body: orders, status: HTTP_OK }),
+      name: 'orders',
+      pattern: /^GET \/orders$/,
+    },
+  ], port);
+  faultSource.take = server.faults.take;
+  return {
+    ...server,
+    getCounts: () => ({ ...counts }),
+    listOrders: () => orders,
+    listSeen: seen.list,
+  };
+}
--- /dev/null
+++ b/packages/testkit/src/FakePlainService.ts
@@ -0,0 +1,68 @@
+/**
+ * Fake of a plain service that counts executions by the `orderId` of the body. Operation `call`
+ * takes the faults lost-answer, delay, refusal and silence.
+ */
+import * as FakeServer from './FakeServer.js';
+import * as Seen from './Seen.js';
+
+const HTTP_OK = 200;
+
+/** Options of the fake. */
+export interface FakePlainServiceOptions {
+  readonly port?: number;
+}
+
+/** A running fake of a plain service. */
+export interface FakePlainService extends FakeServer.FakeServer {
+  /** Executions of the order; 0 when it never arrived. */
+  readonly countExecutions: (orderId: string) => number;
+  readonly listSeen: () => readonly Seen.SeenRequest[];
+}
+
+function findOrderId(text: string): string | undefined {
+  try {
+    const body: unknown = JSON.parse(text);
+    if (body === null || typeof body !== 'object' || !('orderId' in body)) return undefined;
+    return String(body.orderId);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Starts the fake. */
+export async function startFakePlainService(
+  { port = 0 }: FakePlainServiceOptions = {},
+): Promise<FakePlainService> {
+  const executions = new Map<string, number>();
+  const seen = Seen.createSeenList();
+  const server = await FakeServer.startFakeServer([
+    {
+      handle: () => ({ body: Object.fromEntries(executions), status: HTTP_OK }),
+      name: 'executions',
+      pattern: /^GET \/executions$/,
+    },
+    {
+      handle: () => ({ body: seen.list(), status: HTTP_OK }),
+      name: 'seen',
+      pattern: /^GET \/seen$/,
+    },
+    {
+      handle: ({
+        headers, method, path, text,
+      }) => {
+        seen.add({ headers, method, path });
+        const orderId = findOrderId(text);
+        const count = orderId === undefined ? 0 : (executions.get(orderId) ?? 0) + 1;
+        if (orderId !== undefined) executions.set(orderId, count);
+        return { body: { executions: count, orderId, path }, status: HTTP_OK };
+      },
+      name: 'call',
+      pattern: /^[A-Z]+ \/.*$/,
+    },
+  ], port);
+  return {
+    ...server,
+    countExecutions: (orderId) => executions.get(orderId) ?? 0,
+    listSeen: seen.list,
+  };
+}
--- a/packages/testkit/src/FakeServer.ts
+++ b/packages/testkit/src/FakeServer.ts
@@ -21,6 +21,8 @@
 export interface FakeOperation {
   readonly name: string;
   readonly pattern: RegExp;
+  /** True where the operation takes its faults from the table itself. */
+  readonly takesFaults?: boolean;
   readonly handle: (
     request: FakeRequest,
     response: http.ServerResponse,
@@ -72,6 +74,11 @@
 ) => Promise<FakeAnswer>;
 
 const FAULT_HANDLERS: Readonly<Record<Faults.FaultKind, FaultHandler>> = {
+  crash: async (effect, response) => {
+    response.destroy();
+    return undefined;
+  },
+  crossed: async (effect) => effect(),
   delay: async (effect, response, { delayMs }) => {
     await waitFor(delayMs);
     return effect();
@@ -88,6 +95,10 @@
   },
   refusal: async () => ({ body: { error: 'unavailable' }, status: HTTP_UNAVAILABLE }),
   silence: async () => undefined,
+  slow: async (effect, response, { delayMs }) => {
+    await waitFor(delayMs);
+    return effect();
+  },
 };
 
 /** Starts a fake on a loopback port; port 0 takes a free one. */
@@ -128,7 +139,7 @@
     };
     const match = operation.pattern.exec(line) as RegExpExecArray;
     const effect: Effect = () => operation.handle(request, response, match);
-    const fault = faults.take(operation.name);
+    const fault = operation.takesFaults === true ? undefined : faults.take(operation.name);
     sendAnswer(response, await (fault === undefined
       ? effect()
       : FAULT_HANDLERS[fault.kind](effect, response, fault)));
--- a/packages/testkit/src/Faults.ts
+++ b/packages/testkit/src/Faults.ts
@@ -6,23 +6,29 @@
 
 /** What goes wrong: see `FAULT_MEANINGS`. */
 export const FaultKind = Schema.Literal(
+  'crash',
+  'crossed',
   'delay',
   'duplicate',
   'gap',
   'lost-answer',
   'refusal',
   'silence',
+  'slow',
 );
 export type FaultKind = typeof FaultKind.Type;
 
 /** What each kind does to an operation of a fake. */
 export const FAULT_MEANINGS: Readonly<Record<FaultKind, string>> = {
+  crash: 'the connection breaks, in a stream after afterTokens',
+  crossed: 'a chunk of another request comes after afterTokens',
   delay: 'the answer comes after delayMs',
   duplicate: 'the effect takes place twice',
   gap: 'a part of the answer is left out',
   'lost-answer': 'the effect takes place and the connection closes without an answer',
   refusal: 'status 503 and no effect',
-  silence: 'no effect and no answer; the connection stays open',
+  silence: 'no effect and no answer, in a stream from afterTokens on; the connection stays open',
+  slow: 'each token comes delayMs later',
 };
 
 /** One row of the table. */
@@ -32,12 +38,17 @@
   /** Number of operations that the row still applies to. */
   count: Schema.optionalWith(Schema.Int, { default: () => 1 }),
   delayMs: Schema.optionalWith(Schema.Number, { default: () => 0 }),
+  /** Tokens that a stream delivers before the fault. */
+  afterTokens: Schema.optionalWith(Schema.Int, { default: () => 0 }),
 });
 export type Fault = typeof Fault.Type;
+export type EncodedFault = typeof Fault.Encoded;
+
+const decodeRows = Schema.decodeSync(Schema.Array(Fault));
 
 /** Table of faults that still apply. */
 export interface FaultTable {
-  readonly set: (faults: readonly Fault[]) => void;
+  readonly set: (faults: readonly EncodedFault[]) => void;
   /** Takes one use of the first row for the operation. */
   readonly take: (operation: string) => Fault | undefined;
 }
@@ -47,7 +58,7 @@
   let rows: readonly Fault[] = [];
   return {
     set: (faults) => {
-      rows = faults;
+      rows = decodeRows(faults);
     },
     take: (operation) => {
       const found = rows.find((row) => row.operation === operation && row.count > 0);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,10 @@
 /** Small fakes of the platform's interfaces, each with a table of faults. */
+export * from './FakeEngine.js';
 export * from './FakeLog.js';
+export * from './FakePlainService.js';
 export * from './FakeServer.js';
+export * from './FakeVmList.js';
 export * from './Faults.js';
+export * from './HttpText.js';
+export * from './Lagging.js';
+export * from './Seen.js';
