Add the command line and the demo

Cause: operators control the system only through the log and the operator interfaces, and a black-box test needs the whole system in one command.

config publish takes its base version from the log when it starts, decides on the entry that it reads back, and shows the loser of a race what differs between the lists in force and its own.

The demo waits for the daemon and was not run yet.

--- /dev/null
+++ b/packages/cli/src/CliCommand.ts
@@ -0,0 +1,35 @@
+/** The commands, their arguments and what they hand back. */
+import type * as Effect from 'effect/Effect';
+import type * as CliError from './CliError.js';
+
+/** Names of the commands. */
+export const COMMANDS = {
+  configHistory: 'config history',
+  configPublish: 'config publish',
+  configShow: 'config show',
+  configValidate: 'config validate',
+  explain: 'explain',
+  keyIssue: 'key issue',
+  keyWithdraw: 'key withdraw',
+  status: 'status',
+} as const;
+export type Command = (typeof COMMANDS)[keyof typeof COMMANDS];
+
+/** Arguments of all commands; a command finds those that its usage names. */
+export interface CliArguments {
+  readonly settings?: string;
+  readonly lists: string;
+  readonly base?: number;
+  readonly account: string;
+  readonly keyId: string;
+  readonly requestId: string;
+}
+
+/** Result of a command: `value` is printed with `--json`, `text` without. */
+export interface CliResult {
+  readonly value: unknown;
+  readonly text: string;
+}
+
+/** Carries out one command. */
+export type CommandHandler = (args: CliArguments) => Effect.Effect<CliResult, CliError.CliError>;
--- /dev/null
+++ b/packages/cli/src/__tests__/unit/Cli.test.ts
@@ -0,0 +1,140 @@
+import * as Testkit from '@berylyoke/testkit';
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as Vitest from 'vitest';
+import * as Cli from '../../Cli.js';
+
+const {
+  afterEach, beforeEach, describe, expect, test,
+} = Vitest;
+
+describe('the command line', () => {
+  let directory: string;
+  let log: Testkit.FakeLog;
+  let settings: string;
+  let lists: string;
+
+  const write = async (name: string, text: string): Promise<string> => {
+    const file = path.join(directory, name);
+    await fs.writeFile(file, text);
+    return file;
+  };
+  const run = async (...args: string[]) => {
+    const out: string[] = [];
+    const error: string[] = [];
+    const status = await Cli.runCli(args, {
+      writeError: (text) => error.push(text), writeOut: (text) => out.push(text),
+    });
+    return { error: error.join(''), out: out.join(''), status };
+  };
+  const runJson = async (...args: string[]) => {
+    const { out, status } = await run('--settings', settings, '--json', ...args);
+    return { status, value: JSON.parse(out) };
+  };
+
+  beforeEach(async () => {
+    directory = await fs.mkdtemp(path.join(os.tmpdir(), 'berylyoke-cli-'));
+    log = await Testkit.startFakeLog();
+    settings = await write('settings.toml', `
+daemon_id = "entry-1"
+data_centre = "a"
+region = "r"
+operators = ["http://127.0.0.1:1"]
+entry = { port = 0 }
+operator = { port = 0 }
+peer = { port = 0 }
+platform = { log_url = "${log.url}", vm_list_url = "${log.url}" }
+`);
+    lists = await write('lists.toml', Testkit.DEMO_LISTS);
+  });
+  afterEach(async () => {
+    await log.close();
+    await fs.rm(directory, { recursive: true });
+  });
+
+  test('names the line and key of a wrong name, with exit status 2', async () => {
+    const wrong = Testkit.DEMO_LISTS.replace('plan = "shop"', 'plan = "shoe"');
+    const line = wrong.split('\n').indexOf('plan = "shoe"') + 1;
+    const file = await write('wrong.toml', wrong);
+    const result = await run('config', 'validate', file);
+    expect(result.status).toBe(2);
+    expect(result.error).toContain(`${file}:${line}: accounts[0].plan: found "shoe"`);
+  });
+
+  test('appends nothing when the lists to publish are not valid', async () => {
+    const file = await write('wrong.toml', 'plans = 3');
+    expect((await run('--settings', settings, 'config', 'publish', file)).status).toBe(2);
+    expect(log.countAppends()).toBe(0);
+  });
+
+  test('publishes lists that config show hands back unchanged', async () => {
+    expect(await runJson('config', 'publish', lists)).toMatchObject({
+      status: 0, value: { version: 1 },
+    });
+    const shown = await run('--settings', settings, 'config', 'show');
+    const again = await write('again.toml', shown.out);
+    expect(await runJson('config', 'publish', again)).toMatchObject({
+      status: 0, value: { changes: [], version: 2 },
+    });
+  });
+
+  test('tells the loser of a race what differs, and changes nothing', async () => {
+    await runJson('config', 'publish', lists);
+    const mine = await write('mine.toml', Testkit.DEMO_LISTS.replace('weight = 3.0', 'weight = 4'));
+    const lost = await runJson('config', 'publish', mine, '--base', '0');
+    expect(lost.status).toBe(1);
+    expect(lost.value.error.details.difference).toEqual([{
+      change: 'changed', id: 'chain', keys: ['weight'], list: 'plans',
+    }]);
+    const history = await runJson('config', 'history');
+    expect(history.value.map(({ reason }: { reason: string }) => reason))
+      .toEqual(['accepted', 'stale-base']);
+    expect((await runJson('config', 'show')).value.version).toBe(1);
+  });
+
+  test('reports success when the answer to the append was lost', async () => {
+    log.faults.set([{ kind: 'lost-answer', operation: 'append' }]);
+    expect((await runJson('config', 'publish', lists)).status).toBe(0);
+    expect(log.countAppends()).toBe(1);
+  });
+
+  test('keeps the secret of an issued key out of the log', async () => {
+    await runJson('config', 'publish', lists);
+    const { value } = await runJson('key', 'issue', '--account', 'fan-shop');
+    const secret = value.key.split('_').slice(2).join('_');
+    expect(JSON.stringify(log.listEntries('config'))).toContain(value.keyId);
+    expect(JSON.stringify(log.listEntries('config'))).not.toContain(secret);
+    expect((await runJson('key', 'withdraw', value.keyId)).status).toBe(0);
+    expect((await runJson('key', 'withdraw', value.keyId)).status).toBe(0);
+  });
+
+  test('refuses keys of unknown accounts and unknown key ids as bad input', async () => {
+    await runJson('config', 'publish', lists);
+    expect((await runJson('key', 'issue', '--account', 'nobody')).status).toBe(2);
+    expect((await runJson('key', 'withdraw', 'abcdef012345')).status).toBe(2);
+  });
+
+  test.each([
+    [['nonsense']],
+    [['config']],
+    [['config', 'publish']],
+    [['config', 'publish', 'lists.toml', '--base', 'x']],
+    [['config', 'show']],
+    [['status', '--unknown']],
+    [['--settings', '/does/not/exist', 'status']],
+  ])('ends with exit status 2 on bad arguments %j', async (args) => {
+    expect((await run(...args)).status).toBe(2);
+  });
+
+  test('ends with exit status 1 when no daemon answers', async () => {
+    expect((await runJson('status')).status).toBe(1);
+    expect((await runJson('explain', 'r1')).status).toBe(1);
+  });
+
+  test('shows examples in the help of a command', async () => {
+    const help = await run('config', 'publish', '--help');
+    expect(help.status).toBe(0);
+    expect(help.out).toContain('config publish lists.toml --base 7');
+  });
+});
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,5 @@
 /** The command line berylyoke. */
-export {};
+export * from './Cli.js';
+export * from './CliCommand.js';
+export * from './CliError.js';
+export * from './ListDifference.js';
--- a/packages/config/src/TomlFile.ts
+++ b/packages/config/src/TomlFile.ts
@@ -37,11 +37,11 @@
   return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
 }
 
-function mapKeys(value: unknown): unknown {
-  if (Array.isArray(value)) return value.map(mapKeys);
+function mapKeys(value: unknown, mapKey: (key: string) => string): unknown {
+  if (Array.isArray(value)) return value.map((inner) => mapKeys(inner, mapKey));
   if (value === null || typeof value !== 'object' || value instanceof Date) return value;
   return Object.fromEntries(
-    Object.entries(value).map(([key, inner]) => [toCamelCase(key), mapKeys(inner)]),
+    Object.entries(value).map(([key, inner]) => [mapKey(key), mapKeys(inner, mapKey)]),
   );
 }
 
@@ -85,7 +85,7 @@
 ): Either.Either<A, TomlError> {
   let parsed: unknown;
   try {
-    parsed = mapKeys(Toml.parse(text));
+    parsed = mapKeys(Toml.parse(text), toCamelCase);
   } catch (error) {
     const line = error instanceof Toml.TomlError ? error.line : 0;
     const [problem = 'invalid TOML'] = String((error as Error).message).split('\n');
@@ -101,3 +101,8 @@
     })
   )));
 }
+
+/** Encodes a value as a document that `decodeToml` reads back. */
+export function encodeToml<A, I>(schema: Schema.Schema<A, I>, value: A): string {
+  return `${Toml.stringify(mapKeys(Schema.encodeSync(schema)(value), toSnakeCase))}\n`;
+}
--- /dev/null
+++ b/packages/testkit/src/demo.ts
@@ -0,0 +1,42 @@
+/** Entry point of `npm run demo -- --port N`: prints one JSON line and runs until a signal. */
+import * as util from 'node:util';
+import * as DemoSystem from './DemoSystem.js';
+
+const EXIT_BAD_INPUT = 2;
+const MAX_PORT = 65_534;
+
+async function runDemo(port: number): Promise<void> {
+  const starting = DemoSystem.startDemoSystem({ port });
+  let stopping: Promise<void> | undefined;
+  const stop = (): void => {
+    stopping ??= starting.then((system) => system.stop());
+    stopping.catch(() => {
+      process.exitCode = 1;
+    });
+  };
+  process.on('SIGINT', stop);
+  process.on('SIGTERM', stop);
+  const system = await starting;
+  process.stdout.write(`${JSON.stringify(system.description)}\n`);
+  system.daemons.forEach(({ exited }) => {
+    exited.then((status) => {
+      if (stopping !== undefined) return;
+      process.stderr.write(`demo: a daemon ended with ${status}\n`);
+      process.exitCode = 1;
+      stop();
+    }).catch(stop);
+  });
+}
+
+const { values } = util.parseArgs({ options: { port: { default: '8080', type: 'string' } } });
+const port = Number(values.port);
+
+if (!Number.isInteger(port) || port < 0 || port > MAX_PORT) {
+  process.stderr.write(`demo: --port takes a whole number from 0 to ${MAX_PORT}\n`);
+  process.exitCode = EXIT_BAD_INPUT;
+} else {
+  runDemo(port).catch((error: unknown) => {
+    process.stderr.write(`demo: ${error instanceof Error ? error.message : String(error)}\n`);
+    process.exitCode = 1;
+  });
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,7 @@
 /** Small fakes of the platform's interfaces, each with a table of faults. */
+export * from './DemoLists.js';
+export * from './DemoProcess.js';
+export * from './DemoSystem.js';
 export * from './FakeEngine.js';
 export * from './FakeLog.js';
 export * from './FakePlainService.js';
