--- a/packages/daemon/src/Classify.ts
+++ b/packages/daemon/src/Classify.ts
@@ -1,6 +1,7 @@
 /** Filter: finds the class and the target of a request and checks the plan of its caller. */
 import type * as Config from '@berylyoke/config';
 import * as Either from 'effect/Either';
+import * as ParseResult from 'effect/ParseResult';
 import * as Schema from 'effect/Schema';
 import type * as PathTypes from './PathTypes.js';
 import * as Refusal from './Refusal.js';
@@ -41,6 +42,12 @@
   }
 }
 
+function describeProblems(error: ParseResult.ParseError): string {
+  return ParseResult.ArrayFormatter.formatErrorSync(error)
+    .map(({ message, path }) => `${path.map(String).join('.')}: ${message}`)
+    .join('; ');
+}
+
 function getPrefix({ messages }: ChatBody): string {
   return messages
     .map(({ content, role }) => (
@@ -76,7 +83,7 @@
   if (Either.isLeft(json)) return json.left;
   const chat = decodeChatBody(json.right);
   if (Either.isLeft(chat)) {
-    return Refusal.createRefusal('invalid_request', `the body is not valid: ${chat.left.message}`);
+    return Refusal.createRefusal('invalid_request', describeProblems(chat.left));
   }
   return buildTarget(body, json.right, chat.right);
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -11,7 +11,7 @@
 async function runMain(): Promise<void> {
   const { settings: file } = await yargs(process.argv.slice(2))
     .scriptName('berylyoked')
-    .usage('$0 --settings FILE', 'Runs a berylyoke daemon.')
+    .usage('$0 --settings FILE\n\nRuns a berylyoke daemon.')
     .option('settings', {
       demandOption: true, describe: 'settings file (TOML)', requiresArg: true, type: 'string',
     })
