Match chunks by the request id, bound every wait and drain under load

Cause: the daemon expected chunk ids that begin with chatcmpl-, which no engine of the design gives; it counted the closing chunk as a token, so that a stream broken before its end marker would have been resumed one token too far; an engine that never answered held the caller for ever; a drain waited for the last request before it stopped listening, which steady traffic never allows.

Change: a chunk of another request fails the stream, which is resumed elsewhere, since the engine may have given away a token of this one. Chunks without a token wait for the next token or the end.

--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -15,6 +15,8 @@
   /** Undefined where a fresh connection is needed. */
   readonly agent: http.Agent | undefined;
   readonly connectTimeoutMs: Core.Millis;
+  /** Longest time until the head of the answer. */
+  readonly headTimeoutMs: Core.Millis;
   readonly signal: AbortSignal;
 }
 
@@ -22,7 +24,7 @@
 export interface BackendFailure {
   readonly _tag: 'BackendFailure';
   readonly sent: boolean;
-  readonly reason: 'aborted' | 'connection';
+  readonly reason: 'aborted' | 'connection' | 'silent';
 }
 
 /** Sends a call and resolves at the answer's head, or with the failure; never rejects. */
@@ -31,6 +33,7 @@
 ): Promise<BackendFailure | http.IncomingMessage> {
   return new Promise((resolve) => {
     let sent = false;
+    let isSilent = false;
     const [host, port] = call.address.split(':');
     const request = http.request({
       agent: call.agent ?? false,
@@ -41,9 +44,17 @@
       port: Number(port),
       signal: call.signal,
     });
-    const fail = (): void => resolve({
-      _tag: 'BackendFailure', reason: call.signal.aborted ? 'aborted' : 'connection', sent,
-    });
+    const headTimer = setTimeout(() => {
+      isSilent = true;
+      request.destroy();
+    }, call.headTimeoutMs);
+    const fail = (): void => {
+      clearTimeout(headTimer);
+      const reason = isSilent ? 'silent' : 'connection';
+      resolve({
+        _tag: 'BackendFailure', reason: call.signal.aborted ? 'aborted' : reason, sent,
+      });
+    };
     request.on('socket', (socket) => {
       if (!socket.connecting) {
         sent = true;
@@ -57,7 +68,12 @@
       socket.once('close', () => clearTimeout(timer));
     });
     request.on('error', fail);
-    request.on('response', resolve);
+    // A destroyed request without an error emits only this event.
+    request.on('close', fail);
+    request.on('response', (answer) => {
+      clearTimeout(headTimer);
+      resolve(answer);
+    });
     request.end(call.body);
   });
 }
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -16,6 +16,8 @@
 
 /** Requests whose explanation is kept. */
 const EXPLAINED_REQUESTS = 10_000;
+/** Time that answers to operators may take at the end, in milliseconds. */
+const OPERATOR_CLOSE_MS = 1_000;
 /** Time to come back to a call that needs a claim while no claims can be made, in milliseconds. */
 const CLAIM_RETRY_MS = 2_000;
 
@@ -122,17 +124,21 @@
     stop: async () => {
       draining = true;
       logger.info({ requests: active.count() }, 'draining');
+      const { drainMs } = settings.limits;
+      // The listener closes first: under steady traffic the last request would never end.
+      const closed = entry.close(drainMs);
       await Promise.all(drains.list().map(([, drain]) => drain()));
       const deadline = new Promise((resolve) => {
-        setTimeout(resolve, settings.limits.drainMs).unref();
+        setTimeout(resolve, drainMs).unref();
       });
+      await closed;
+      // A non-repeatable call goes on after its caller has left.
       await Promise.race([active.waitUntilEmpty(), deadline]);
-      await entry.close();
       undoParts();
       servers.close();
       config.close();
       log.close();
-      await operator.close();
+      await operator.close(OPERATOR_CLOSE_MS);
       logger.info('stopped');
     },
   };
--- a/packages/daemon/src/Delivery.ts
+++ b/packages/daemon/src/Delivery.ts
@@ -51,7 +51,7 @@
     writeBatch: (batch, includeUsage) => {
       let writable = true;
       if (batch.forward.length > 0) {
-        firstTokenAtMs ??= clock.readMonotonic();
+        if (batch.tokens > 0) firstTokenAtMs ??= clock.readMonotonic();
         delivered += batch.tokens;
         writable = response.write(batch.forward);
       }
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -1,8 +1,8 @@
 /** HTTP interface towards operators: status, explanations and health. */
 import * as http from 'node:http';
 import type * as DaemonContext from './DaemonContext.js';
-import * as EntryServer from './EntryServer.js';
 import * as HealthRoutes from './HealthRoutes.js';
+import * as HttpServer from './HttpServer.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -11,7 +11,7 @@
 /** Starts the interface towards operators. */
 export async function startOperatorServer(
   context: DaemonContext.DaemonContext,
-): Promise<EntryServer.RunningServer> {
+): Promise<HttpServer.RunningServer> {
   const sendJson = (response: http.ServerResponse, status: number, body: unknown): void => {
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(JSON.stringify(body));
@@ -28,5 +28,5 @@
     if (found === undefined) sendJson(response, HTTP_NOT_FOUND, { error: { code: 'not_found' } });
     else sendJson(response, HTTP_OK, { daemonId: context.settings.daemonId, ...found });
   });
-  return EntryServer.startHttpServer(server, context.settings.operator);
+  return HttpServer.startHttpServer(server, context.settings.operator);
 }
--- /dev/null
+++ b/packages/daemon/src/PathHandlers.ts
@@ -0,0 +1,133 @@
+/** The filters of the path in order, for chat completions, the list of models and routes. */
+import type * as http from 'node:http';
+import * as Classify from './Classify.js';
+import type * as DaemonContext from './DaemonContext.js';
+import * as Identify from './Identify.js';
+import type * as PathTypes from './PathTypes.js';
+import * as Refusal from './Refusal.js';
+import * as RelayChat from './RelayChat.js';
+import * as RelayRoute from './RelayRoute.js';
+
+const HTTP_OK = 200;
+
+function buildModelList({ models }: PathTypes.Caller['plan']): string {
+  return JSON.stringify({
+    data: models.map((id) => ({
+      created: 0, id, object: 'model', owned_by: 'berylyoke',
+    })),
+    object: 'list',
+  });
+}
+
+/** Answers a request, or hands back the refusal to send. */
+export type PathHandler = (
+  received: PathTypes.ReceivedRequest,
+  response: http.ServerResponse,
+) => Promise<Refusal.Refusal | undefined>;
+
+/** Creates the handlers. */
+export function createPathHandlers(
+  context: DaemonContext.DaemonContext,
+  relay: RelayChat.RelayContext,
+): { readonly handleChat: PathHandler;
+  readonly handleModels: PathHandler;
+  readonly handleRoute: PathHandler; } {
+  const identify = (
+    received: PathTypes.ReceivedRequest,
+  ): PathTypes.Caller | Refusal.Refusal => Identify.identifyCaller(
+    received.headers,
+    context.config.getState(),
+    context.ports.get('keyGuard'),
+    context.clock.readMonotonic(),
+  );
+
+  const runActive = async <A>(
+    request: PathTypes.ClassifiedRequest,
+    abort: AbortController,
+    run: (active: PathTypes.ClassifiedRequest) => Promise<A>,
+  ): Promise<A> => {
+    const undo = context.active.register({
+      end: () => abort.abort(),
+      isRunning: () => true,
+      keyId: request.caller?.keyId,
+      repeatable: request.repeatable,
+      requestId: request.received.requestId,
+    });
+    const signal = AbortSignal.any([request.received.signal, abort.signal]);
+    try {
+      return await run({ ...request, received: { ...request.received, signal } });
+    } finally {
+      undo();
+    }
+  };
+
+  const explainClass = (request: PathTypes.ClassifiedRequest): void => relay.explain(
+    request.received.requestId,
+    'classify',
+    'accepted',
+    {
+      account: request.caller?.account.id ?? 'open',
+      class: request.class.id,
+      tier: request.class.tier,
+    },
+  );
+
+  const handleChat: PathHandler = async (received, response) => {
+    const caller = identify(received);
+    if (Refusal.isRefusal(caller)) return caller;
+    const request = Classify.classifyChat(received, caller, context.config.getState().lists);
+    if (Refusal.isRefusal(request)) return request;
+    explainClass(request);
+    const target = request.target as PathTypes.ChatTarget;
+    const outcome = await runActive(request, new AbortController(), (active) => (
+      RelayChat.relayChat(relay, active, target, response)
+    ));
+    if (Refusal.isRefusal(outcome)) return outcome;
+    context.ports.get('usage').record({
+      account: caller.account.id,
+      class: request.class.id,
+      inputTokens: outcome.usage?.inputTokens ?? 0,
+      model: target.model,
+      outputTokens: outcome.usage?.outputTokens ?? outcome.delivered,
+    });
+    relay.explain(received.requestId, 'account', outcome.result, { delivered: outcome.delivered });
+    return undefined;
+  };
+
+  const handleModels: PathHandler = async (received, response) => {
+    const caller = identify(received);
+    if (Refusal.isRefusal(caller)) return caller;
+    response.writeHead(HTTP_OK, { 'content-type': 'application/json' });
+    response.end(buildModelList(caller.plan));
+    return undefined;
+  };
+
+  const handleRoute: PathHandler = async (received, response) => {
+    const { lists } = context.config.getState();
+    const route = Classify.findRoute(lists, received.path);
+    if (route === undefined) return Refusal.createRefusal('not_found', 'no such path');
+    if (!(route.methods as readonly string[]).includes(received.method)) {
+      return Refusal.createRefusal('method_not_allowed', 'the route does not allow this method');
+    }
+    const caller = route.open ? undefined : identify(received);
+    if (Refusal.isRefusal(caller)) return caller;
+    const request = Classify.classifyRoute(received, caller, lists, route);
+    if (Refusal.isRefusal(request)) return request;
+    explainClass(request);
+    const target = request.target as PathTypes.RouteTarget;
+    const outcome = await runActive(request, new AbortController(), (active) => (
+      RelayRoute.relayRoute(relay, active, target, response)
+    ));
+    if (Refusal.isRefusal(outcome)) return outcome;
+    context.ports.get('usage').record({
+      account: caller?.account.id ?? 'open',
+      class: request.class.id,
+      inputTokens: 0,
+      model: undefined,
+      outputTokens: 0,
+    });
+    relay.explain(received.requestId, 'account', 'done', { status: outcome.status });
+    return undefined;
+  };
+  return { handleChat, handleModels, handleRoute };
+}
--- a/packages/daemon/src/Refusal.ts
+++ b/packages/daemon/src/Refusal.ts
@@ -13,6 +13,7 @@
   claim_in_progress: { status: 409, type: 'conflict_error' },
   class_not_allowed: { status: 403, type: 'permission_error' },
   draining: { status: 503, type: 'server_error' },
+  header_too_large: { status: 431, type: 'invalid_request_error' },
   invalid_json: { status: 400, type: 'invalid_request_error' },
   invalid_key: { status: 401, type: 'authentication_error' },
   invalid_request: { status: 400, type: 'invalid_request_error' },
@@ -27,6 +28,7 @@
   not_ready: { status: 503, type: 'server_error' },
   outcome_unknown: { status: 502, type: 'server_error' },
   overloaded: { status: 503, type: 'server_error' },
+  request_timeout: { status: 408, type: 'invalid_request_error' },
   target_missed: { status: 503, type: 'server_error' },
 } as const;
 
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -3,7 +3,7 @@
  * whole, resuming a broken stream on another server from the last delivered token.
  */
 import type * as Core from '@berylyoke/core';
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import * as BackendCall from './BackendCall.js';
 import * as Delivery from './Delivery.js';
 import type * as PathPorts from './PathPorts.js';
@@ -14,6 +14,10 @@
 
 /** Attempts of one request, the first included. */
 const MAX_ATTEMPTS = 3;
+/** Answer length that the time limit of a plain answer allows for, in tokens. */
+const ASSUMED_TOKENS = 4_096;
+/** Factor of a latency target beyond which a server that has not answered counts as silent. */
+const SILENCE_FACTOR = 4;
 /** Largest plain answer of an engine, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
@@ -54,6 +58,33 @@
   };
 }
 
+/** Longest time until the head of an answer: of a plain answer, until all of it is generated. */
+function computeHeadTimeout(
+  context: RelayContext,
+  request: PathTypes.ClassifiedRequest,
+  { maxTokens = ASSUMED_TOKENS, stream }: PathTypes.ChatTarget,
+): Core.Millis {
+  const { betweenTokensMs, firstTokenMs } = request.class;
+  const firstMs = Math.max(context.silentStreamMs, SILENCE_FACTOR * firstTokenMs);
+  return stream ? firstMs : firstMs + SILENCE_FACTOR * betweenTokensMs * maxTokens;
+}
+
+/** Tells a server that its work is not needed, in case the broken connection did not reach it. */
+function cancelOnServer(context: RelayContext, address: string, requestId: string): void {
+  const request = http.request({
+    agent: context.agent,
+    headers: { authorization: `Bearer ${context.credential}` },
+    host: address.split(':')[0],
+    method: 'DELETE',
+    path: `/v1/requests/${requestId}`,
+    port: Number(address.split(':')[1]),
+    timeout: context.connectTimeoutMs,
+  }, (answer) => answer.resume());
+  request.on('timeout', () => request.destroy());
+  request.on('error', () => undefined);
+  request.end();
+}
+
 interface StreamRelay {
   readonly context: RelayContext;
   readonly answer: http.IncomingMessage;
@@ -89,12 +120,14 @@
       const batch = reader.read(data);
       if (batch.tokens > 0) observeTokens?.(batch.tokens);
       const writable = delivery.writeBatch(batch, target.includeUsage);
-      if (batch.done) {
+      if (batch.state === 'done') {
         delivery.endStream();
         finish('done');
-        return;
       }
-      if (writable) return;
+      // An engine that crosses answers may have given a token of this one to another request, so
+      // the rest comes from another engine.
+      if (batch.state === 'invalid') finish('failed');
+      if (writable || finished) return;
       // The caller is slower than the engine: stop reading until its buffer is empty.
       answer.pause();
       clearTimeout(timer);
@@ -119,7 +152,7 @@
       id?: unknown;
       usage?: { completion_tokens?: number; prompt_tokens?: number };
     };
-    if (answer.id !== `chatcmpl-${requestId}`) return undefined;
+    if (typeof answer.id !== 'string' || !answer.id.startsWith(requestId)) return undefined;
     return {
       inputTokens: answer.usage?.prompt_tokens ?? 0,
       outputTokens: answer.usage?.completion_tokens ?? 0,
@@ -141,6 +174,10 @@
   return 'done';
 }
 
+const FAILURES: Readonly<Record<BackendCall.BackendFailure['reason'], AttemptResult>> = {
+  aborted: 'aborted', connection: 'failed', silent: 'silent',
+};
+
 async function runAttempt(
   context: RelayContext,
   request: PathTypes.ClassifiedRequest,
@@ -154,13 +191,14 @@
     agent: context.agent,
     body: target.payload,
     connectTimeoutMs: context.connectTimeoutMs,
+    headTimeoutMs: computeHeadTimeout(context, request, target),
     headers: buildHeaders(request, context.credential, delivery.getProgress().delivered),
     method: 'POST',
     path: '/v1/chat/completions',
     signal,
   });
   if (BackendCall.isBackendFailure(answer)) {
-    return answer.reason === 'aborted' ? 'aborted' : 'failed';
+    return FAILURES[answer.reason];
   }
   const echoed = answer.headers['x-request-id'];
   if (answer.statusCode !== HTTP_OK || (echoed !== undefined && echoed !== requestId)) {
@@ -238,6 +276,7 @@
     const result = await runAttempt(context, request, target, dispatch, delivery);
     const endedMs = context.clock.readMonotonic();
     const progress = delivery.getProgress();
+    if (result === 'silent') cancelOnServer(context, server.address, requestId);
     dispatch.settle(buildAttemptOutcome(result, startedMs, endedMs, progress));
     context.explain(requestId, 'forward', result, {
       delivered: progress.delivered, server: server.id,
--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -72,6 +72,7 @@
     agent: repeatable ? context.agent : undefined,
     body: received.body,
     connectTimeoutMs: context.connectTimeoutMs,
+    headTimeoutMs: ANSWER_TIMEOUT_MS,
     headers: {
       ...pickHeaders(received.headers, FORWARDED_HEADERS),
       authorization: `Bearer ${context.credential}`,
--- a/packages/daemon/src/SseReader.ts
+++ b/packages/daemon/src/SseReader.ts
@@ -1,6 +1,7 @@
 /**
  * Splits server-sent events of an engine's stream and checks that each chunk belongs to the
- * request. Works on bytes: only the last events of a stream are parsed as JSON.
+ * request: its id starts with the request id. Works on bytes: JSON is parsed only for the usage
+ * chunk and for chunks that are not written in the compact form.
  */
 
 /** What one read of the stream gave. */
@@ -12,10 +13,8 @@
   readonly usage: SseUsage | undefined;
   /** The usage chunk as received, for callers that asked for it. */
   readonly usageEvent: Buffer | undefined;
-  /** The end marker was read. */
-  readonly done: boolean;
-  /** A chunk of another request was read and left out. */
-  readonly foreign: number;
+  /** `done`: the end marker was read; `invalid`: a chunk of another request, or no event at all. */
+  readonly state: 'done' | 'invalid' | 'open';
 }
 
 /** Usage counts of an answer, in tokens. */
@@ -29,72 +28,127 @@
   readonly read: (data: Buffer) => SseBatch;
 }
 
+/** Longest event; a stream without event ends must not fill the memory. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+const COLON = 0x3a;
+const DATA_PREFIX = 'data: ';
 const EVENT_END = Buffer.from('\n\n');
 const DONE = Buffer.from('data: [DONE]');
 const EMPTY_CHOICES = Buffer.from('"choices":[]');
+/** Marks of chunks without a token: the role alone, or the reason of the end. */
+const EMPTY_CONTENT = Buffer.from('"content":""');
+const EMPTY_DELTA = Buffer.from('"delta":{}');
 const EMPTY = Buffer.alloc(0);
 
-function parseUsage(event: Buffer): SseUsage | undefined {
+interface Chunk {
+  readonly choices?: readonly { readonly delta?: Readonly<Record<string, unknown>> }[];
+  readonly id?: unknown;
+  readonly usage?: { readonly completion_tokens?: number; readonly prompt_tokens?: number } | null;
+}
+
+function parseChunk(event: Buffer): Chunk | undefined {
   try {
-    const { usage } = JSON.parse(event.subarray('data: '.length).toString('utf8')) as {
-      usage?: { completion_tokens?: number; prompt_tokens?: number };
-    };
-    if (usage === undefined || usage === null) return undefined;
-    return {
-      inputTokens: usage.prompt_tokens ?? 0, outputTokens: usage.completion_tokens ?? 0,
-    };
+    return JSON.parse(event.subarray(DATA_PREFIX.length).toString('utf8')) as Chunk;
   } catch {
     return undefined;
   }
 }
 
-/** Creates a reader that accepts only chunks whose id is that of the request. */
+type EventKind = 'comment' | 'done' | 'foreign' | 'plain' | 'token' | 'usage';
+
+function classifyParsed(chunk: Chunk | undefined, requestId: string): EventKind {
+  if (typeof chunk?.id !== 'string' || !chunk.id.startsWith(requestId)) return 'foreign';
+  if (chunk.choices === undefined || chunk.choices.length === 0) return 'usage';
+  const hasToken = chunk.choices.some(({ delta }) => (
+    Object.entries(delta ?? {}).some(([key, value]) => key !== 'role' && value !== '')
+  ));
+  return hasToken ? 'token' : 'plain';
+}
+
+function classifyEvent(event: Buffer, idMarker: Buffer, requestId: string): EventKind {
+  if (event.length === 0 || event[0] === COLON) return 'comment';
+  if (event.indexOf(idMarker) === -1) {
+    if (event.indexOf(DONE) === 0) return 'done';
+    return classifyParsed(parseChunk(event), requestId);
+  }
+  if (event.indexOf(EMPTY_CHOICES) !== -1) return 'usage';
+  if (event.indexOf(EMPTY_DELTA) !== -1 || event.indexOf(EMPTY_CONTENT) !== -1) return 'plain';
+  return 'token';
+}
+
+function parseUsage(event: Buffer): SseUsage | undefined {
+  const usage = parseChunk(event)?.usage;
+  if (usage === undefined || usage === null) return undefined;
+  return {
+    inputTokens: usage.prompt_tokens ?? 0, outputTokens: usage.completion_tokens ?? 0,
+  };
+}
+
+/**
+ * Creates a reader that accepts only chunks of the request. Chunks without a token are held back
+ * until a token or the end marker follows: a stream that breaks in between is resumed by its number
+ * of tokens, and the resumed stream repeats them.
+ */
 export function createSseReader(requestId: string): SseReader {
-  const idMarker = Buffer.from(`"id":"chatcmpl-${requestId}"`);
+  const idMarker = Buffer.from(`"id":"${requestId}`);
   let rest: Buffer = EMPTY;
+  let held: readonly Buffer[] = [];
 
   const read = (data: Buffer): SseBatch => {
     const buffer = rest.length === 0 ? data : Buffer.concat([rest, data]);
-    const parts: Buffer[] = [];
+    const out: Buffer[] = [];
     let tokens = 0;
-    let foreign = 0;
-    let done = false;
+    let state: SseBatch['state'] = 'open';
     let usage: SseUsage | undefined;
     let usageEvent: Buffer | undefined;
     let start = 0;
-    // Adjacent events are passed on as one slice, so that a batch costs one write.
-    let sliceStart = 0;
-    const cutSlice = (end: number, next: number): void => {
-      if (end > sliceStart) parts.push(buffer.subarray(sliceStart, end));
-      sliceStart = next;
+    // Adjacent events form one run, which is passed on as one slice; bytes of the run beyond
+    // `safeEnd` are held back.
+    let runStart = 0;
+    let safeEnd = 0;
+    const closeRun = (runEnd: number, next: number): void => {
+      if (safeEnd > runStart) out.push(buffer.subarray(runStart, safeEnd));
+      const heldStart = Math.max(runStart, safeEnd);
+      if (runEnd > heldStart) held = [...held, buffer.subarray(heldStart, runEnd)];
+      runStart = next;
+      safeEnd = next;
+    };
+    const releaseHeld = (): void => {
+      if (held.length === 0) return;
+      out.push(...held);
+      held = [];
     };
     let end = buffer.indexOf(EVENT_END);
-    while (end !== -1 && !done) {
+    while (end !== -1 && state === 'open') {
       const next = end + EVENT_END.length;
       const event = buffer.subarray(start, end);
-      if (event.indexOf(DONE) === 0) {
-        done = true;
-        cutSlice(start, next);
-      } else if (event.indexOf(idMarker) === -1) {
-        if (event.length > 0 && event[0] !== 0x3a) foreign += 1;
-        cutSlice(start, next);
-      } else if (event.indexOf(EMPTY_CHOICES) !== -1) {
-        usage = parseUsage(event);
-        usageEvent = buffer.subarray(start, next);
-        cutSlice(start, next);
-      } else {
+      const kind = classifyEvent(event, idMarker, requestId);
+      if (kind === 'token') {
+        releaseHeld();
         tokens += 1;
+        safeEnd = next;
+      } else if (kind !== 'plain') {
+        closeRun(start, next);
+        if (kind === 'done') {
+          releaseHeld();
+          state = 'done';
+        }
+        if (kind === 'foreign') state = 'invalid';
+        if (kind === 'usage') {
+          usage = parseUsage(event);
+          usageEvent = buffer.subarray(start, next);
+        }
       }
       start = next;
       end = buffer.indexOf(EVENT_END, start);
     }
-    cutSlice(start, start);
+    closeRun(start, start);
     rest = buffer.subarray(start);
-    const [only] = parts;
+    if (rest.length > MAX_EVENT_BYTES) state = 'invalid';
+    const [only] = out;
     return {
-      done,
-      foreign,
-      forward: parts.length === 1 && only !== undefined ? only : Buffer.concat(parts),
+      forward: out.length === 1 && only !== undefined ? only : Buffer.concat(out),
+      state,
       tokens,
       usage,
       usageEvent,
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/TwoDaemons.test.ts
@@ -0,0 +1,235 @@
+import * as Testkit from '@berylyoke/testkit';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as OpenAi from 'openai';
+import * as Vitest from 'vitest';
+
+const {
+  afterAll, beforeAll, describe, expect, test, vi,
+} = Vitest;
+
+const LONG_ANSWER_TOKENS = 200_000;
+
+describe('two daemons', () => {
+  let system: Testkit.DemoSystem;
+  let key: string;
+  let entries: readonly string[];
+
+  beforeAll(async () => {
+    system = await Testkit.startDemoSystem({
+      engine: { answerTokens: LONG_ANSWER_TOKENS, betweenTokensMs: 0, firstTokenMs: 1 },
+      port: 0,
+      settings: { limits: { body_bytes: 100_000, header_bytes: 8_192, silent_stream_ms: 500 } },
+    });
+    ({ entries, key } = system.description);
+  });
+  afterAll(() => system.stop());
+
+  const createClient = (entry = 0, apiKey = key): OpenAi.OpenAI => new OpenAi.OpenAI({
+    apiKey, baseURL: `${entries[entry]}/v1`, maxRetries: 0,
+  });
+  const chatBody = (content: string, maxTokens = 40) => ({
+    max_tokens: maxTokens,
+    messages: [{ content, role: 'user' as const }],
+    model: system.description.model,
+  });
+  const readStream = async (client: OpenAi.OpenAI, content: string): Promise<string> => {
+    const stream = await client.chat.completions.create({ ...chatBody(content), stream: true });
+    const reader = stream.toReadableStream().getReader();
+    const decoder = new TextDecoder();
+    const parts: string[] = [];
+    const readNext = async (): Promise<void> => {
+      const { done, value } = await reader.read();
+      if (done) return;
+      parts.push(decoder.decode(value as Uint8Array));
+      await readNext();
+    };
+    await readNext();
+    return parts.join('').split('\n').filter((line) => line !== '')
+      .map((line) => JSON.parse(line).choices[0]?.delta?.content ?? '')
+      .join('');
+  };
+  const expectedText = (content: string, maxTokens = 40): string => {
+    const text = Testkit.buildEngineText(chatBody(content, maxTokens), LONG_ANSWER_TOKENS);
+    return Testkit.joinTokens(text, 0);
+  };
+  const call = (
+    path: string,
+    body: string,
+    headers: http.OutgoingHttpHeaders = {},
+    entry = 0,
+  ): Promise<Testkit.TextAnswer> => Testkit.requestText(`${entries[entry]}${path}`, {
+    body,
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json', ...headers },
+    method: 'POST',
+  });
+  const sumCounts = (name: keyof Testkit.EngineCounts): number => (
+    system.engines.reduce((sum, engine) => sum + engine.getCounts()[name], 0)
+  );
+
+  test.each([0, 1])('daemon %i answers the openai client plain and streamed', async (entry) => {
+    const client = createClient(entry);
+    const plain = await client.chat.completions.create(chatBody('hello'));
+    expect(plain.choices[0]?.message.content).toBe(expectedText('hello'));
+    expect(plain.usage?.completion_tokens).toBe(40);
+    expect(await readStream(client, 'hello')).toBe(expectedText('hello'));
+    const models = await client.models.list();
+    expect(models.data.map(({ id }) => id)).toEqual([system.description.model]);
+  });
+
+  test('passes the usage chunk on only to a caller that asked for it', async () => {
+    const body = { ...chatBody('usage', 2), stream: true };
+    const without = await call('/v1/chat/completions', JSON.stringify(body));
+    const withUsage = await call('/v1/chat/completions', JSON.stringify({
+      ...body, stream_options: { include_usage: true },
+    }));
+    expect(without.text).not.toContain('completion_tokens');
+    expect(withUsage.text).toContain('"completion_tokens":2');
+  });
+
+  test('refuses a wrong key, an unknown model, broken JSON and excess sizes', async () => {
+    const wrong = createClient(0, 'byk_000000000000_aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa');
+    await expect(wrong.models.list()).rejects.toMatchObject({ status: 401 });
+    const unknown = { ...chatBody('x'), model: 'no-such-model' };
+    await expect(createClient().chat.completions.create(unknown))
+      .rejects.toMatchObject({ code: 'model_not_found', status: 404 });
+    expect((await call('/v1/chat/completions', '{"model":')).status).toBe(400);
+    expect((await call('/v1/chat/completions', 'x'.repeat(200_000))).status).toBe(413);
+    expect((await call('/v1/chat/completions', '{}', { 'x-long': 'x'.repeat(9_000) })).status)
+      .toBe(431);
+    expect((await call('/nowhere', '{}')).status).toBe(404);
+  });
+
+  test('answers each of sixty streams whole or refuses it with Retry-After', async () => {
+    const answers = await Promise.all(Array.from({ length: 60 }, async (_, index) => {
+      const content = `stream ${index}`;
+      return readStream(createClient(index % 2), content).then(
+        (text) => text === expectedText(content),
+        (error: unknown) => error instanceof OpenAi.APIError
+          && [429, 503].includes(error.status as number)
+          && error.headers?.get('retry-after') !== null,
+      );
+    }));
+    expect(answers.filter((isRight) => !isRight)).toEqual([]);
+  });
+
+  test.each(['crash', 'silence', 'crossed'] as const)(
+    'delivers a stream whole and in order after a %s in the middle',
+    async (kind) => {
+      const before = sumCounts('started');
+      system.engines.slice(0, 2).forEach(({ faults }) => faults.set([{
+        afterTokens: 7, kind, operation: 'chat',
+      }]));
+      const contents = ['a', 'b', 'c', 'd', 'e', 'f'].map((name) => `${kind} ${name}`);
+      const texts = await Promise.all(contents.map((content) => (
+        readStream(createClient(), content)
+      )));
+      expect(texts).toEqual(contents.map((content) => expectedText(content)));
+      expect(sumCounts('started') - before).toBe(contents.length + 2);
+    },
+  );
+
+  test('cancels on the engine when the caller leaves', async () => {
+    const before = sumCounts('cancelled');
+    const body = { ...chatBody('leaves', LONG_ANSWER_TOKENS), stream: true };
+    const request = http.request(`${entries[0]}/v1/chat/completions`, {
+      agent: false, headers: { authorization: `Bearer ${key}` }, method: 'POST',
+    });
+    request.on('error', () => undefined);
+    request.on('response', (response) => response.once('data', () => request.destroy()));
+    request.end(JSON.stringify(body));
+    await vi.waitUntil(() => sumCounts('cancelled') === before + 1, { timeout: 30_000 });
+  });
+
+  test('stops reading from the engine while the caller does not read', async () => {
+    const before = sumCounts('tokens');
+    const body = JSON.stringify({ ...chatBody('slow', LONG_ANSWER_TOKENS), stream: true });
+    const socket = net.connect(Number(new URL(entries[0] as string).port), '127.0.0.1');
+    socket.pause();
+    socket.write('POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
+      + `authorization: Bearer ${key}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    let last = -1;
+    await vi.waitUntil(() => {
+      const now = sumCounts('tokens') - before;
+      const isStill = now > 0 && now === last;
+      last = now;
+      return isStill;
+    }, { interval: 700, timeout: 50_000 });
+    expect(last).toBeLessThan(LONG_ANSWER_TOKENS);
+    let tokens = 0;
+    socket.setEncoding('utf8');
+    socket.on('data', (text: string) => {
+      tokens += text.split('"content":').length - 1;
+    });
+    socket.resume();
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    expect(tokens).toBeGreaterThan(LONG_ANSWER_TOKENS * 0.99);
+  });
+
+  test('executes an order once and says "unknown" when its answer is lost', async () => {
+    system.plainService.faults.set([{ kind: 'lost-answer', operation: 'call' }]);
+    const lost = await call(system.description.orderPath, '{"orderId":"lost"}');
+    expect(lost.status).toBe(502);
+    expect(lost.headers['x-berylyoke-outcome']).toBe('unknown');
+    const ok = await call(system.description.orderPath, '{"orderId":"ok"}', {}, 1);
+    expect(ok.status).toBe(200);
+    expect(system.plainService.countExecutions('lost')).toBe(1);
+    expect(system.plainService.countExecutions('ok')).toBe(1);
+  });
+
+  test('shows no backend server the key of a caller', async () => {
+    await call('/stock?api_key=x', '{}', { cookie: key, 'x-api-key': key });
+    const seen = JSON.stringify([
+      system.engines.map((engine) => engine.listSeen()),
+      system.plainService.listSeen(),
+    ]);
+    expect(seen).toContain('/stock');
+    expect(seen).not.toContain(key.split('_').slice(2).join('_'));
+    expect(seen).not.toContain('api_key');
+  });
+
+  test('refuses a withdrawn key on open connections of both daemons', async () => {
+    const issued = await Testkit.runCliProcess([
+      '--settings', system.description.settings, '--json', 'key', 'issue', '--account', 'fan-chain',
+    ]);
+    const fresh = JSON.parse(issued.out) as { key: string; keyId: string };
+    const agents = entries.map(() => new http.Agent({ keepAlive: true, maxSockets: 1 }));
+    const ask = async (): Promise<readonly number[]> => (await Promise.all(
+      entries.map((entry, index) => Testkit.requestText(`${entry}/v1/models`, {
+        agent: agents[index] as http.Agent, headers: { authorization: `Bearer ${fresh.key}` },
+      })),
+    )).map(({ status }) => status);
+    await vi.waitUntil(async () => (await ask()).every((status) => status === 200), {
+      timeout: 30_000,
+    });
+    await Testkit.runCliProcess([
+      '--settings', system.description.settings, 'key', 'withdraw', fresh.keyId,
+    ]);
+    await vi.waitUntil(async () => (await ask()).every((status) => status === 401), {
+      timeout: 30_000,
+    });
+    agents.forEach((agent) => agent.destroy());
+  });
+
+  test('says "not run" when nothing could be sent', async () => {
+    await system.plainService.close();
+    const refused = await call(system.description.orderPath, '{"orderId":"none"}');
+    expect(refused.status).toBe(503);
+    expect(refused.headers['x-berylyoke-outcome']).toBe('not-run');
+    expect(refused.headers['retry-after']).toBeDefined();
+  });
+
+  test('ends a stream whole before a daemon that got SIGTERM exits', async () => {
+    const before = sumCounts('started');
+    system.engines.forEach(({ faults }) => faults.set([{
+      delayMs: 20, kind: 'slow', operation: 'chat',
+    }]));
+    const stream = readStream(createClient(1), 'drain');
+    await vi.waitUntil(() => sumCounts('started') > before);
+    system.daemons[1]?.kill('SIGTERM');
+    expect(await stream).toBe(expectedText('drain'));
+    expect(await system.daemons[1]?.exited).toBe(0);
+  });
+});
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -2,6 +2,7 @@
 export * from './DemoLists.js';
 export * from './DemoProcess.js';
 export * from './DemoSystem.js';
+export * from './EngineText.js';
 export * from './FakeEngine.js';
 export * from './FakeLog.js';
 export * from './FakePlainService.js';
