Add group commit, repeats, replay and bounded memory to the log client

Cause: the first log client sent one append for each record, never repeated a record, ignored the offset of a reader that registered late, delivered repetitions twice and stopped all readers when one of them threw.

Ruled out: a batch delay. One append under way for each stream already makes batches grow with the log's answer time and costs an idle client no latency. A set of record ids for each reader: ids with their lowest offset, one set for a stream, also tell a replay from a repetition and stay bounded.

Change: Appender (group commit, rate limit, bound on records in flight, back-off with jitter, repeats under the same record id), Tail (replay a page at a time, gap handler, isolation of readers), options and counts. The fake log counts requests, takes direct appends, expires offsets and no longer keeps a waiter for each finished poll.

Result: 500 records that arrive together need at most 3 appends (before: 500, one for each record).

--- a/packages/log/src/LogClient.ts
+++ b/packages/log/src/LogClient.ts
@@ -2,169 +2,151 @@
  * What the rest of the system uses of the log: appends that count only once they were read back,
  * and readers that see every entry of a stream in order, once.
  */
-import * as Core from '@berylyoke/core';
+import type * as Core from '@berylyoke/core';
 import * as Data from 'effect/Data';
 import * as Duration from 'effect/Duration';
 import * as Effect from 'effect/Effect';
-import * as Fiber from 'effect/Fiber';
+import * as Appender from './Appender.js';
+import * as LogClientOptions from './LogClientOptions.js';
 import * as LogPort from './LogPort.js';
 import type * as LogRecord from './LogRecord.js';
+import * as Tail from './Tail.js';
 
-/** Longest wait of one read for a new entry, in milliseconds. */
-const READ_WAIT_MS = 1_000;
-/** Entries in one read. */
-const READ_LIMIT = 500;
-/** Wait after a failed read, in milliseconds. */
-const RETRY_MS = 200;
-/** How long an append may take to be read back, in milliseconds. */
-const READ_BACK_TIMEOUT_MS = 10_000;
+/** Why a record was not read back, as a phrase for people. */
+const READ_BACK_FAILURES = {
+  busy: 'too many records are in flight',
+  closed: 'the client was closed',
+  deadline: 'its deadline passed',
+} as const;
 
 /** A record was not read back in time. It may still appear in the log later. */
 export class ReadBackTimeoutError extends Data.TaggedError('ReadBackTimeoutError')<{
   readonly stream: string;
   readonly recordId: string;
+  /** False when no append with the record was sent, so that it cannot appear later. */
+  readonly sent?: boolean;
+  readonly reason?: keyof typeof READ_BACK_FAILURES;
 }> {
   get message(): string {
-    return `record ${this.recordId} was not read back from log stream ${this.stream}`;
+    const reason = READ_BACK_FAILURES[this.reason ?? 'deadline'];
+    return `record ${this.recordId} was not read back from log stream ${this.stream}: ${reason}`;
   }
 }
 
-/** Receives the entries of a stream in order of offset, each once. */
-export interface LogReader {
-  readonly onEntry: (entry: LogRecord.LogEntry) => void;
-  /** Entries up to `first` are gone; the reader needs a snapshot. */
-  readonly onGap?: (first: number) => void;
-}
-
-/** How far a stream was read. Times are monotonic; undefined before the first answer. */
-export interface TailStatus {
-  readonly next: number;
-  readonly lastContactMs: Core.Millis | undefined;
-  /** True once the reader has seen everything that the log held at some moment. */
-  readonly caughtUp: boolean;
+/** How one append with read-back differs from the defaults. */
+export interface ReadBackOptions {
+  /** Time within which the record has to be read back, in milliseconds. */
+  readonly timeoutMs?: Core.Millis;
 }
 
 /** Client of the log. */
 export interface LogClient {
   readonly writer: Core.Writer;
-  /** Appends a record; group commit is allowed to delay it by some milliseconds. */
+  /** Appends a record once; group commit may delay it. Fails at once when too many are queued. */
   readonly append: (
     stream: string,
     record: LogRecord.LogRecord,
   ) => Effect.Effect<void, LogPort.LogUnavailableError>;
-  /** Appends a record and waits until this client's reader of the stream has seen it. */
+  /**
+   * Appends a record, repeats it under its id, and waits until this client's readers of the stream
+   * have seen it. Without a reader the stream is read from its first retained entry on.
+   */
   readonly appendAndReadBack: (
     stream: string,
     record: LogRecord.LogRecord,
+    options?: ReadBackOptions,
   ) => Effect.Effect<number, ReadBackTimeoutError>;
   /** Starts reading a stream. Readers registered first see each entry first. */
-  readonly registerReader: (stream: string, from: number, reader: LogReader) => Core.Undo;
-  readonly getStatus: (stream: string) => TailStatus;
+  readonly registerReader: (stream: string, from: number, reader: Tail.LogReader) => Core.Undo;
+  readonly getStatus: (stream: string) => Tail.TailStatus;
   readonly close: () => void;
 }
 
-interface Tail {
-  readonly readers: Set<LogReader>;
-  readonly waiters: Map<string, (offset: number) => void>;
-  readonly getStatus: () => TailStatus;
-  readonly setStatus: (status: TailStatus) => void;
-}
-
-function createTail(from: number): Tail {
-  let status: TailStatus = { caughtUp: false, lastContactMs: undefined, next: from };
-  return {
-    getStatus: () => status,
-    readers: new Set(),
-    setStatus: (next) => {
-      status = next;
-    },
-    waiters: new Map(),
-  };
+/** Counts of one client since it was created. */
+export interface LogClientCounts extends Appender.AppenderCounts {
+  readonly streams: Readonly<Record<string, Tail.TailCounts>>;
 }
 
-function handleEntry(tail: Tail, entry: LogRecord.LogEntry): void {
-  tail.readers.forEach((reader) => reader.onEntry(entry));
-  entry.records.forEach(({ recordId }) => {
-    const settle = tail.waiters.get(recordId);
-    tail.waiters.delete(recordId);
-    settle?.(entry.offset);
-  });
+/** Client of the log with its counts, for metrics. */
+export interface CountingLogClient extends LogClient {
+  readonly getCounts: () => LogClientCounts;
 }
 
-/** Creates a client; `close` stops its readers. */
+/** Creates a client; `close` stops its readers and fails what is in flight. */
 export function createLogClient(
   port: LogPort.LogPort,
   writer: Core.Writer,
   clock: Core.Clock,
-): LogClient {
-  const tails = new Map<string, Tail>();
-  const fibers: Fiber.RuntimeFiber<never>[] = [];
+  settings: Partial<LogClientOptions.LogClientOptions> = {},
+): CountingLogClient {
+  const options = { ...LogClientOptions.DEFAULT_LOG_CLIENT_OPTIONS, ...settings };
+  const tails = new Map<string, Tail.Tail>();
+  const appender = Appender.createAppender(port, clock, options);
+  const closers = new Set<() => void>();
 
-  const readOnce = (stream: string, tail: Tail) => port.read({
-    from: tail.getStatus().next,
-    limit: READ_LIMIT,
-    stream,
-    waitMs: tail.getStatus().caughtUp ? READ_WAIT_MS : 0,
-  }).pipe(
-    Effect.tap((page) => Effect.sync(() => {
-      page.entries.forEach((entry) => handleEntry(tail, entry));
-      tail.setStatus({
-        caughtUp: tail.getStatus().caughtUp || page.entries.length < READ_LIMIT,
-        lastContactMs: clock.readMonotonic(),
-        next: page.next,
-      });
-    })),
-    Effect.catchTag('LogOffsetExpiredError', ({ first }) => Effect.sync(() => {
-      tail.readers.forEach((reader) => reader.onGap?.(first));
-      tail.setStatus({ ...tail.getStatus(), next: first });
-    })),
-    Effect.catchTag('LogUnavailableError', () => Effect.sleep(Duration.millis(RETRY_MS))),
-  );
-
-  const openTail = (stream: string, from: number): Tail => {
-    const known = tails.get(stream);
-    if (known !== undefined) return known;
-    const tail = createTail(from);
+  const openTail = (stream: string, from: number): Tail.Tail => {
+    const tail = tails.get(stream) ?? Tail.openTail(stream, from, port, clock, options);
     tails.set(stream, tail);
-    fibers.push(Effect.runFork(Effect.forever(Effect.suspend(() => readOnce(stream, tail)))));
     return tail;
   };
 
-  const append: LogClient['append'] = (stream, record) => (
-    Effect.asVoid(port.append(stream, [record]))
-  );
-
   return {
-    append,
-    appendAndReadBack: (stream, record) => {
-      const tail = openTail(stream, 0);
-      const readBack = Effect.async<number>((resume) => {
-        tail.waiters.set(record.recordId, (offset) => resume(Effect.succeed(offset)));
-        return Effect.sync(() => tail.waiters.delete(record.recordId));
+    append: (stream, record) => Effect.async((resume) => {
+      const queued = appender.add(stream, {
+        onResult: (error) => resume(error === undefined ? Effect.void : Effect.fail(error)),
+        record,
+      });
+      if (queued) return;
+      resume(Effect.fail(new LogPort.LogUnavailableError({
+        detail: READ_BACK_FAILURES.busy, sent: false, stream,
+      })));
+    }),
+    appendAndReadBack: (stream, record, { timeoutMs = options.readBackTimeoutMs } = {}) => {
+      const { recordId } = record;
+      const fail = (reason: keyof typeof READ_BACK_FAILURES) => new ReadBackTimeoutError({
+        reason, recordId, sent: appender.remove(stream, recordId), stream,
+      });
+      return Effect.suspend(() => {
+        let undo: Core.Undo = () => undefined;
+        return Effect.async<number, ReadBackTimeoutError>((resume) => {
+          const close = (): void => resume(Effect.fail(fail('closed')));
+          const undoWaiter = openTail(stream, 0).registerWaiter(recordId, (offset) => {
+            resume(Effect.succeed(offset));
+          });
+          undo = () => {
+            closers.delete(close);
+            undoWaiter();
+          };
+          closers.add(close);
+          if (!appender.add(stream, { record })) resume(Effect.fail(fail('busy')));
+        }).pipe(
+          Effect.timeoutFail({
+            duration: Duration.millis(timeoutMs), onTimeout: () => fail('deadline'),
+          }),
+          Effect.ensuring(Effect.sync(() => {
+            undo();
+            appender.remove(stream, recordId);
+          })),
+        );
       });
-      const repeated = append(stream, record).pipe(
-        Effect.ignore,
-        Effect.zipRight(Effect.never),
-      );
-      return Effect.raceFirst(readBack, repeated).pipe(Effect.timeoutFail({
-        duration: Duration.millis(READ_BACK_TIMEOUT_MS),
-        onTimeout: () => new ReadBackTimeoutError({ recordId: record.recordId, stream }),
-      }));
     },
     close: () => {
-      fibers.splice(0).forEach((fiber) => Effect.runFork(Fiber.interrupt(fiber)));
+      closers.forEach((close) => close());
+      closers.clear();
+      appender.close();
+      tails.forEach((tail) => tail.close());
       tails.clear();
     },
+    getCounts: () => ({
+      ...appender.getCounts(),
+      streams: Object.fromEntries(
+        [...tails].map(([stream, tail]) => [stream, tail.getCounts()]),
+      ),
+    }),
     getStatus: (stream) => (
       tails.get(stream)?.getStatus() ?? { caughtUp: false, lastContactMs: undefined, next: 0 }
     ),
-    registerReader: (stream, from, reader) => {
-      const tail = openTail(stream, from);
-      tail.readers.add(reader);
-      return () => {
-        tail.readers.delete(reader);
-      };
-    },
+    registerReader: (stream, from, reader) => openTail(stream, from).registerReader(from, reader),
     writer,
   };
 }
--- /dev/null
+++ b/packages/log/src/__tests__/unit/LogClient.test.ts
@@ -0,0 +1,310 @@
+import * as Core from '@berylyoke/core';
+import * as Testkit from '@berylyoke/testkit';
+import * as Effect from 'effect/Effect';
+import * as Vitest from 'vitest';
+import * as Log from '../../index.js';
+
+const {
+  afterEach, describe, expect, test,
+} = Vitest;
+
+const writer = { daemonId: 'd1', incarnation: '1-a' };
+const FAST: Partial<Log.LogClientOptions> = {
+  appendBackoff: { baseMs: 2, maxMs: 20 },
+  appendsPerSecond: 1_000,
+  appendTimeoutMs: 200,
+  readBackoff: { baseMs: 2, maxMs: 20 },
+  readWaitMs: 50,
+  repeatBackoff: { baseMs: 20, maxMs: 100 },
+};
+
+let closers: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  await Promise.all(closers.reverse().map((close) => close()));
+  closers = [];
+});
+
+async function startLog(options: Testkit.FakeLogOptions = {}): Promise<Testkit.FakeLog> {
+  const fake = await Testkit.startFakeLog(options);
+  closers.push(fake.close);
+  return fake;
+}
+
+function openClient(
+  fake: Testkit.FakeLog,
+  options: Partial<Log.LogClientOptions> = {},
+): Log.CountingLogClient {
+  const client = Log.createLogClient(
+    Log.createHttpLog(fake.url),
+    writer,
+    Core.systemClock,
+    { ...FAST, ...options },
+  );
+  closers.push(client.close);
+  return client;
+}
+
+interface Seen {
+  readonly ids: string[];
+  readonly offsets: number[];
+  readonly gaps: number[];
+  readonly reader: Log.LogReader;
+}
+
+function createSeen(): Seen {
+  const seen = { gaps: [] as number[], ids: [] as string[], offsets: [] as number[] };
+  return {
+    ...seen,
+    reader: {
+      onEntry: ({ offset, records }) => {
+        seen.offsets.push(offset);
+        seen.ids.push(...records.map(({ recordId }) => recordId));
+      },
+      onGap: (first) => {
+        seen.gaps.push(first);
+      },
+    },
+  };
+}
+
+function createRecords(count: number): readonly Log.LogRecord[] {
+  return Array.from({ length: count }, (_, index) => (
+    { ...Log.createRecord(writer, 'x', index), recordId: `r${index}` }
+  ));
+}
+
+function waitFor(condition: () => void): Promise<void> {
+  return Vitest.vi.waitFor(condition, { interval: 2, timeout: 30_000 });
+}
+
+function appendAll(
+  client: Log.LogClient,
+  records: readonly Log.LogRecord[],
+): Promise<readonly number[]> {
+  return Promise.all(records.map((record) => (
+    Effect.runPromise(client.appendAndReadBack('s', record))
+  )));
+}
+
+describe('group commit', () => {
+  test('puts records that arrive together into few appends, in their order', async () => {
+    const fake = await startLog();
+    const client = openClient(fake, {
+      appendBurst: 1, appendsPerSecond: 50, repeatBackoff: { baseMs: 3_600_000, maxMs: 3_600_000 },
+    });
+    const records = createRecords(500);
+    await appendAll(client, records);
+    expect(fake.countAppends()).toBeLessThanOrEqual(3);
+    const ids = fake.listEntries('s').flatMap((entry) => entry.records.map((r) => r.recordId));
+    expect(ids).toEqual(records.map(({ recordId }) => recordId));
+  });
+
+  test('refuses a record beyond the bound as not sent, so that memory stays bounded', async () => {
+    const fake = await startLog();
+    fake.faults.set([{
+      count: 1_000, delayMs: 0, kind: 'refusal', operation: 'append',
+    }]);
+    const client = openClient(fake, { recordsInFlight: 3 });
+    const [a, b, c, d, e] = createRecords(5) as [Log.LogRecord, Log.LogRecord, Log.LogRecord,
+      Log.LogRecord, Log.LogRecord];
+    const held = [a, b, c].map((record) => Effect.runFork(client.appendAndReadBack('s', record)));
+    await waitFor(() => expect(client.getCounts().recordsInFlight).toBe(3));
+    expect(await Effect.runPromise(Effect.flip(client.append('s', d))))
+      .toMatchObject({ _tag: 'LogUnavailableError', sent: false });
+    expect(await Effect.runPromise(Effect.flip(client.appendAndReadBack('s', e))))
+      .toMatchObject({ _tag: 'ReadBackTimeoutError', reason: 'busy', sent: false });
+    fake.faults.set([]);
+    await waitFor(() => expect(client.getCounts().recordsInFlight).toBe(0));
+    expect(held).toHaveLength(3);
+  });
+});
+
+describe('faults of the log', () => {
+  const rows: readonly { readonly name: string; readonly faults: readonly Testkit.Fault[] }[] = [
+    {
+      faults: [
+        {
+          count: 8, delayMs: 0, kind: 'refusal', operation: 'append',
+        },
+        {
+          count: 8, delayMs: 0, kind: 'refusal', operation: 'read',
+        },
+      ],
+      name: 'an outage',
+    },
+    {
+      faults: [
+        {
+          count: 4, delayMs: 60, kind: 'delay', operation: 'append',
+        },
+        {
+          count: 4, delayMs: 60, kind: 'delay', operation: 'read',
+        },
+      ],
+      name: 'slow answers',
+    },
+    {
+      faults: [{
+        count: 2, delayMs: 0, kind: 'lost-answer', operation: 'append',
+      }],
+      name: 'lost answers',
+    },
+    {
+      faults: [{
+        count: 3, delayMs: 0, kind: 'duplicate', operation: 'append',
+      }],
+      name: 'duplicated appends',
+    },
+    {
+      faults: [{
+        count: 2, delayMs: 0, kind: 'silence', operation: 'append',
+      }],
+      name: 'appends without any answer',
+    },
+  ];
+
+  test.each(rows)('with $name each record is read back and seen once', async ({ faults }) => {
+    const fake = await startLog();
+    const client = openClient(fake);
+    const seen = createSeen();
+    client.registerReader('s', 0, seen.reader);
+    fake.faults.set(faults);
+    const records = createRecords(20);
+    await appendAll(client, records);
+    expect([...seen.ids].sort()).toEqual(records.map(({ recordId }) => recordId).sort());
+    expect(client.getCounts().recordsInFlight).toBe(0);
+  });
+
+  test('an append that took effect without an answer is reported as sent', async () => {
+    const fake = await startLog();
+    fake.faults.set([{
+      count: 1_000, delayMs: 0, kind: 'refusal', operation: 'read',
+    }]);
+    const client = openClient(fake);
+    const record = Log.createRecord(writer, 'x', {});
+    const failure = Effect.flip(client.appendAndReadBack('s', record, { timeoutMs: 100 }));
+    expect(await Effect.runPromise(failure)).toMatchObject({ reason: 'deadline', sent: true });
+    expect(client.getCounts().recordsInFlight).toBe(0);
+  });
+
+  test('an outage is met with waits and not with a busy loop', async () => {
+    const fake = await startLog();
+    fake.faults.set(['append', 'read'].map((operation) => ({
+      count: 1_000_000, delayMs: 0, kind: 'refusal' as const, operation,
+    })));
+    const backoff = { baseMs: 3_600_000, maxMs: 3_600_000 };
+    const client = openClient(fake, { appendBackoff: backoff, readBackoff: backoff });
+    const records = createRecords(20);
+    client.registerReader('s', 0, createSeen().reader);
+    records.forEach((record) => Effect.runFork(client.appendAndReadBack('s', record)));
+    await waitFor(() => expect(client.getCounts()).toMatchObject({ failedAppends: 1 }));
+    await waitFor(() => expect(client.getCounts().streams.s?.failedReads).toBe(1));
+    // New records must not bring the next attempt forward. Another client shows that time passes.
+    Effect.runFork(client.appendAndReadBack('s', Log.createRecord(writer, 'x', {})));
+    const other = openClient(fake);
+    Effect.runFork(other.appendAndReadBack('t', Log.createRecord(writer, 'x', {})));
+    await waitFor(() => expect(other.getCounts().failedAppends).toBeGreaterThan(6));
+    const { failedAppends, streams } = client.getCounts();
+    expect([failedAppends, streams.s?.failedReads]).toEqual([1, 1]);
+  });
+
+  test('closing the client ends what waits for a read-back', async () => {
+    const fake = await startLog();
+    fake.faults.set([{
+      count: 1_000, delayMs: 0, kind: 'refusal', operation: 'append',
+    }]);
+    const client = openClient(fake);
+    const [record] = createRecords(1) as [Log.LogRecord];
+    const failure = Effect.runPromise(Effect.flip(client.appendAndReadBack('s', record)));
+    await waitFor(() => expect(client.getCounts().recordsInFlight).toBe(1));
+    client.close();
+    expect(await failure).toMatchObject({ reason: 'closed' });
+  });
+});
+
+describe('readers', () => {
+  test('learn of expired offsets by a gap and go on behind it', async () => {
+    const fake = await startLog();
+    createRecords(10).forEach((record) => fake.append('s', [record]));
+    fake.expireBefore('s', 7);
+    const client = openClient(fake);
+    const seen = createSeen();
+    client.registerReader('s', 0, seen.reader);
+    await waitFor(() => expect(seen.offsets).toEqual([7, 8, 9]));
+    expect(seen.gaps).toEqual([7]);
+  });
+
+  test('learn of a gap while they follow the stream', async () => {
+    const fake = await startLog();
+    const client = openClient(fake);
+    const seen = createSeen();
+    client.registerReader('s', 0, seen.reader);
+    const [a, b, c] = createRecords(3) as [Log.LogRecord, Log.LogRecord, Log.LogRecord];
+    fake.append('s', [a]);
+    await waitFor(() => expect(seen.offsets).toEqual([0]));
+    fake.faults.set([{
+      count: 5, delayMs: 0, kind: 'refusal', operation: 'read',
+    }]);
+    fake.append('s', [b]);
+    await waitFor(() => expect(client.getCounts().streams.s?.failedReads).toBeGreaterThan(0));
+    fake.append('s', [c]);
+    fake.expireBefore('s', 2);
+    await waitFor(() => expect(seen.offsets).toContain(2));
+    expect(seen.gaps.length + seen.offsets.filter((offset) => offset === 1).length).toBe(1);
+  });
+
+  test('replay a page at a time, also when they register late, and join the others', async () => {
+    const fake = await startLog();
+    const records = createRecords(30);
+    records.forEach((record) => fake.append('s', [record]));
+    const client = openClient(fake, { entriesPerRead: 4 });
+    const early = createSeen();
+    const late = createSeen();
+    client.registerReader('s', 20, early.reader);
+    await waitFor(() => expect(early.offsets).toHaveLength(10));
+    client.registerReader('s', 0, late.reader);
+    expect(client.getStatus('s').caughtUp).toBe(false);
+    const extra = { ...Log.createRecord(writer, 'x', 0), recordId: 'extra' };
+    // A read-back that resolved before the late reader had its turn would mislead its owner.
+    await Effect.runPromise(client.appendAndReadBack('s', extra));
+    expect(late.ids).toEqual([...records.map(({ recordId }) => recordId), 'extra']);
+    expect(early.ids).toEqual(late.ids.slice(20));
+  });
+
+  test('survive the exception of one of them, which is reported', async () => {
+    const fake = await startLog();
+    const errors: unknown[] = [];
+    const client = openClient(fake, { onReaderError: (_, error) => errors.push(error) });
+    const seen = createSeen();
+    const failure = { _tag: 'TestFailure' };
+    client.registerReader('s', 0, {
+      onEntry: () => {
+        throw Object.assign(new Error('reader fails'), failure);
+      },
+    });
+    client.registerReader('s', 0, seen.reader);
+    await appendAll(client, createRecords(2));
+    expect(seen.ids).toEqual(['r0', 'r1']);
+    expect(errors).toHaveLength(seen.offsets.length);
+  });
+
+  test('do not ask a log that ignores waitMs in a busy loop', async () => {
+    let reads = 0;
+    const port: Log.LogPort = {
+      append: () => Effect.succeed(0),
+      read: ({ from }) => Effect.sync(() => {
+        reads += 1;
+        return { entries: [], first: 0, next: from };
+      }),
+    };
+    const client = Log.createLogClient(port, writer, Core.systemClock, { emptyReadMs: 3_600_000 });
+    closers.push(client.close);
+    client.registerReader('s', 0, createSeen().reader);
+    await waitFor(() => expect(reads).toBe(1));
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    expect(reads).toBe(1);
+  });
+});
--- a/packages/testkit/src/FakeLog.ts
+++ b/packages/testkit/src/FakeLog.ts
@@ -28,6 +28,10 @@
 export interface FakeLog extends FakeServer.FakeServer {
   readonly listEntries: (stream: string) => readonly Log.LogEntry[];
   readonly countAppends: () => number;
+  /** Appends an entry directly, as another client of the log would. */
+  readonly append: (stream: string, records: readonly Log.LogRecord[]) => number;
+  /** Drops the entries below an offset, as the log does when their time has passed. */
+  readonly expireBefore: (stream: string, offset: number) => void;
 }
 
 const decodeAppend = Schema.decodeUnknownSync(
@@ -64,11 +68,14 @@
   const waitForEntry = async (stream: Stream, from: number, waitMs: number): Promise<void> => {
     if (waitMs <= 0 || from < stream.first + stream.entries.length) return;
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, waitMs);
-      stream.waiters.push(() => {
+      const entry: { wake?: () => void } = {};
+      const timer = setTimeout(() => entry.wake?.(), waitMs);
+      entry.wake = () => {
         clearTimeout(timer);
+        Object.assign(stream, { waiters: stream.waiters.filter((wake) => wake !== entry.wake) });
         resolve();
-      });
+      };
+      stream.waiters.push(entry.wake);
     });
   };
 
@@ -104,7 +111,16 @@
   ], port);
   return {
     ...server,
+    append,
     countAppends: () => appends,
+    expireBefore: (name, offset) => {
+      const stream = getStream(name);
+      const end = stream.first + stream.entries.length;
+      const dropped = Math.min(offset, end) - stream.first;
+      if (dropped <= 0) return;
+      stream.entries.splice(0, dropped);
+      stream.first += dropped;
+    },
     listEntries: (name) => getStream(name).entries,
   };
 }
--- a/packages/testkit/src/FakeServer.ts
+++ b/packages/testkit/src/FakeServer.ts
@@ -33,6 +33,8 @@
   readonly url: string;
   readonly port: number;
   readonly faults: Faults.FaultTable;
+  /** Requests of an operation that arrived, those with a fault included. */
+  readonly countRequests: (operation: string) => number;
   readonly close: () => Promise<void>;
 }
 
@@ -96,6 +98,7 @@
   port = 0,
 ): Promise<FakeServer> {
   const faults = Faults.createFaultTable();
+  const requests = new Map<string, number>();
   const setFaults: FakeOperation = {
     handle: ({ text }) => {
       faults.set(decodeFaults(JSON.parse(text)));
@@ -118,6 +121,7 @@
       sendAnswer(response, { body: { error: `no operation ${line}` }, status: HTTP_NOT_FOUND });
       return;
     }
+    requests.set(operation.name, (requests.get(operation.name) ?? 0) + 1);
     const request: FakeRequest = {
       headers: raw.headers,
       method,
@@ -151,6 +155,7 @@
         server.close(resolve);
       });
     },
+    countRequests: (operation) => requests.get(operation) ?? 0,
     faults,
     port: address.port,
     url: `http://127.0.0.1:${address.port}`,
