--- a/packages/config/src/ConfigState.ts
+++ b/packages/config/src/ConfigState.ts
@@ -1,11 +1,13 @@
 /**
  * Fold of the configuration stream. Every reader of the same entries reaches the same state: the
  * first valid edit of a base version wins, and later edits of that base are rejected by all alike.
+ * Snapshots change nothing for a reader that has seen every entry; `ConfigReader` uses them.
  */
 import type * as Log from '@berylyoke/log';
 import * as Either from 'effect/Either';
 import * as Schema from 'effect/Schema';
 import * as ConfigRecords from './ConfigRecords.js';
+import * as ConfigRules from './ConfigRules.js';
 import * as Lists from './Lists.js';
 
 /** A key as the log knows it. A withdrawn key is kept so that it cannot be issued again. */
@@ -15,16 +17,7 @@
   readonly withdrawn: boolean;
 }
 
-/** An edit and what became of it. */
-export interface EditOutcome {
-  readonly recordId: string;
-  readonly offset: number;
-  readonly timestampMs: number;
-  readonly writer: string;
-  readonly baseVersion: number;
-  readonly accepted: boolean;
-  readonly reason: 'accepted' | 'invalid' | 'stale-base';
-}
+export type EditOutcome = ConfigRecords.EditOutcome;
 
 /** Configuration in force after the entries up to `offset`. */
 export interface ConfigState {
@@ -36,11 +29,19 @@
   readonly offset: number;
   /** The newest edits, oldest first. */
   readonly history: readonly EditOutcome[];
+  /** Ids of the newest records, oldest first; a record among them changes nothing. */
+  readonly seen: readonly string[];
 }
 
 /** Edits that `config history` can show. */
 const HISTORY_LENGTH = 100;
 
+/**
+ * Record ids that the fold remembers. Writers repeat an append for some seconds; at 14,000 changes
+ * a day this many records cover 1.7 hours.
+ */
+const SEEN_LENGTH = 1_024;
+
 /** State before the first entry. */
 export const initialConfigState: ConfigState = {
   history: [],
@@ -49,6 +50,7 @@
     accounts: [], classes: [], models: [], plans: [], routes: [],
   },
   offset: -1,
+  seen: [],
   version: 0,
 };
 
@@ -56,6 +58,7 @@
   state: ConfigState,
   record: Log.LogRecord,
   entry: Log.LogEntry,
+  rules: ConfigRules.ConfigRules,
 ) => ConfigState;
 
 const decodeEdit = Schema.decodeUnknownEither(ConfigRecords.ConfigEdit);
@@ -65,15 +68,16 @@
 function getEditReason(
   state: ConfigState,
   edit: Either.Either<ConfigRecords.ConfigEdit, unknown>,
-): EditOutcome['reason'] {
+  rules: ConfigRules.ConfigRules,
+): ConfigRecords.EditReason {
   if (Either.isLeft(edit)) return 'invalid';
   if (Lists.checkReferences(edit.right.lists).length > 0) return 'invalid';
-  return edit.right.baseVersion === state.version ? 'accepted' : 'stale-base';
+  return rules.isInTurn(state, edit.right.baseVersion) ? 'accepted' : 'stale-base';
 }
 
-const applyEdit: RecordHandler = (state, record, entry) => {
+const applyEdit: RecordHandler = (state, record, entry, rules) => {
   const edit = decodeEdit(record.body);
-  const reason = getEditReason(state, edit);
+  const reason = getEditReason(state, edit, rules);
   const accepted = reason === 'accepted';
   const outcome: EditOutcome = {
     accepted,
@@ -91,21 +95,28 @@
   };
 };
 
-const applyIssue: RecordHandler = (state, record) => {
+const applyIssue: RecordHandler = (state, record, _, rules) => {
   const issue = decodeIssue(record.body);
-  if (Either.isLeft(issue) || state.keys.has(issue.right.keyId)) return state;
+  if (Either.isLeft(issue) || !rules.canIssue(state, issue.right.keyId)) return state;
   const { account, digest, keyId } = issue.right;
   return {
     ...state, keys: new Map(state.keys).set(keyId, { account, digest, withdrawn: false }),
   };
 };
 
-const applyWithdraw: RecordHandler = (state, record) => {
+const applyWithdraw: RecordHandler = (state, record, _, rules) => {
   const withdraw = decodeWithdraw(record.body);
   if (Either.isLeft(withdraw)) return state;
   const { keyId } = withdraw.right;
-  const known = state.keys.get(keyId) ?? { account: '', digest: '', withdrawn: true };
-  return { ...state, keys: new Map(state.keys).set(keyId, { ...known, withdrawn: true }) };
+  const known = state.keys.get(keyId);
+  if (known === undefined && !rules.canWithdrawUnknown()) return state;
+  return {
+    ...state,
+    keys: new Map(state.keys)
+      .set(keyId, {
+        account: '', digest: '', ...known, withdrawn: true,
+      }),
+  };
 };
 
 const HANDLERS: Readonly<Record<string, RecordHandler>> = {
@@ -114,11 +125,27 @@
   [ConfigRecords.CONFIG_KINDS.keyWithdraw]: applyWithdraw,
 };
 
+function applyRecord(
+  state: ConfigState,
+  record: Log.LogRecord,
+  entry: Log.LogEntry,
+  rules: ConfigRules.ConfigRules,
+): ConfigState {
+  const handler = HANDLERS[record.kind];
+  if (handler === undefined || rules.isRepeated(state, record.recordId)) return state;
+  const next = handler(state, record, entry, rules);
+  return { ...next, seen: [...next.seen, record.recordId].slice(-SEEN_LENGTH) };
+}
+
 /** Steps the state by one entry. Entries that were applied before change nothing. */
-export function reduceConfig(state: ConfigState, entry: Log.LogEntry): ConfigState {
+export function reduceConfig(
+  state: ConfigState,
+  entry: Log.LogEntry,
+  rules: ConfigRules.ConfigRules = ConfigRules.CONFIG_RULES,
+): ConfigState {
   if (entry.offset <= state.offset) return state;
   const next = entry.records.reduce<ConfigState>((current, record) => (
-    HANDLERS[record.kind]?.(current, record, entry) ?? current
+    applyRecord(current, record, entry, rules)
   ), state);
   return { ...next, offset: entry.offset };
 }
--- /dev/null
+++ b/packages/config/src/__tests__/support/IsolationModel.ts
@@ -0,0 +1,164 @@
+/**
+ * Model of one withdrawal, a daemon `near` that reads the log and a daemon `far` that hears only
+ * `near`. Answers and messages are held up, reordered, repeated or lost, and the two monotonic
+ * clocks differ by a constant. A daemon that accepts keyed requests must know the withdrawal once
+ * `ISOLATION_MS` have passed since it entered the log.
+ */
+import * as Core from '@berylyoke/core';
+import type * as Log from '@berylyoke/log';
+import * as fc from 'fast-check';
+import * as Config from '../../index.js';
+
+const ISOLATION_MS = 100;
+const FAR_CLOCK_OFFSET_MS = 5_000;
+
+const TAGS = [
+  'advance', 'answer', 'ask', 'digest', 'digest-arrives', 'heartbeat', 'heartbeat-arrives', 'serve',
+  'withdraw',
+] as const;
+
+/** One generated step; `pick` selects a message, `ms` a time. */
+export interface Step {
+  readonly tag: typeof TAGS[number];
+  readonly pick: number;
+  readonly ms: number;
+  readonly withEntries: boolean;
+}
+
+/** Arbitrary schedules. */
+export const steps: fc.Arbitrary<readonly Step[]> = fc.array(fc.record({
+  ms: fc.integer({ max: 60, min: 1 }),
+  pick: fc.nat({ max: 3 }),
+  tag: fc.constantFrom(...TAGS),
+  withEntries: fc.boolean(),
+}), { maxLength: 80, minLength: 20, size: 'max' });
+
+/** Parts of the rule that a mutant replaces. */
+export interface IsolationRules {
+  /** Offset that the vouched contact requires of the receiver. */
+  readonly getVouchedOffset: (offset: number) => number;
+  /** Time from which the age in a digest is counted. */
+  readonly getReferenceMs: (acknowledgedSentMs: number, arrivalMs: number) => number;
+  /** Time at which a read of the log counts as a contact. */
+  readonly getContactMs: (askedMs: number, answeredMs: number) => number;
+  /** Age of the contact that a peer passes on. */
+  readonly getAgeMs: (ageMs: number) => number;
+}
+
+export const ISOLATION_RULES: IsolationRules = {
+  getAgeMs: (ageMs) => ageMs,
+  getContactMs: (askedMs) => askedMs,
+  getReferenceMs: (acknowledgedSentMs) => acknowledgedSentMs,
+  getVouchedOffset: (offset) => offset,
+};
+
+function buildEntry(offset: number, kind: string, body: unknown): Log.LogEntry {
+  return {
+    offset,
+    records: [{
+      body, kind, recordId: `r${offset}`, writer: { daemonId: 'w', incarnation: '1-a' },
+    }],
+    timestampMs: 0,
+  };
+}
+
+interface Digest {
+  readonly acknowledged: number;
+  readonly ageMs: number;
+  readonly offset: number;
+  readonly entries: readonly Log.LogEntry[];
+}
+
+/** Counts what a run did, so that a test can tell that the rule was exercised. */
+export interface IsolationRun {
+  readonly violations: number;
+  readonly acceptedAfterWithdrawal: number;
+}
+
+/** Runs a schedule. */
+export function runIsolation(
+  schedule: readonly Step[],
+  rules: IsolationRules = ISOLATION_RULES,
+): IsolationRun {
+  const nearClock = Core.createManualClock(0);
+  const farClock = Core.createManualClock(FAR_CLOCK_OFFSET_MS);
+  const near = Config.createConfigStore(nearClock, ISOLATION_MS);
+  const far = Config.createConfigStore(farClock, ISOLATION_MS);
+  const entries: Log.LogEntry[] = [buildEntry(0, Config.CONFIG_KINDS.keyIssue, {
+    account: 'a', digest: 'd', keyId: 'key001',
+  })];
+  const asked: number[] = [];
+  const served: { readonly askedMs: number; readonly length: number }[] = [];
+  const heartbeats: number[] = [];
+  const digests: Digest[] = [];
+  let acknowledged = -1;
+  let withdrawnMs: number | undefined;
+  let violations = 0;
+  let acceptedAfterWithdrawal = 0;
+
+  const handlers: Readonly<Record<Step['tag'], (step: Step) => void>> = {
+    advance: ({ ms }) => {
+      nearClock.advance(ms);
+      farClock.advance(ms);
+    },
+    answer: ({ pick }) => {
+      const answer = served[served.length - 1 - pick];
+      if (answer === undefined) return;
+      near.applyEvent({
+        _tag: 'entries', afterOffset: -1, entries: entries.slice(0, answer.length),
+      });
+      near.recordContact(rules.getContactMs(answer.askedMs, nearClock.readMonotonic()));
+    },
+    ask: () => {
+      asked.push(nearClock.readMonotonic());
+    },
+    digest: ({ withEntries }) => {
+      const contact = near.getContact();
+      if (contact === undefined) return;
+      digests.push({
+        acknowledged,
+        ageMs: rules.getAgeMs(nearClock.readMonotonic() - contact.contactMs),
+        entries: withEntries ? entries.slice(0, near.getState().offset + 1) : [],
+        offset: contact.offset,
+      });
+    },
+    'digest-arrives': ({ pick }) => {
+      const digest = digests[digests.length - 1 - pick];
+      if (digest === undefined) return;
+      far.applyEvent({ _tag: 'entries', afterOffset: -1, entries: digest.entries });
+      const sentMs = heartbeats[digest.acknowledged];
+      if (sentMs === undefined) return;
+      far.recordVouch('near', Config.toLocalContact(
+        rules.getReferenceMs(sentMs, farClock.readMonotonic()),
+        digest.ageMs,
+        rules.getVouchedOffset(digest.offset),
+      ));
+    },
+    heartbeat: () => {
+      heartbeats.push(farClock.readMonotonic());
+    },
+    'heartbeat-arrives': ({ pick }) => {
+      acknowledged = Math.max(acknowledged, heartbeats.length - 1 - pick);
+    },
+    serve: ({ pick }) => {
+      const askedMs = asked[asked.length - 1 - pick];
+      if (askedMs !== undefined) served.push({ askedMs, length: entries.length });
+    },
+    withdraw: () => {
+      if (withdrawnMs !== undefined) return;
+      withdrawnMs = nearClock.readMonotonic();
+      entries.push(buildEntry(1, Config.CONFIG_KINDS.keyWithdraw, { keyId: 'key001' }));
+    },
+  };
+
+  schedule.forEach((step) => {
+    handlers[step.tag](step);
+    if (withdrawnMs === undefined) return;
+    if (nearClock.readMonotonic() - withdrawnMs < ISOLATION_MS) return;
+    [near, far].filter((store) => store.checkIsolation()._tag === 'Connected').forEach((store) => {
+      acceptedAfterWithdrawal += 1;
+      if (store.getState().keys.get('key001')?.withdrawn !== true) violations += 1;
+    });
+  });
+  return { acceptedAfterWithdrawal, violations };
+}
