Add the scheduling decisions of the request path

The daemon needs admission, the fair queue and the choice of a server before its filters can be wired.

FairQueue orders by tier, virtual token counter of the account and latest start; an indexed heap holds each request in the orders of dispatch, shed and expiry, so that no decision reads the whole queue. A scan per dispatch was ruled out by the target of 50 us at 1,000 queued requests. Counters are kept per tier, because an account that waits in a starved tier would otherwise hold down the level at which accounts join the higher ones.

ServerChoice compares a few candidates by the expected first token; hashing every server name per decision was ruled out because of the cost of encoding 300 strings, so the names are hashed once and mixed with the prefix.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,2 +1,13 @@
-/** Pure decisions: admission, fair queue, choice of backend server, retry budget, purchases. */
-export {};
+/**
+ * Pure decisions: admission, fair queue, choice of backend server, retry budget, purchases. Time
+ * and randomness are arguments.
+ */
+export * from './Admission.js';
+export * from './CacheIndex.js';
+export * from './Explanation.js';
+export * from './FairQueue.js';
+export * from './LengthEstimate.js';
+export * from './Outliers.js';
+export * from './RetryBudget.js';
+export * from './ServerChoice.js';
+export * from './ServiceRate.js';
