Add purchases, demand forecast, load orders and shares across daemons

The plan for servers has to survive the loss of one cheap data centre. planMix tries each bound on the cheap servers of one data centre and fills it with the cheapest servers, which is exact because servers of a model are alike; integer programming was ruled out as unnecessary.

Across daemons each one orders accounts by its own count plus a digest of the others; a coordinator was ruled out by the constraints. The bound on the error as a function of the digest's age is stated in FleetShares.ts.

Not tested yet; the properties follow.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,10 +4,14 @@
  */
 export * from './Admission.js';
 export * from './CacheIndex.js';
+export * from './DemandForecast.js';
 export * from './Explanation.js';
 export * from './FairQueue.js';
+export * from './FleetShares.js';
 export * from './LengthEstimate.js';
+export * from './LoadPlan.js';
 export * from './Outliers.js';
+export * from './Purchases.js';
 export * from './RetryBudget.js';
 export * from './ServerChoice.js';
 export * from './ServiceRate.js';
