--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -434,7 +434,10 @@
     let due: ClassQueue<T> | undefined;
     pool.tiers.forEach(({ classes }) => classes.forEach((candidate) => {
       if (candidate.requests === 0 || !isDue(pool, candidate, nowMs)) return;
-      if (due === undefined || candidate.waitingSinceMs < due.waitingSinceMs) due = candidate;
+      // Several dispatches fall into one millisecond; ordered by time alone, the last class starved.
+      if (due === undefined || candidate.waitingSinceDispatch < due.waitingSinceDispatch) {
+        due = candidate;
+      }
     }));
     return due;
   };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,6 +11,7 @@
 export * from './LengthEstimate.js';
 export * from './LoadPlan.js';
 export * from './Outliers.js';
+export * from './Preemption.js';
 export * from './Purchases.js';
 export * from './RetryBudget.js';
 export * from './ServerChoice.js';
