--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -434,7 +434,7 @@
     let due: ClassQueue<T> | undefined;
     pool.tiers.forEach(({ classes }) => classes.forEach((candidate) => {
       if (candidate.requests === 0 || !isDue(pool, candidate, nowMs)) return;
-      // Several dispatches fall into one millisecond; ordered by time alone, the last class starved.
+      // Several dispatches fall into one millisecond; ordered by time, the last class starved.
       if (due === undefined || candidate.waitingSinceDispatch < due.waitingSinceDispatch) {
         due = candidate;
       }
