Put the decisions of one daemon together in a scheduler

The daemon and the measuring command need the same order of estimate, admission, queue, choice, ejection and retry, and would otherwise each have their own. A resumed request keeps its admission and is counted again against its account's concurrency.

--- a/packages/scheduling/src/Admission.ts
+++ b/packages/scheduling/src/Admission.ts
@@ -86,6 +86,8 @@
   readonly admitRequest: (
     request: AdmissionRequest, outlook: AdmissionOutlook, nowMs: Core.Millis, random: number,
   ) => Purify.Either<AdmissionRefusal, AdmissionGrant>;
+  /** Counts a request again that was admitted before and resumes on another server. */
+  readonly renewGrant: (account: string, latestStartMs: Core.Millis) => AdmissionGrant;
   /** Releases a grant, giving back the tokens that were not used. */
   readonly releaseGrant: (grant: AdmissionGrant, usedTokens: number) => void;
   readonly countRunning: (account: string) => number;
@@ -189,5 +191,16 @@
       state.running = Math.max(0, state.running - 1);
       state.availableTokens += tokens - usedTokens;
     },
+    renewGrant: (account, latestStartMs) => {
+      const state = accounts.get(account);
+      if (state !== undefined) state.running += 1;
+      return {
+        account,
+        expectedFirstTokenMs: 0,
+        latestStartMs,
+        reason: { _tag: 'Renewed' },
+        tokens: 0,
+      };
+    },
   };
 }
--- a/packages/scheduling/src/Explanation.ts
+++ b/packages/scheduling/src/Explanation.ts
@@ -29,6 +29,7 @@
     readonly expectedFirstTokenMs: number;
     readonly targetMs: number;
   }
+  | { readonly _tag: 'Renewed' }
   | {
     readonly _tag: 'TokenLimit';
     readonly availableTokens: number;
@@ -54,7 +55,7 @@
   | { readonly _tag: 'ConsecutiveFailures'; readonly failures: number }
   | { readonly _tag: 'ProbationOver'; readonly successes: number }
   | { readonly _tag: 'ProbationStarted'; readonly afterMs: number }
-  | { readonly _tag: 'Slow'; readonly firstTokenMs: number; readonly medianMs: number };
+  | { readonly _tag: 'Slow'; readonly median: number; readonly slowdown: number };
 
 /** Why a retry was allowed or not. */
 export type RetryReason = {
--- a/packages/scheduling/src/Outliers.ts
+++ b/packages/scheduling/src/Outliers.ts
@@ -34,13 +34,16 @@
   readonly slowRatio: number;
 }
 
-/** What happened. `Members` replaces the set of servers. */
+/**
+ * What happened. `Members` replaces the set of servers; `slowdowns` are ratios of observed to
+ * expected times of servers that were used lately.
+ */
 export type OutlierEvent = {
   readonly _tag: 'Failure';
   readonly serverId: string;
 }
   | { readonly _tag: 'Members'; readonly serverIds: readonly string[] }
-  | { readonly _tag: 'Observed'; readonly firstTokenMs: ReadonlyMap<string, number> }
+  | { readonly _tag: 'Observed'; readonly slowdowns: ReadonlyMap<string, number> }
   | { readonly _tag: 'Success'; readonly serverId: string }
   | { readonly _tag: 'Tick' };
 
@@ -170,14 +173,14 @@
       state: { memberCount: members.size, servers },
     };
   },
-  Observed: (state, { firstTokenMs }, nowMs, options) => {
-    if (firstTokenMs.size < MIN_COMPARED) return { changes: [], state };
-    const sorted = [...firstTokenMs.values()].sort((a, b) => a - b);
-    const medianMs = sorted[Math.floor((sorted.length - 1) / 2)] as number;
-    return [...firstTokenMs].reduce<OutlierStep>((step, [serverId, observedMs]) => {
-      if (observedMs <= medianMs * options.slowRatio) return step;
+  Observed: (state, { slowdowns }, nowMs, options) => {
+    if (slowdowns.size < MIN_COMPARED) return { changes: [], state };
+    const sorted = [...slowdowns.values()].sort((a, b) => a - b);
+    const median = sorted[Math.floor((sorted.length - 1) / 2)] as number;
+    return [...slowdowns].reduce<OutlierStep>((step, [serverId, slowdown]) => {
+      if (slowdown <= median * options.slowRatio) return step;
       const server = step.state.servers.get(serverId) ?? HEALTHY;
-      const reason = { _tag: 'Slow' as const, firstTokenMs: observedMs, medianMs };
+      const reason = { _tag: 'Slow' as const, median, slowdown };
       const next = ejectServer(step.state, serverId, server, reason, nowMs, options);
       return { changes: [...step.changes, ...next.changes], state: next.state };
     }, { changes: [], state });
--- a/packages/scheduling/src/ServerChoice.ts
+++ b/packages/scheduling/src/ServerChoice.ts
@@ -109,8 +109,10 @@
   ) => void;
   readonly recordGap: (serverId: string, gapMs: Core.Millis) => void;
   readonly recordEnd: (serverId: string, requestId: string, nowMs: Core.Millis) => void;
+  /** Counts the servers that may take requests for a model, busy or not. */
+  readonly countCandidates: (model: string) => number;
   /** Counts the slots of this daemon that are free for a model. */
-  readonly countFreeSlots: (model: string, adapter?: string) => number;
+  readonly countFreeSlots: (model: string) => number;
   readonly listEstimates: () => readonly ServerEstimate[];
 }
 
@@ -336,12 +338,12 @@
 
   return {
     chooseServer,
-    countFreeSlots: (model, adapter) => {
-      const wanted = adapter === undefined ? { model } : { adapter, model };
-      return listCandidates({ ...wanted, phase: 'whole' }).reduce((sum, server) => (
+    countCandidates: (model) => listCandidates({ model, phase: 'whole' }).length,
+    countFreeSlots: (model) => (
+      listCandidates({ model, phase: 'whole' }).reduce((sum, server) => (
         sum + Math.max(0, getLimit(server) - server.ownInFlight)
-      ), 0);
-    },
+      ), 0)
+    ),
     listEstimates: () => [...servers.values()].map(({
       betweenTokensMs, othersInFlight, ownInFlight, ownSlots, serverId, slowdown,
     }) => ({
--- a/packages/scheduling/src/__tests__/unit/Properties.test.ts
+++ b/packages/scheduling/src/__tests__/unit/Properties.test.ts
@@ -356,7 +356,7 @@
   }),
   FastCheck.record({
     _tag: FastCheck.constant('Observed' as const),
-    firstTokenMs: FastCheck.array(
+    slowdowns: FastCheck.array(
       FastCheck.tuple(FastCheck.constantFrom(...SERVER_IDS), FastCheck.nat(1_000)),
     ).map((entries) => new Map(entries)),
   }),
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,5 +14,6 @@
 export * from './Preemption.js';
 export * from './Purchases.js';
 export * from './RetryBudget.js';
+export * from './Scheduler.js';
 export * from './ServerChoice.js';
 export * from './ServiceRate.js';
