--- a/packages/bench/src/ConfigCapacity.ts
+++ b/packages/bench/src/ConfigCapacity.ts
@@ -53,7 +53,10 @@
 }
 
 function reduceEntries(entries: readonly Log.LogEntry[]): Config.ConfigState {
-  return entries.reduce(Config.reduceConfig, Config.initialConfigState);
+  return entries.reduce<Config.ConfigState>(
+    (state, entry) => Config.reduceConfig(state, entry),
+    Config.initialConfigState,
+  );
 }
 
 async function measureCatchUp(entries: number): Promise<number> {
@@ -107,7 +110,7 @@
       const state = reduceEntries(Array.from({ length: keys }, (_, i) => buildKeyEntry(i)));
       const more = Array.from({ length: EDITS }, (_, i) => buildKeyEntry(keys + i));
       return CapacityCase.measureProcessorMicros(EDITS, () => {
-        more.reduce(Config.reduceConfig, state);
+        more.reduce<Config.ConfigState>((current, entry) => Config.reduceConfig(current, entry), state);
       });
     },
     name: 'key-apply',
