--- a/packages/bench/src/ConfigCapacity.ts
+++ b/packages/bench/src/ConfigCapacity.ts
@@ -110,7 +110,7 @@
       const state = reduceEntries(Array.from({ length: keys }, (_, i) => buildKeyEntry(i)));
       const more = Array.from({ length: EDITS }, (_, i) => buildKeyEntry(keys + i));
       return CapacityCase.measureProcessorMicros(EDITS, () => {
-        more.reduce<Config.ConfigState>((current, entry) => Config.reduceConfig(current, entry), state);
+        more.reduce<Config.ConfigState>((now, entry) => Config.reduceConfig(now, entry), state);
       });
     },
     name: 'key-apply',
