Write a relayed chunk as one buffer and end a request by one signal

Change: after the first write a chunk is framed into one buffer and goes straight to the socket. One AbortController serves the caller's departure and the end of the request; a request that ends while it waits for a dispatch is refused as not run, and one that a withdrawn key ends gets its refusal, where it hung before. The usage chunk follows the closing chunk also when the network separates them.

Ruled out: waiting to group the tokens of a stream, because they are 5 ms and more apart.

--- a/packages/bench/src/PathBench.ts
+++ b/packages/bench/src/PathBench.ts
@@ -206,8 +206,11 @@
   };
 }
 
-const { requests, tokens, width } = await yargs(process.argv.slice(2))
+const {
+  profile, requests, tokens, width,
+} = await yargs(process.argv.slice(2))
   .scriptName('bench:path')
+  .option('profile', { describe: 'directory for profiles of the daemons', type: 'string' })
   .option('requests', { default: 600, describe: 'requests of each measurement', type: 'number' })
   .option('tokens', { default: 200, describe: 'tokens of a long answer', type: 'number' })
   .option('width', { default: 50, describe: 'streams at once', type: 'number' })
@@ -227,6 +230,7 @@
   '0',
   '--slots',
   String(width),
+  ...profile === undefined ? [] : ['--profile', profile],
 ]);
 try {
   const result = await measure(demo, { requests, tokens, width });
--- a/packages/cli/src/CliLog.ts
+++ b/packages/cli/src/CliLog.ts
@@ -9,10 +9,14 @@
 /** Time for the stream to be read to its end, in milliseconds. */
 const CATCH_UP_TIMEOUT_MS = 10_000;
 const CATCH_UP_POLL_MS = 10;
+const EXPIRED = 'configuration records have expired in the log and no snapshot was found; '
+  + 'a daemon that holds the duty writes one';
 
 /** An open configuration stream. */
 export interface ConfigLog {
   readonly getState: () => Config.ConfigState;
+  /** True where records have expired and no snapshot replaces them. */
+  readonly isInGap: () => boolean;
   /** Appends a record; succeeds once the state includes it. */
   readonly append: (
     kind: string,
@@ -21,10 +25,16 @@
 }
 
 function createConfigLog(client: Log.LogClient): ConfigLog {
-  let state = Config.initialConfigState;
+  let reader = Config.initialConfigReader;
+  let afterOffset = -1;
   client.registerReader(Log.STREAMS.config, 0, {
     onEntry: (entry) => {
-      state = Config.reduceConfig(state, entry);
+      reader = Config.reduceReader(reader, { _tag: 'entries', afterOffset, entries: [entry] });
+      afterOffset = entry.offset;
+    },
+    onGap: (first) => {
+      reader = Config.reduceReader(reader, { _tag: 'gap', firstOffset: first });
+      afterOffset = first - 1;
     },
   });
   return {
@@ -37,7 +47,8 @@
         })),
       );
     },
-    getState: () => state,
+    getState: () => reader.config,
+    isInGap: () => Config.isInGap(reader),
   };
 }
 
@@ -71,7 +82,11 @@
     )),
     (client) => Effect.suspend(() => {
       const log = createConfigLog(client);
-      return waitForCatchUp(client, logUrl).pipe(Effect.zipRight(use(log)));
+      return waitForCatchUp(client, logUrl).pipe(
+        Effect.zipRight(Effect.suspend(() => (log.isInGap()
+          ? Effect.fail(new CliError.CommandFailedError({ message: EXPIRED }))
+          : use(log)))),
+      );
     }),
     (client) => Effect.sync(() => client.close()),
   );
--- a/packages/cli/src/ConfigCommands.ts
+++ b/packages/cli/src/ConfigCommands.ts
@@ -6,7 +6,6 @@
 import * as CliError from './CliError.js';
 import * as CliFiles from './CliFiles.js';
 import * as CliLog from './CliLog.js';
-import * as ListDifference from './ListDifference.js';
 
 const encodeEdit = Schema.encodeSync(Config.ConfigEdit);
 const encodeLists = Schema.encodeSync(Config.Lists);
@@ -29,12 +28,12 @@
   baseVersion: number,
   lists: Config.Lists,
 ): CliError.CommandFailedError {
-  const difference = ListDifference.compareLists(state.lists, lists);
+  const difference = Config.diffLists(state.lists, lists);
   const winner = state.history.find((edit) => edit.accepted && edit.baseVersion === baseVersion);
   const changes = difference.length === 0
     ? 'The lists in force equal yours.'
     : 'Your lists differ from those in force (+ only in yours, - only in force, ~ changed):\n'
-      + `${ListDifference.formatChanges(difference)}\n`
+      + `${Config.renderDifferences(difference)}\n`
       + 'Merge both and publish again.';
   return new CliError.CommandFailedError({
     details: {
@@ -65,9 +64,9 @@
     const outcome = state.history.find(({ recordId }) => recordId === record.recordId);
     if (outcome?.accepted !== true) return yield* describeLostRace(state, baseVersion, lists);
     const version = baseVersion + 1;
-    const changes = ListDifference.compareLists(before.lists, lists);
+    const changes = Config.diffLists(before.lists, lists);
     return {
-      text: [`version ${version} is in force`, ListDifference.formatChanges(changes)]
+      text: [`version ${version} is in force`, Config.renderDifferences(changes)]
         .filter((line) => line !== '').join('\n'),
       value: { changes, offset: outcome.offset, version },
     };
--- a/packages/cli/src/__tests__/unit/Cli.test.ts
+++ b/packages/cli/src/__tests__/unit/Cli.test.ts
@@ -1,3 +1,5 @@
+import * as Config from '@berylyoke/config';
+import * as Log from '@berylyoke/log';
 import * as Testkit from '@berylyoke/testkit';
 import * as fs from 'node:fs/promises';
 import * as os from 'node:os';
@@ -85,7 +87,10 @@
     const lost = await runJson('config', 'publish', mine, '--base', '0');
     expect(lost.status).toBe(1);
     expect(lost.value.error.details.difference).toEqual([{
-      change: 'changed', id: 'chain', keys: ['weight'], list: 'plans',
+      change: 'changed',
+      fields: [{ after: 4, before: 3, field: 'weight' }],
+      id: 'chain',
+      list: 'plans',
     }]);
     const history = await runJson('config', 'history');
     expect(history.value.map(({ reason }: { reason: string }) => reason))
@@ -93,6 +98,28 @@
     expect((await runJson('config', 'show')).value.version).toBe(1);
   });
 
+  test('reads the lists from a snapshot once the log has dropped older records', async () => {
+    await runJson('config', 'publish', lists);
+    const { value: issued } = await runJson('key', 'issue', '--account', 'fan-shop');
+    const state = log.listEntries('config')
+      .reduce((before, entry) => Config.reduceConfig(before, entry), Config.initialConfigState);
+    log.append('config', [Log.createRecord(
+      { daemonId: 'd', incarnation: '1-a' },
+      Config.CONFIG_KINDS.snapshot,
+      Config.buildSnapshot(state),
+    )]);
+    log.expireBefore('config', 2);
+    expect((await runJson('config', 'show')).value.version).toBe(1);
+    expect((await runJson('key', 'withdraw', issued.keyId)).status).toBe(0);
+  });
+
+  test('fails when records have expired and no snapshot replaces them', async () => {
+    await runJson('config', 'publish', lists);
+    await runJson('key', 'issue', '--account', 'fan-shop');
+    log.expireBefore('config', 1);
+    expect((await runJson('config', 'show')).status).toBe(1);
+  });
+
   test('reports success when the answer to the append was lost', async () => {
     log.faults.set([{ kind: 'lost-answer', operation: 'append' }]);
     expect((await runJson('config', 'publish', lists)).status).toBe(0);
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -2,4 +2,3 @@
 export * from './Cli.js';
 export * from './CliCommand.js';
 export * from './CliError.js';
-export * from './ListDifference.js';
--- /dev/null
+++ b/packages/daemon/src/AcquireDispatch.ts
@@ -0,0 +1,57 @@
+/** Filter `choose`: waits for a dispatch, but not longer than the request itself lasts. */
+import type * as PathTypes from './PathTypes.js';
+import * as Refusal from './Refusal.js';
+import type * as RelayChat from './RelayChat.js';
+
+const UNUSED: PathTypes.AttemptOutcome = {
+  durationMs: 0, firstTokenMs: undefined, outputTokens: 0, result: 'cancelled',
+};
+
+/** Gets the refusal that an abort carries, or that of a caller that has left. */
+export function getAbortRefusal({ reason }: AbortSignal): Refusal.Refusal {
+  return Refusal.isRefusal(reason)
+    ? reason
+    : Refusal.createRefusal('caller_left', 'the caller closed the connection');
+}
+
+function waitForDispatch(
+  pending: Promise<PathTypes.Dispatch | Refusal.Refusal>,
+  signal: AbortSignal,
+): Promise<PathTypes.Dispatch | Refusal.Refusal> {
+  return new Promise((resolve, reject) => {
+    let isOver = false;
+    const handleAbort = (): void => {
+      isOver = true;
+      resolve(getAbortRefusal(signal));
+    };
+    signal.addEventListener('abort', handleAbort, { once: true });
+    pending.then((result) => {
+      signal.removeEventListener('abort', handleAbort);
+      // A dispatch that comes too late goes back unused.
+      if (isOver && !Refusal.isRefusal(result)) result.settle(UNUSED);
+      else resolve(result);
+    }, reject);
+  });
+}
+
+/** Acquires a dispatch; a request that ends while it waits is refused as not run. */
+export async function acquireDispatch(
+  context: RelayChat.RelayContext,
+  request: PathTypes.ClassifiedRequest,
+  excluded: readonly string[],
+): Promise<PathTypes.Dispatch | Refusal.Refusal> {
+  const { requestId, signal, trace } = request.received;
+  const span = trace?.startChild('berylyoke.choose');
+  const result = signal.aborted
+    ? getAbortRefusal(signal)
+    : await waitForDispatch(context.ports.get('dispatch').acquire(request, excluded), signal);
+  if (Refusal.isRefusal(result)) {
+    span?.end(result.code);
+    context.explain(requestId, 'choose', 'refused', { code: result.code, excluded });
+    return result;
+  }
+  span?.end('dispatched');
+  request.onDispatched?.();
+  context.explain(requestId, 'choose', 'dispatched', { excluded, server: result.server.id });
+  return result;
+}
--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -17,7 +17,8 @@
   readonly connectTimeoutMs: Core.Millis;
   /** Longest time until the head of the answer. */
   readonly headTimeoutMs: Core.Millis;
-  readonly signal: AbortSignal;
+  /** Undefined where the call goes on after its caller has left. */
+  readonly signal: AbortSignal | undefined;
 }
 
 /** The call failed; `sent` is false where no byte can have left. */
@@ -42,17 +43,22 @@
       method: call.method,
       path: call.path,
       port: Number(port),
-      signal: call.signal,
     });
+    // An own listener costs a third of the `signal` option of `http.request`.
+    const abort = (): void => {
+      request.destroy();
+    };
+    call.signal?.addEventListener('abort', abort, { once: true });
     const headTimer = setTimeout(() => {
       isSilent = true;
       request.destroy();
     }, call.headTimeoutMs);
     const fail = (): void => {
       clearTimeout(headTimer);
+      call.signal?.removeEventListener('abort', abort);
       const reason = isSilent ? 'silent' : 'connection';
       resolve({
-        _tag: 'BackendFailure', reason: call.signal.aborted ? 'aborted' : reason, sent,
+        _tag: 'BackendFailure', reason: call.signal?.aborted === true ? 'aborted' : reason, sent,
       });
     };
     request.on('socket', (socket) => {
@@ -72,6 +78,7 @@
     request.on('close', fail);
     request.on('response', (answer) => {
       clearTimeout(headTimer);
+      answer.once('close', () => call.signal?.removeEventListener('abort', abort));
       resolve(answer);
     });
     request.end(call.body);
--- a/packages/daemon/src/ConfigPart.ts
+++ b/packages/daemon/src/ConfigPart.ts
@@ -36,7 +36,10 @@
   return request.keyId !== undefined && state.keys.get(request.keyId)?.withdrawn === true;
 }
 
-/** Ends running repeatable answers of withdrawn keys after a grace; others finish. */
+/**
+ * Refuses queued requests of withdrawn keys at once and ends running repeatable answers after a
+ * grace; running non-repeatable calls finish.
+ */
 export function registerConfigPart(context: DaemonContext.DaemonContext): Core.Undo {
   const logger = Core.getPartLogger(context.logger, 'config');
   let { version } = context.config.getState();
@@ -46,9 +49,9 @@
         logger.info({ version: state.version }, 'configuration in force');
       }
       version = state.version;
-      const ended = context.active.list().filter((request) => (
-        request.repeatable && isWithdrawn(state, request)
-      ));
+      const withdrawn = context.active.list().filter((request) => isWithdrawn(state, request));
+      withdrawn.filter(({ isRunning }) => !isRunning()).forEach(({ end }) => end());
+      const ended = withdrawn.filter(({ isRunning, repeatable }) => repeatable && isRunning());
       if (ended.length === 0) return;
       setTimeout(
         () => ended.forEach(({ end }) => end()),
--- a/packages/daemon/src/Delivery.ts
+++ b/packages/daemon/src/Delivery.ts
@@ -28,11 +28,42 @@
   readonly onDrain: (resume: () => void) => void;
 }
 
+const HEX = 16;
+const CRLF = '\r\n';
+
+/**
+ * Frames data as one chunk of HTTP's chunked transfer coding. `response.write` hands the same frame
+ * to the kernel as four buffers after a detour over the next tick.
+ */
+function frameChunk(data: Buffer): Buffer {
+  const size = data.length.toString(HEX);
+  const start = size.length + CRLF.length;
+  const frame = Buffer.allocUnsafe(start + data.length + CRLF.length);
+  frame.write(size + CRLF, 0, 'latin1');
+  data.copy(frame, start);
+  frame.write(CRLF, start + data.length, 'latin1');
+  return frame;
+}
+
 /** Creates the writer of an answer. */
 export function createDelivery(response: http.ServerResponse, clock: Core.Clock): Delivery {
   let delivered = 0;
   let usage: SseReader.SseUsage | undefined;
   let firstTokenAtMs: Core.Millis | undefined;
+  let isFirstWrite = true;
+  let drained: NodeJS.EventEmitter = response;
+
+  const write = (data: Buffer): boolean => {
+    const { socket } = response;
+    // The first write takes the head along. A response that waits for an earlier one on the same
+    // connection has no socket yet or holds data back.
+    const canWriteFrame = !isFirstWrite && response.chunkedEncoding && socket !== null
+      && response.writableLength === socket.writableLength;
+    isFirstWrite = false;
+    drained = canWriteFrame ? socket : response;
+    return canWriteFrame ? socket.write(frameChunk(data)) : response.write(data);
+  };
+
   return {
     cut: () => response.destroy(),
     endPlain: (body, counted) => {
@@ -47,16 +78,20 @@
     getProgress: () => ({
       delivered, firstTokenAtMs, headSent: response.headersSent, usage,
     }),
-    onDrain: (resume) => response.once('drain', resume),
+    onDrain: (resume) => {
+      drained.once('drain', resume);
+    },
     writeBatch: (batch, includeUsage) => {
       let writable = true;
       if (batch.forward.length > 0) {
         if (batch.tokens > 0) firstTokenAtMs ??= clock.readMonotonic();
         delivered += batch.tokens;
-        writable = response.write(batch.forward);
+        writable = write(batch.forward);
       }
       usage = batch.usage ?? usage;
-      if (includeUsage && batch.usageEvent !== undefined) response.write(batch.usageEvent);
+      if (includeUsage && batch.usageEvent !== undefined) {
+        writable = write(batch.usageEvent);
+      }
       return writable;
     },
     writeStreamHead: () => {
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -99,7 +99,7 @@
       }),
     };
     const handle = table[`${received.method} ${path}`] ?? handlers.handleRoute;
-    const refusal = await handle(received, response);
+    const refusal = await handle(received, response, abort);
     received.trace?.end(refusal?.code ?? 'answered');
     if (refusal === undefined) return;
     context.metrics.addRefusal(refusal.code);
--- a/packages/daemon/src/PathHandlers.ts
+++ b/packages/daemon/src/PathHandlers.ts
@@ -36,6 +36,7 @@
 export type PathHandler = (
   received: PathTypes.ReceivedRequest,
   response: http.ServerResponse,
+  abort: AbortController,
 ) => Promise<Refusal.Refusal | undefined>;
 
 /** Creates the handlers. */
@@ -59,16 +60,19 @@
     abort: AbortController,
     run: (active: PathTypes.ClassifiedRequest) => Promise<A>,
   ): Promise<A> => {
+    let isRunning = false;
     const undo = context.active.register({
-      end: () => abort.abort(),
-      isRunning: () => true,
+      end: () => abort.abort(Refusal.createRefusal('key_withdrawn', 'the key was withdrawn')),
+      isRunning: () => isRunning,
       keyId: request.caller?.keyId,
       repeatable: request.repeatable,
       requestId: request.received.requestId,
     });
-    const signal = AbortSignal.any([request.received.signal, abort.signal]);
+    const onDispatched = (): void => {
+      isRunning = true;
+    };
     try {
-      return await run({ ...request, received: { ...request.received, signal } });
+      return await run({ ...request, onDispatched });
     } finally {
       undo();
     }
@@ -85,14 +89,14 @@
     },
   );
 
-  const handleChat: PathHandler = async (received, response) => {
+  const handleChat: PathHandler = async (received, response, abort) => {
     const caller = identify(received);
     if (Refusal.isRefusal(caller)) return caller;
     const request = Classify.classifyChat(received, caller, context.config.getState().lists);
     if (Refusal.isRefusal(request)) return request;
     explainClass(request);
     const target = request.target as PathTypes.ChatTarget;
-    const outcome = await runActive(request, new AbortController(), (active) => (
+    const outcome = await runActive(request, abort, (active) => (
       RelayChat.relayChat(relay, active, target, response)
     ));
     if (Refusal.isRefusal(outcome)) return outcome;
@@ -116,7 +120,7 @@
     return undefined;
   };
 
-  const handleRoute: PathHandler = async (received, response) => {
+  const handleRoute: PathHandler = async (received, response, abort) => {
     const { lists } = context.config.getState();
     const route = Classify.findRoute(lists, received.path);
     if (route === undefined) return Refusal.createRefusal('not_found', 'no such path');
@@ -129,7 +133,7 @@
     if (Refusal.isRefusal(request)) return request;
     explainClass(request);
     const target = request.target as PathTypes.RouteTarget;
-    const outcome = await runActive(request, new AbortController(), (active) => (
+    const outcome = await runActive(request, abort, (active) => (
       RelayRoute.relayRoute(relay, active, target, response)
     ));
     if (Refusal.isRefusal(outcome)) return outcome;
--- a/packages/daemon/src/PathTypes.ts
+++ b/packages/daemon/src/PathTypes.ts
@@ -60,6 +60,8 @@
   readonly target: Target;
   /** False where the request may run at most once. */
   readonly repeatable: boolean;
+  /** Called when the request leaves the queue for a backend server. */
+  readonly onDispatched?: () => void;
 }
 
 /** A backend server as the path sees it. */
--- a/packages/daemon/src/Refusal.ts
+++ b/packages/daemon/src/Refusal.ts
@@ -10,6 +10,7 @@
   backend_failed: { status: 502, type: 'server_error' },
   body_differs: { status: 422, type: 'invalid_request_error' },
   body_too_large: { status: 413, type: 'invalid_request_error' },
+  caller_left: { status: 499, type: 'invalid_request_error' },
   claim_in_progress: { status: 409, type: 'conflict_error' },
   class_not_allowed: { status: 403, type: 'permission_error' },
   draining: { status: 503, type: 'server_error' },
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -4,6 +4,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
+import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
 import * as Delivery from './Delivery.js';
 import type * as PathMetrics from './PathMetrics.js';
@@ -267,19 +268,15 @@
   const giveUp = (refusal: Refusal.Refusal): ChatOutcome | Refusal.Refusal => {
     if (!delivery.getProgress().headSent) return refusal;
     delivery.cut();
-    return finish('broken');
+    return finish(signal.aborted ? 'aborted' : 'broken');
   };
 
   const attempt = async (excluded: readonly string[]): Promise<ChatOutcome | Refusal.Refusal> => {
-    const queueSpan = trace?.startChild('berylyoke.choose');
-    const dispatch = await context.ports.get('dispatch').acquire(request, excluded);
-    queueSpan?.end(Refusal.isRefusal(dispatch) ? dispatch.code : 'dispatched');
+    const dispatch = await AcquireDispatch.acquireDispatch(context, request, excluded);
     if (Refusal.isRefusal(dispatch)) {
-      context.explain(requestId, 'choose', 'refused', { code: dispatch.code, excluded });
-      return giveUp(dispatch);
+      return giveUp(excluded.length === 0 ? dispatch : { ...dispatch, notRun: false });
     }
     const { server } = dispatch;
-    context.explain(requestId, 'choose', 'dispatched', { excluded, server: server.id });
     const startedMs = context.clock.readMonotonic();
     if (excluded.length === 0) {
       context.metrics.observe('queue', request.class.id, startedMs - request.received.receivedAtMs);
@@ -302,7 +299,9 @@
       delivered: progress.delivered, server: server.id,
     });
     if (result === 'done') return finish('done');
-    if (result === 'aborted' || signal.aborted) return finish('aborted');
+    if (result === 'aborted' || signal.aborted) {
+      return giveUp({ ...AcquireDispatch.getAbortRefusal(signal), notRun: false });
+    }
     if (result === 'rejected') {
       return giveUp(Refusal.createUnknownOutcome(
         'backend_failed',
--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -4,6 +4,7 @@
  */
 import type * as Config from '@berylyoke/config';
 import type * as http from 'node:http';
+import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
 import type * as PathPorts from './PathPorts.js';
 import type * as PathTypes from './PathTypes.js';
@@ -78,8 +79,7 @@
   const { tier } = request.class;
   // A non-repeatable call is not cancelled when its caller leaves: it finishes, and its answer
   // can be stored for a repeat.
-  const timeout = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
-  const signal = repeatable ? AbortSignal.any([received.signal, timeout]) : timeout;
+  const signal = repeatable ? received.signal : undefined;
   const answer = await BackendCall.sendBackendRequest({
     address: server.address,
     agent: repeatable ? context.agent : undefined,
@@ -116,14 +116,10 @@
   const retry = context.ports.get('retry');
   const attempt = async (
     excluded: readonly string[],
+    anySent: boolean,
   ): Promise<PathPorts.StoredAnswer | Refusal.Refusal> => {
-    const queueSpan = trace?.startChild('berylyoke.choose');
-    const dispatch = await context.ports.get('dispatch').acquire(request, excluded);
-    queueSpan?.end(Refusal.isRefusal(dispatch) ? dispatch.code : 'dispatched');
-    if (Refusal.isRefusal(dispatch)) {
-      context.explain(requestId, 'choose', 'refused', { code: dispatch.code, excluded });
-      return dispatch;
-    }
+    const dispatch = await AcquireDispatch.acquireDispatch(context, request, excluded);
+    if (Refusal.isRefusal(dispatch)) return { ...dispatch, notRun: dispatch.notRun && !anySent };
     const startedMs = context.clock.readMonotonic();
     const span = trace?.startChild('berylyoke.forward', {
       'berylyoke.server': dispatch.server.id,
@@ -155,14 +151,18 @@
     }
     if (excluded.length + 1 < MAX_ATTEMPTS && !signal.aborted && retry.claim(false)) {
       context.metrics.addRetry('restart');
-      return attempt([...excluded, dispatch.server.id]);
+      return attempt([...excluded, dispatch.server.id], anySent || sent);
+    }
+    if (signal.aborted) {
+      const refusal = AcquireDispatch.getAbortRefusal(signal);
+      return { ...refusal, notRun: !sent && !anySent };
     }
-    return sent
+    return sent || anySent
       ? Refusal.createUnknownOutcome('backend_failed', 'every attempt on a backend server failed')
       : Refusal.createRefusal('no_server', 'no backend server could be reached', 1_000);
   };
   retry.addRequest();
-  return attempt([]);
+  return attempt([], false);
 }
 
 async function runClaimed(
--- a/packages/daemon/src/SseReader.ts
+++ b/packages/daemon/src/SseReader.ts
@@ -10,8 +10,9 @@
   readonly forward: Buffer;
   /** Chunks in `forward` that carry a token. */
   readonly tokens: number;
+  /** Counts of the whole answer, once it is done. */
   readonly usage: SseUsage | undefined;
-  /** The usage chunk as received, for callers that asked for it. */
+  /** The usage chunk as received, once the answer is done; it follows `forward`. */
   readonly usageEvent: Buffer | undefined;
   /** `done`: the end marker was read; `invalid`: a chunk of another request, or no event at all. */
   readonly state: 'done' | 'invalid' | 'open';
@@ -93,14 +94,14 @@
   const idMarker = Buffer.from(`"id":"${requestId}`);
   let rest: Buffer = EMPTY;
   let held: readonly Buffer[] = [];
+  let usage: SseUsage | undefined;
+  let usageEvent: Buffer | undefined;
 
   const read = (data: Buffer): SseBatch => {
     const buffer = rest.length === 0 ? data : Buffer.concat([rest, data]);
     const out: Buffer[] = [];
     let tokens = 0;
     let state: SseBatch['state'] = 'open';
-    let usage: SseUsage | undefined;
-    let usageEvent: Buffer | undefined;
     let start = 0;
     // Adjacent events form one run, which is passed on as one slice; bytes of the run beyond
     // `safeEnd` are held back.
@@ -150,8 +151,8 @@
       forward: out.length === 1 && only !== undefined ? only : Buffer.concat(out),
       state,
       tokens,
-      usage,
-      usageEvent,
+      usage: state === 'done' ? usage : undefined,
+      usageEvent: state === 'done' ? usageEvent : undefined,
     };
   };
 
--- a/packages/daemon/src/__tests__/unit/SseReader.test.ts
+++ b/packages/daemon/src/__tests__/unit/SseReader.test.ts
@@ -37,6 +37,16 @@
     }));
   });
 
+  test('gives the usage chunk after the closing chunk', () => {
+    const text = token('a') + closing + usage;
+    const batches = readAll(`${text}data: [DONE]\n\n`, [text.indexOf(usage), text.length]);
+    const given = batches.map(({ forward, usageEvent }) => (
+      forward.toString() + (usageEvent?.toString() ?? '')
+    ));
+    expect(given.join('')).toBe(text);
+    expect(batches[2]?.usage).toEqual({ inputTokens: 3, outputTokens: 2 });
+  });
+
   test('holds the closing chunk back, which a resumed stream would repeat', () => {
     expect(joinForward(readAll(token('a') + closing))).toBe(token('a'));
   });
--- a/packages/testkit/src/DemoProcess.ts
+++ b/packages/testkit/src/DemoProcess.ts
@@ -34,8 +34,12 @@
 }
 
 /** Starts a daemon with a settings file; its log records go to standard error. */
-export function startDaemonProcess(settingsFile: string): DemoProcess {
-  const child = childProcess.spawn(process.execPath, [DAEMON_BIN, '--settings', settingsFile], {
+export function startDaemonProcess(
+  settingsFile: string,
+  nodeArgs: readonly string[] = [],
+): DemoProcess {
+  const args = [...nodeArgs, DAEMON_BIN, '--settings', settingsFile];
+  const child = childProcess.spawn(process.execPath, args, {
     stdio: ['ignore', 'ignore', 'inherit'],
   });
   const exited = waitForExit(child);
--- a/packages/testkit/src/DemoSystem.ts
+++ b/packages/testkit/src/DemoSystem.ts
@@ -34,6 +34,8 @@
   /** Lists as TOML; by default those of the demo. */
   readonly lists?: string;
   readonly account?: string;
+  /** Arguments of node for each daemon, such as those of its profiler. */
+  readonly daemonNodeArgs?: readonly string[];
   /** Tables and keys that are added to the settings of each daemon. */
   readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -114,6 +116,7 @@
 
 /** Starts the system and waits until both daemons are ready. */
 export async function startDemoSystem({
+  daemonNodeArgs = [],
   account = DemoLists.DEMO_NAMES.account,
   engine = {},
   engineCount = 3,
@@ -191,7 +194,7 @@
   const listsFile = path.join(directory, 'lists.toml');
   await fs.writeFile(listsFile, lists);
 
-  const daemons = settingsFiles.map(DemoProcess.startDaemonProcess);
+  const daemons = settingsFiles.map((file) => DemoProcess.startDaemonProcess(file, daemonNodeArgs));
   const stop = async (): Promise<void> => {
     await Promise.all(daemons.map((daemon) => daemon.stop()));
     await Promise.all([log, vmList, plainService, ...engines].map((fake) => fake.close()));
--- a/packages/testkit/src/EngineStream.ts
+++ b/packages/testkit/src/EngineStream.ts
@@ -81,7 +81,7 @@
   };
 
   const writeFault = (): 'continue' | 'stop' => {
-    if (fault === undefined || index - from !== fault.afterTokens) return 'continue';
+    if (fault === undefined || index - from !== (fault.afterTokens ?? 0)) return 'continue';
     if (fault.kind === 'crash') response.destroy();
     if (fault.kind === 'crossed') response.write(formatToken('other-request', { content: 'X' }));
     return fault.kind === 'crash' || fault.kind === 'silence' ? 'stop' : 'continue';
--- a/packages/testkit/src/Faults.ts
+++ b/packages/testkit/src/Faults.ts
@@ -38,8 +38,8 @@
   /** Number of operations that the row still applies to. */
   count: Schema.optionalWith(Schema.Int, { default: () => 1 }),
   delayMs: Schema.optionalWith(Schema.Number, { default: () => 0 }),
-  /** Tokens that a stream delivers before the fault. */
-  afterTokens: Schema.optionalWith(Schema.Int, { default: () => 0 }),
+  /** Tokens that a stream delivers before the fault; 0 when left out. */
+  afterTokens: Schema.optional(Schema.Int),
 });
 export type Fault = typeof Fault.Type;
 export type EncodedFault = typeof Fault.Encoded;
--- a/packages/testkit/src/demo.ts
+++ b/packages/testkit/src/demo.ts
@@ -35,6 +35,7 @@
     engines: { default: '3', type: 'string' },
     'first-token-ms': { default: '20', type: 'string' },
     port: { default: '8080', type: 'string' },
+    profile: { type: 'string' },
     slots: { default: '32', type: 'string' },
   },
 });
@@ -45,6 +46,9 @@
   process.exitCode = EXIT_BAD_INPUT;
 } else {
   runDemo({
+    daemonNodeArgs: values.profile === undefined
+      ? []
+      : ['--cpu-prof', `--cpu-prof-dir=${values.profile}`],
     engine: {
       answerTokens: Number(values['answer-tokens']),
       betweenTokensMs: Number(values['between-tokens-ms']),
