End a stream in one write and cut off a caller that reads nothing

Cause: the last events and the end of an answer were two writes, and a write that wakes a sleeping peer costs about 100 us on the loaded test machine. A caller that stops reading for good held a slot of an engine for ever.

--- a/packages/daemon/src/Delivery.ts
+++ b/packages/daemon/src/Delivery.ts
@@ -19,8 +19,9 @@
   readonly getProgress: () => DeliveryProgress;
   readonly writeStreamHead: () => void;
   /** Writes events in order; false when the caller's buffer is full. */
-  readonly writeBatch: (batch: SseReader.SseBatch, includeUsage: boolean) => boolean;
-  readonly endStream: () => void;
+  readonly writeBatch: (batch: SseReader.SseBatch) => boolean;
+  /** Ends the answer with its last events in one write. */
+  readonly endStream: (batch: SseReader.SseBatch, includeUsage: boolean) => void;
   readonly endPlain: (body: Buffer, usage: SseReader.SseUsage) => void;
   /** Closes the connection, which tells the caller that the answer is not whole. */
   readonly cut: () => void;
@@ -30,6 +31,8 @@
 
 const HEX = 16;
 const CRLF = '\r\n';
+const DONE = Buffer.from('data: [DONE]\n\n');
+const EMPTY = Buffer.alloc(0);
 
 /**
  * Frames data as one chunk of HTTP's chunked transfer coding. `response.write` hands the same frame
@@ -53,6 +56,11 @@
   let isFirstWrite = true;
   let drained: NodeJS.EventEmitter = response;
 
+  const observeBatch = ({ tokens }: SseReader.SseBatch): void => {
+    if (tokens > 0) firstTokenAtMs ??= clock.readMonotonic();
+    delivered += tokens;
+  };
+
   const write = (data: Buffer): boolean => {
     const { socket } = response;
     // The first write takes the head along. A response that waits for an earlier one on the same
@@ -74,25 +82,21 @@
       });
       response.end(body);
     },
-    endStream: () => response.end('data: [DONE]\n\n'),
+    endStream: (batch, includeUsage) => {
+      observeBatch(batch);
+      ({ usage } = batch);
+      const usageEvent = includeUsage ? batch.usageEvent ?? EMPTY : EMPTY;
+      response.end(Buffer.concat([batch.forward, usageEvent, DONE]));
+    },
     getProgress: () => ({
       delivered, firstTokenAtMs, headSent: response.headersSent, usage,
     }),
     onDrain: (resume) => {
       drained.once('drain', resume);
     },
-    writeBatch: (batch, includeUsage) => {
-      let writable = true;
-      if (batch.forward.length > 0) {
-        if (batch.tokens > 0) firstTokenAtMs ??= clock.readMonotonic();
-        delivered += batch.tokens;
-        writable = write(batch.forward);
-      }
-      usage = batch.usage ?? usage;
-      if (includeUsage && batch.usageEvent !== undefined) {
-        writable = write(batch.usageEvent);
-      }
-      return writable;
+    writeBatch: (batch) => {
+      observeBatch(batch);
+      return batch.forward.length === 0 || write(batch.forward);
     },
     writeStreamHead: () => {
       if (response.headersSent) return;
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -20,6 +20,8 @@
 const ASSUMED_TOKENS = 4_096;
 /** Factor of a latency target beyond which a server that has not answered counts as silent. */
 const SILENCE_FACTOR = 4;
+/** Time after which a caller that reads nothing is cut off, since it occupies an engine. */
+const STALLED_CALLER_MS = 60_000;
 /** Largest plain answer of an engine, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
@@ -123,11 +125,12 @@
       timer?.refresh();
       const batch = reader.read(data);
       if (batch.tokens > 0) observeTokens?.(batch.tokens);
-      const writable = delivery.writeBatch(batch, target.includeUsage);
       if (batch.state === 'done') {
-        delivery.endStream();
+        delivery.endStream(batch, target.includeUsage);
         finish('done');
+        return;
       }
+      const writable = delivery.writeBatch(batch);
       // An engine that crosses answers may have given a token of this one to another request, so
       // the rest comes from another engine.
       if (batch.state === 'invalid') finish('failed');
@@ -135,8 +138,10 @@
       // The caller is slower than the engine: stop reading until its buffer is empty.
       answer.pause();
       clearTimeout(timer);
+      timer = setTimeout(() => finish('aborted'), STALLED_CALLER_MS);
       delivery.onDrain(() => {
         if (finished) return;
+        clearTimeout(timer);
         startTimer();
         answer.resume();
       });
--- a/packages/daemon/src/__tests__/unit/TwoDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/TwoDaemons.test.ts
@@ -67,6 +67,16 @@
     headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json', ...headers },
     method: 'POST',
   });
+  const issueKey = async (): Promise<{ readonly key: string; readonly keyId: string }> => {
+    const { settings } = system.description;
+    const issued = await Testkit.runCliProcess([
+      '--settings', settings, '--json', 'key', 'issue', '--account', 'fan-chain',
+    ]);
+    return JSON.parse(issued.out);
+  };
+  const withdrawKey = (keyId: string): Promise<Testkit.CommandResult> => Testkit.runCliProcess([
+    '--settings', system.description.settings, 'key', 'withdraw', keyId,
+  ]);
   const sumCounts = (name: keyof Testkit.EngineCounts): number => (
     system.engines.reduce((sum, engine) => sum + engine.getCounts()[name], 0)
   );
@@ -212,10 +222,7 @@
   });
 
   test('refuses a withdrawn key on open connections of both daemons', async () => {
-    const issued = await Testkit.runCliProcess([
-      '--settings', system.description.settings, '--json', 'key', 'issue', '--account', 'fan-chain',
-    ]);
-    const fresh = JSON.parse(issued.out) as { key: string; keyId: string };
+    const fresh = await issueKey();
     const agents = entries.map(() => new http.Agent({ keepAlive: true, maxSockets: 1 }));
     const ask = async (): Promise<readonly number[]> => (await Promise.all(
       entries.map((entry, index) => Testkit.requestText(`${entry}/v1/models`, {
@@ -225,15 +232,28 @@
     await vi.waitUntil(async () => (await ask()).every((status) => status === 200), {
       timeout: 30_000,
     });
-    await Testkit.runCliProcess([
-      '--settings', system.description.settings, 'key', 'withdraw', fresh.keyId,
-    ]);
+    await withdrawKey(fresh.keyId);
     await vi.waitUntil(async () => (await ask()).every((status) => status === 401), {
       timeout: 30_000,
     });
     agents.forEach((agent) => agent.destroy());
   });
 
+  test('ends a running stream of a withdrawn key instead of letting it go on', async () => {
+    const { key: fresh, keyId } = await issueKey();
+    const before = sumCounts('started');
+    system.engines.forEach(({ faults }) => faults.set([{
+      delayMs: 200, kind: 'slow', operation: 'chat',
+    }]));
+    await vi.waitUntil(() => createClient(0, fresh).models.list().then(() => true, () => false), {
+      timeout: 30_000,
+    });
+    const ended = expect(readStream(createClient(0, fresh), 'withdrawn')).rejects.toThrow();
+    await vi.waitUntil(() => sumCounts('started') > before);
+    await withdrawKey(keyId);
+    await ended;
+  });
+
   test('says "not run" when nothing could be sent', async () => {
     await system.plainService.close();
     const refused = await call(system.description.orderPath, '{"orderId":"none"}');
