Keep keys in a persistent map and let an edit carry its changed rows

Cause: the capacity bench showed that the fold copied the key map for each key and that an edit carried the whole lists. Ruled out: the schema decoding (16 us a key) and the log client (15 us an entry).

Change: keys are in effect's HashMap; config.edit may carry the rows that change, which the command line now writes; duplicate names are found with a set instead of indexOf, which was quadratic in the accounts.

--- a/packages/bench/src/ConfigCapacity.ts
+++ b/packages/bench/src/ConfigCapacity.ts
@@ -40,6 +40,17 @@
   };
 }
 
+function buildChangeEntry(offset: number, baseVersion: number): Log.LogEntry {
+  const account = { id: `account-${offset}`, plan: 'plan' };
+  return {
+    offset,
+    records: [Log.createRecord(WRITER, Config.CONFIG_KINDS.edit, {
+      baseVersion, change: { accounts: { put: [account], remove: [] } },
+    })],
+    timestampMs: offset,
+  };
+}
+
 function buildKeyEntry(offset: number): Log.LogEntry {
   return {
     offset,
@@ -86,14 +97,34 @@
 /** Cases of the configuration and the log tail. */
 export const CONFIG_CASES: readonly CapacityCase.CapacityCase[] = [
   {
-    costUnit: 'bytes of one edit record',
+    costUnit: 'bytes of one edit record of whole lists',
     measure: async (accounts) => JSON.stringify(buildEdit(0, accounts)).length,
     name: 'config-edit-bytes',
     sizeUnit: 'accounts',
     sizes: [100, 575, 1_150, 2_300],
   },
   {
-    costUnit: 'µs of processor time to apply one edit',
+    costUnit: 'bytes of one edit record that changes a row',
+    measure: async () => JSON.stringify(buildChangeEntry(1, 1)).length,
+    name: 'config-change-bytes',
+    sizeUnit: 'accounts',
+    sizes: [100, 1_150, 2_300],
+  },
+  {
+    costUnit: 'µs of processor time to apply an edit that changes a row',
+    measure: (accounts) => {
+      const state = reduceEntries([buildEdit(0, accounts)]);
+      const entries = Array.from({ length: EDITS }, (_, i) => buildChangeEntry(i + 1, i + 1));
+      return CapacityCase.measureProcessorMicros(EDITS, () => {
+        entries.reduce<Config.ConfigState>((now, entry) => Config.reduceConfig(now, entry), state);
+      });
+    },
+    name: 'config-change-apply',
+    sizeUnit: 'accounts',
+    sizes: [100, 575, 1_150, 2_300],
+  },
+  {
+    costUnit: 'µs of processor time to apply one edit of whole lists',
     measure: (accounts) => {
       const entries = Array.from({ length: EDITS }, (_, i) => buildEdit(i, accounts));
       return CapacityCase.measureProcessorMicros(EDITS, () => {
--- a/packages/cli/src/ConfigCommands.ts
+++ b/packages/cli/src/ConfigCommands.ts
@@ -59,7 +59,9 @@
     }
     const record = yield* log.append(
       Config.CONFIG_KINDS.edit,
-      encodeEdit({ baseVersion, lists }),
+      encodeEdit(baseVersion === before.version
+        ? { baseVersion, change: Config.buildListsChange(before.lists, lists) }
+        : { baseVersion, lists }),
     );
     const state = log.getState();
     const outcome = state.history.find(({ recordId }) => recordId === record.recordId);
--- a/packages/cli/src/KeyCommands.ts
+++ b/packages/cli/src/KeyCommands.ts
@@ -20,7 +20,7 @@
         }
         const { digest, key, keyId } = Config.createKey();
         yield* log.append(Config.CONFIG_KINDS.keyIssue, { account, digest, keyId });
-        if (log.getState().keys.get(keyId)?.digest !== digest) {
+        if (Config.findKey(log.getState(), keyId)?.digest !== digest) {
           return yield* new CliError.CommandFailedError({
             message: `key id ${keyId} is already taken; issue another key`,
           });
@@ -36,7 +36,7 @@
   CliFiles.readSettings(file).pipe(
     Effect.flatMap((settings) => CliLog.withConfigLog(settings, (log) => Effect.gen(
       function* withdraw() {
-        const known = log.getState().keys.get(keyId);
+        const known = Config.findKey(log.getState(), keyId);
         if (known === undefined) {
           return yield* new CliError.BadInputError({ message: `no key has the id "${keyId}"` });
         }
--- a/packages/config/src/ConfigRecords.ts
+++ b/packages/config/src/ConfigRecords.ts
@@ -2,6 +2,7 @@
 import * as Core from '@berylyoke/core';
 import * as Schema from 'effect/Schema';
 import * as Lists from './Lists.js';
+import * as ListsChange from './ListsChange.js';
 
 /** Kinds of the configuration stream. */
 export const CONFIG_KINDS = {
@@ -11,11 +12,18 @@
   snapshot: 'config.snapshot',
 } as const;
 
-/** An edit: the lists as a whole, and the version that they were made from. */
-export const ConfigEdit = Schema.Struct({
-  baseVersion: Schema.Int.pipe(Schema.nonNegative()),
-  lists: Lists.Lists,
+const Version = Schema.Int.pipe(Schema.nonNegative());
+
+/** An edit that carries its changes, and the version that they apply to. */
+export const ChangeEdit = Schema.Struct({
+  baseVersion: Version, change: ListsChange.ListsChange,
 });
+
+/** An edit that replaces the lists as a whole, and the version that they were made from. */
+export const WholeEdit = Schema.Struct({ baseVersion: Version, lists: Lists.Lists });
+
+/** An edit. The command line writes changes; whole lists are for small or first ones. */
+export const ConfigEdit = Schema.Union(ChangeEdit, WholeEdit);
 export type ConfigEdit = typeof ConfigEdit.Type;
 
 /** A new key of a client account. */
--- a/packages/config/src/ConfigRules.ts
+++ b/packages/config/src/ConfigRules.ts
@@ -2,6 +2,7 @@
  * Rules of the configuration fold, one predicate each. They are gathered in a table so that the
  * tests can weaken one at a time and show that a property notices it.
  */
+import * as HashMap from 'effect/HashMap';
 import type * as ConfigState from './ConfigState.js';
 
 /** Decisions of the fold. */
@@ -29,7 +30,7 @@
 export const CONFIG_RULES: ConfigRules = {
   canAdopt: (own, other) => other.offset > own.offset,
   canFollow: (state, afterOffset) => state.offset >= afterOffset,
-  canIssue: (state, keyId) => !state.keys.has(keyId),
+  canIssue: (state, keyId) => !HashMap.has(state.keys, keyId),
   canKeep: () => true,
   canWithdrawUnknown: () => true,
   isInTurn: (state, baseVersion) => baseVersion === state.version,
--- a/packages/config/src/ConfigSnapshots.ts
+++ b/packages/config/src/ConfigSnapshots.ts
@@ -6,6 +6,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as Either from 'effect/Either';
+import * as HashMap from 'effect/HashMap';
 import * as Schema from 'effect/Schema';
 import * as ConfigRecords from './ConfigRecords.js';
 import type * as ConfigState from './ConfigState.js';
@@ -33,7 +34,7 @@
     coveredOffset: state.offset,
     state: {
       history: state.history,
-      keys: [...state.keys]
+      keys: HashMap.toEntries(state.keys)
         .map(([keyId, key]) => ({ ...key, keyId }))
         .sort((a, b) => (a.keyId < b.keyId ? -1 : 1)),
       lists: state.lists,
@@ -50,7 +51,7 @@
   const { coveredOffset, state } = decoded.right;
   return {
     ...state,
-    keys: new Map(state.keys.map(({ keyId, ...key }) => [keyId, key])),
+    keys: HashMap.fromIterable(state.keys.map(({ keyId, ...key }) => [keyId, key])),
     offset: coveredOffset,
   };
 }
--- a/packages/config/src/ConfigState.ts
+++ b/packages/config/src/ConfigState.ts
@@ -5,10 +5,13 @@
  */
 import type * as Log from '@berylyoke/log';
 import * as Either from 'effect/Either';
+import * as HashMap from 'effect/HashMap';
+import * as Option from 'effect/Option';
 import * as Schema from 'effect/Schema';
 import * as ConfigRecords from './ConfigRecords.js';
 import * as ConfigRules from './ConfigRules.js';
 import * as Lists from './Lists.js';
+import * as ListsChange from './ListsChange.js';
 
 /** A key as the log knows it. A withdrawn key is kept so that it cannot be issued again. */
 export interface KeyState {
@@ -19,12 +22,15 @@
 
 export type EditOutcome = ConfigRecords.EditOutcome;
 
-/** Configuration in force after the entries up to `offset`. */
+/**
+ * Configuration in force after the entries up to `offset`. Keys are in a persistent map: copying
+ * a plain one made each issued key cost 4.9 ms at 20,000 keys, and catching up quadratic.
+ */
 export interface ConfigState {
   /** Number of accepted edits; 0 before the first one. */
   readonly version: number;
   readonly lists: Lists.Lists;
-  readonly keys: ReadonlyMap<string, KeyState>;
+  readonly keys: HashMap.HashMap<string, KeyState>;
   /** Offset of the last entry that was applied; -1 before the first one. */
   readonly offset: number;
   /** The newest edits, oldest first. */
@@ -45,7 +51,7 @@
 /** State before the first entry. */
 export const initialConfigState: ConfigState = {
   history: [],
-  keys: new Map(),
+  keys: HashMap.empty(),
   lists: {
     accounts: [], classes: [], models: [], plans: [], routes: [],
   },
@@ -54,6 +60,16 @@
   version: 0,
 };
 
+/** Finds a key by its id, withdrawn ones included. */
+export function findKey(state: ConfigState, keyId: string): KeyState | undefined {
+  return Option.getOrUndefined(HashMap.get(state.keys, keyId));
+}
+
+/** Counts the keys, withdrawn ones included. */
+export function countKeys(state: ConfigState): number {
+  return HashMap.size(state.keys);
+}
+
 type RecordHandler = (
   state: ConfigState,
   record: Log.LogRecord,
@@ -65,19 +81,31 @@
 const decodeIssue = Schema.decodeUnknownEither(ConfigRecords.KeyIssue);
 const decodeWithdraw = Schema.decodeUnknownEither(ConfigRecords.KeyWithdraw);
 
-function getEditReason(
+function getEditedLists(state: ConfigState, edit: ConfigRecords.ConfigEdit): Lists.Lists {
+  return 'lists' in edit ? edit.lists : ListsChange.applyListsChange(state.lists, edit.change);
+}
+
+interface EditDecision {
+  readonly reason: ConfigRecords.EditReason;
+  readonly lists: Lists.Lists;
+}
+
+function decideEdit(
   state: ConfigState,
   edit: Either.Either<ConfigRecords.ConfigEdit, unknown>,
   rules: ConfigRules.ConfigRules,
-): ConfigRecords.EditReason {
-  if (Either.isLeft(edit)) return 'invalid';
-  if (Lists.checkReferences(edit.right.lists).length > 0) return 'invalid';
-  return rules.isInTurn(state, edit.right.baseVersion) ? 'accepted' : 'stale-base';
+): EditDecision {
+  const { lists } = state;
+  if (Either.isLeft(edit)) return { lists, reason: 'invalid' };
+  if (!rules.isInTurn(state, edit.right.baseVersion)) return { lists, reason: 'stale-base' };
+  const edited = getEditedLists(state, edit.right);
+  if (Lists.checkReferences(edited).length > 0) return { lists, reason: 'invalid' };
+  return { lists: edited, reason: 'accepted' };
 }
 
 const applyEdit: RecordHandler = (state, record, entry, rules) => {
   const edit = decodeEdit(record.body);
-  const reason = getEditReason(state, edit, rules);
+  const { lists, reason } = decideEdit(state, edit, rules);
   const accepted = reason === 'accepted';
   const outcome: EditOutcome = {
     accepted,
@@ -89,9 +117,8 @@
     writer: record.writer.daemonId,
   };
   const history = [...state.history, outcome].slice(-HISTORY_LENGTH);
-  if (!accepted || Either.isLeft(edit)) return { ...state, history };
   return {
-    ...state, history, lists: edit.right.lists, version: state.version + 1,
+    ...state, history, lists, version: accepted ? state.version + 1 : state.version,
   };
 };
 
@@ -100,7 +127,7 @@
   if (Either.isLeft(issue) || !rules.canIssue(state, issue.right.keyId)) return state;
   const { account, digest, keyId } = issue.right;
   return {
-    ...state, keys: new Map(state.keys).set(keyId, { account, digest, withdrawn: false }),
+    ...state, keys: HashMap.set(state.keys, keyId, { account, digest, withdrawn: false }),
   };
 };
 
@@ -108,14 +135,13 @@
   const withdraw = decodeWithdraw(record.body);
   if (Either.isLeft(withdraw)) return state;
   const { keyId } = withdraw.right;
-  const known = state.keys.get(keyId);
+  const known = findKey(state, keyId);
   if (known === undefined && !rules.canWithdrawUnknown()) return state;
   return {
     ...state,
-    keys: new Map(state.keys)
-      .set(keyId, {
-        account: '', digest: '', ...known, withdrawn: true,
-      }),
+    keys: HashMap.set(state.keys, keyId, {
+      account: '', digest: '', ...known, withdrawn: true,
+    }),
   };
 };
 
--- a/packages/config/src/Lists.ts
+++ b/packages/config/src/Lists.ts
@@ -92,12 +92,19 @@
   key: string,
   names: readonly string[],
 ): readonly ListProblem[] {
-  return names.flatMap((name, index) => (names.indexOf(name) === index ? [] : [{
-    _tag: 'ListProblem' as const,
-    allowed: 'a name not used before',
-    found: name,
-    path: [list, index, key],
-  }]));
+  const seen = new Set<string>();
+  return names.flatMap((name, index) => {
+    if (!seen.has(name)) {
+      seen.add(name);
+      return [];
+    }
+    return [{
+      _tag: 'ListProblem' as const,
+      allowed: 'a name not used before',
+      found: name,
+      path: [list, index, key],
+    }];
+  });
 }
 
 /** Checks that the lists refer only to names that they define, each defined once. */
--- a/packages/config/src/__tests__/support/IsolationModel.ts
+++ b/packages/config/src/__tests__/support/IsolationModel.ts
@@ -157,7 +157,7 @@
     if (nearClock.readMonotonic() - withdrawnMs < ISOLATION_MS) return;
     [near, far].filter((store) => store.checkIsolation()._tag === 'Connected').forEach((store) => {
       acceptedAfterWithdrawal += 1;
-      if (store.getState().keys.get('key001')?.withdrawn !== true) violations += 1;
+      if (Config.findKey(store.getState(), 'key001')?.withdrawn !== true) violations += 1;
     });
   });
   return { acceptedAfterWithdrawal, violations };
--- a/packages/config/src/__tests__/support/ReaderModel.ts
+++ b/packages/config/src/__tests__/support/ReaderModel.ts
@@ -3,6 +3,7 @@
  * independent statement of what each reader must hold at its offset.
  */
 import type * as Log from '@berylyoke/log';
+import * as HashMap from 'effect/HashMap';
 import * as fc from 'fast-check';
 import * as Config from '../../index.js';
 
@@ -310,8 +311,8 @@
 function isStepBack(before: Config.ConfigState, after: Config.ConfigState): boolean {
   return after.offset < before.offset
     || after.version < before.version
-    || [...before.keys].some(([keyId, key]) => (
-      key.withdrawn && after.keys.get(keyId)?.withdrawn !== true
+    || HashMap.toEntries(before.keys).some(([keyId, key]) => (
+      key.withdrawn && Config.findKey(after, keyId)?.withdrawn !== true
     ));
 }
 
--- a/packages/config/src/__tests__/unit/ConfigStore.test.ts
+++ b/packages/config/src/__tests__/unit/ConfigStore.test.ts
@@ -49,7 +49,7 @@
       .toEqual([591, 592, 593, 594, 595, 596, 597, 598, 599]);
     const peer = Config.createConfigStore(Core.createManualClock(), 1_000);
     peer.applyEvent({ _tag: 'peer-state', body: Config.buildSnapshot(store.getState()) });
-    expect(peer.getState()).toEqual(store.getState());
+    expect(Config.buildSnapshot(peer.getState())).toEqual(Config.buildSnapshot(store.getState()));
     expect(peer.listEntriesAfter(598)).toBeUndefined();
     expect(peer.listEntriesAfter(599)?.entries).toEqual([]);
   });
@@ -128,7 +128,7 @@
     await vi.waitUntil(() => store.getContact() !== undefined);
     stop();
     expect(store.getState().offset).toBe(8);
-    expect(store.getState().keys.size).toBe(8);
+    expect(Config.countKeys(store.getState())).toBe(8);
   });
 
   // Guards against a daemon that accepts keys while withdrawals are missing from its state.
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -7,13 +7,14 @@
 export * from './ConfigRules.js';
 export * from './ConfigSnapshots.js';
 export {
-  initialConfigState, reduceConfig, type ConfigState, type KeyState,
+  countKeys, findKey, initialConfigState, reduceConfig, type ConfigState, type KeyState,
 } from './ConfigState.js';
 export * from './ConfigStore.js';
 export * from './ConfigTail.js';
 export * from './Isolation.js';
 export * from './Keys.js';
 export * from './Lists.js';
+export * from './ListsChange.js';
 export * from './ListsDiff.js';
 export * from './Settings.js';
 export * from './TomlFile.js';
--- a/packages/daemon/src/ConfigPart.ts
+++ b/packages/daemon/src/ConfigPart.ts
@@ -33,7 +33,7 @@
 }
 
 function isWithdrawn(state: Config.ConfigState, request: ActiveRequests.ActiveRequest): boolean {
-  return request.keyId !== undefined && state.keys.get(request.keyId)?.withdrawn === true;
+  return request.keyId !== undefined && Config.findKey(state, request.keyId)?.withdrawn === true;
 }
 
 /** Ends running repeatable answers of withdrawn keys after a grace; others finish. */
@@ -59,9 +59,12 @@
       version > 0 ? undefined : 'no configuration was read yet'
     )),
     context.registerStatus('config', () => {
-      const { keys, offset, lists } = context.config.getState();
+      const state = context.config.getState();
       return {
-        accounts: lists.accounts.length, keys: keys.size, offset, version,
+        accounts: state.lists.accounts.length,
+        keys: Config.countKeys(state),
+        offset: state.offset,
+        version,
       };
     }),
   );
--- a/packages/daemon/src/Identify.ts
+++ b/packages/daemon/src/Identify.ts
@@ -18,7 +18,7 @@
 ): PathTypes.Caller | Refusal.Refusal {
   const match = BEARER_PATTERN.exec(headers.authorization ?? '');
   const parsed = match === null ? undefined : Config.parseKey(match[1] ?? '');
-  const known = parsed === undefined ? undefined : state.keys.get(parsed.keyId);
+  const known = parsed === undefined ? undefined : Config.findKey(state, parsed.keyId);
   if (parsed === undefined || known === undefined) {
     return Refusal.createRefusal('invalid_key', INVALID);
   }
--- a/packages/log/src/__tests__/unit/LogClient.test.ts
+++ b/packages/log/src/__tests__/unit/LogClient.test.ts
@@ -121,7 +121,11 @@
 });
 
 describe('faults of the log', () => {
-  const rows: readonly { readonly name: string; readonly faults: readonly Testkit.Fault[] }[] = [
+  interface FaultCase {
+    readonly name: string;
+    readonly faults: readonly Testkit.EncodedFault[];
+  }
+  const rows: readonly FaultCase[] = [
     {
       faults: [
         {
