--- a/packages/once/src/ClaimCall.ts
+++ b/packages/once/src/ClaimCall.ts
@@ -124,7 +124,8 @@
   ),
   ReadBack: (call, { holds, standing }, nowMs) => {
     if (call.phase !== 'claiming') return stay(call);
-    if (!holds) return end(call, buildRepeatAction(standing));
+    // A void claim stands in the way of later ones until it is released.
+    if (!holds) return end(call, { _tag: 'AppendRelease' }, buildRepeatAction(standing));
     if (!isInTime(call, nowMs)) return abandon(call, 'not-read-back');
     return { actions: [{ _tag: 'Permit' }], call: { ...call, phase: 'permitted' } };
   },
--- a/packages/once/src/ClaimLimits.ts
+++ b/packages/once/src/ClaimLimits.ts
@@ -19,8 +19,8 @@
   readonly resultWaitMs: Core.Millis;
   /** Time without contact to the log after which it counts as unavailable. */
   readonly contactMs: Core.Millis;
-  /** Keys in one shard, above which new ones are refused. */
-  readonly keysPerShard: number;
+  /** Claims and releases in one shard, above which new keys are refused. */
+  readonly claimsPerShard: number;
   /** Size of one stored body in bytes. */
   readonly bodyBytes: number;
   /** Bytes of all stored bodies of a shard, base64. */
@@ -32,9 +32,9 @@
 /** Bounds for a fleet in which every daemon reads every shard. */
 export const DEFAULT_CLAIM_LIMITS: ClaimLimits = {
   bodyBytes: 16 * 1024,
+  claimsPerShard: 20_000,
   contactMs: 5_000,
   holderWaitMs: 2_000,
-  keysPerShard: 20_000,
   pendingRecords: 10_000,
   readBackMs: 3_000,
   resultWaitMs: 500,
--- a/packages/once/src/ClaimService.ts
+++ b/packages/once/src/ClaimService.ts
@@ -60,7 +60,8 @@
   readonly pendingRecords: number;
   /** Releases and results that were given up because too many waited. */
   readonly droppedRecords: number;
-  readonly keys: number;
+  /** Claims and releases that the tables hold. */
+  readonly claims: number;
   readonly storedBytes: number;
   readonly skippedRecords: number;
 }
@@ -249,7 +250,7 @@
     const silentMs = clock.readMonotonic() - (lastContactMs ?? -Infinity);
     if (silentMs > limits.contactMs) return 'log-unavailable';
     if (!caughtUp) return 'behind';
-    return ClaimTable.countKeys(shard.table) >= limits.keysPerShard ? 'table-full' : undefined;
+    return ClaimTable.countClaims(shard.table) >= limits.claimsPerShard ? 'table-full' : undefined;
   };
 
   const createPermit = (
@@ -397,7 +398,7 @@
     ),
     getCounts: () => ({
       droppedRecords: dropped,
-      keys: shards.reduce((sum, { table }) => sum + ClaimTable.countKeys(table), 0),
+      claims: shards.reduce((sum, { table }) => sum + ClaimTable.countClaims(table), 0),
       pendingRecords: pending.size,
       permits,
       refusals: Object.fromEntries(refusals),
--- a/packages/once/src/ClaimTable.ts
+++ b/packages/once/src/ClaimTable.ts
@@ -1,7 +1,8 @@
 /**
- * Fold of one stream `once-<shard>`. The first claim of a key that is not released holds the key;
- * claims that are read while another one holds it are void for good, so that a release never hands
- * the key to a claim whose caller was already refused.
+ * Fold of one stream `once-<shard>`. A claim wins when it is read while no other unreleased claim
+ * of its key stands in the window. A claim that does not win is void for good but stands until its
+ * writer releases it, so that whether a key is free depends on the records of the window alone: a
+ * reader that started later may take a key for held that is free, never the other way round.
  *
  * Only the log's own timestamps expire claims, so readers of the same entries agree.
  */
@@ -25,17 +26,20 @@
   readonly storedBodyBytes: number;
 }
 
-/** The claim that holds a key. */
-export interface Holder {
+/** A claim that stands: neither released nor expired. */
+export interface StandingClaim {
   readonly claimId: string;
   readonly bodyDigest: string;
   readonly writer: Core.Writer;
+  /** No other claim stood when this one was read, and the whole window had been read. */
+  readonly won: boolean;
   readonly outcome: OnceRecords.Outcome | undefined;
 }
 
 interface Expiring {
   readonly keyDigest: string;
   readonly claimId: string;
+  readonly held: 'claim' | 'release';
 }
 
 /** State of one shard after the entries up to `offset`. */
@@ -45,11 +49,13 @@
   readonly offset: number;
   /** Greatest timestamp of an applied entry, in milliseconds; 0 before the first one. */
   readonly nowMs: Core.Millis;
-  readonly holders: HashMap.HashMap<string, Holder>;
+  /** Claims that stand, by key digest, in log order; never an empty list. */
+  readonly keys: HashMap.HashMap<string, readonly StandingClaim[]>;
   /** Writers of released claims, by claim id, read before or after the claim itself. */
   readonly released: HashMap.HashMap<string, Core.Writer>;
   /** What was added in each span of time, by the number of the span. */
   readonly expiring: ReadonlyMap<number, List.List<Expiring>>;
+  readonly claimCount: number;
   readonly storedBytes: number;
   /** Records of a known kind that did not decode. */
   readonly skipped: number;
@@ -64,15 +70,16 @@
 export type Standing = { readonly _tag: 'Answered'; readonly answer: OnceRecords.StoredAnswer }
   | { readonly _tag: 'BodyDiffers' }
   | { readonly _tag: 'Free' }
-  | { readonly _tag: 'Held'; readonly holder: Holder }
+  | { readonly _tag: 'Held'; readonly claim: StandingClaim }
   | { readonly _tag: 'Unknown' };
 
 /** Creates the table before the first entry. */
 export function createClaimTable(limits: ClaimTableLimits): ClaimTable {
   return {
+    claimCount: 0,
     covered: 'complete',
     expiring: new Map(),
-    holders: HashMap.empty(),
+    keys: HashMap.empty(),
     limits,
     nowMs: 0,
     offset: -1,
@@ -82,23 +89,41 @@
   };
 }
 
-function countStoredBytes(holder: Holder | undefined): number {
-  const outcome = holder?.outcome;
-  return outcome?._tag === 'StoredAnswer' ? outcome.body?.length ?? 0 : 0;
+function countStoredBytes(claims: readonly StandingClaim[]): number {
+  return claims.reduce((sum, { outcome }) => (
+    sum + (outcome?._tag === 'StoredAnswer' ? outcome.body?.length ?? 0 : 0)
+  ), 0);
 }
 
-function getHolder(table: ClaimTable, keyDigest: string): Holder | undefined {
-  return Option.getOrUndefined(HashMap.get(table.holders, keyDigest));
+function listClaims(table: ClaimTable, keyDigest: string): readonly StandingClaim[] {
+  return Option.getOrElse(HashMap.get(table.keys, keyDigest), () => []);
 }
 
-function removeHolder(table: ClaimTable, keyDigest: string): ClaimTable {
+function setClaims(
+  table: ClaimTable,
+  keyDigest: string,
+  claims: readonly StandingClaim[],
+): ClaimTable {
+  const before = listClaims(table, keyDigest);
   return {
     ...table,
-    holders: HashMap.remove(table.holders, keyDigest),
-    storedBytes: table.storedBytes - countStoredBytes(getHolder(table, keyDigest)),
+    claimCount: table.claimCount + claims.length - before.length,
+    keys: claims.length === 0
+      ? HashMap.remove(table.keys, keyDigest)
+      : HashMap.set(table.keys, keyDigest, claims),
+    storedBytes: table.storedBytes + countStoredBytes(claims) - countStoredBytes(before),
   };
 }
 
+function removeClaim(
+  table: ClaimTable,
+  { claimId, keyDigest }: OnceRecords.OnceRelease,
+): ClaimTable {
+  const before = listClaims(table, keyDigest);
+  const claims = before.filter((claim) => claim.claimId !== claimId);
+  return claims.length === before.length ? table : setClaims(table, keyDigest, claims);
+}
+
 function getBucket({ limits }: ClaimTable, timeMs: Core.Millis): number {
   return Math.floor((timeMs * BUCKETS_PER_WINDOW) / limits.windowMs);
 }
@@ -109,17 +134,20 @@
   return { ...table, expiring: new Map(table.expiring).set(bucket, List.prepend(items, item)) };
 }
 
+function removeRelease(table: ClaimTable, { claimId }: Expiring): ClaimTable {
+  return { ...table, released: HashMap.remove(table.released, claimId) };
+}
+
+const EXPIRY_HANDLERS = { claim: removeClaim, release: removeRelease };
+
 function removeExpired(table: ClaimTable, item: Expiring): ClaimTable {
-  const held = getHolder(table, item.keyDigest)?.claimId === item.claimId;
-  const kept = held ? removeHolder(table, item.keyDigest) : table;
-  return { ...kept, released: HashMap.remove(kept.released, item.claimId) };
+  return EXPIRY_HANDLERS[item.held](table, item);
 }
 
 function advanceTime(table: ClaimTable, timestampMs: Core.Millis): ClaimTable {
   const nowMs = Math.max(table.nowMs, timestampMs);
   const advanced = { ...table, nowMs };
-  // A span ends before its last claim is a window old, hence one more span is kept.
-  const oldest = getBucket(advanced, nowMs) - BUCKETS_PER_WINDOW - 1;
+  const oldest = getBucket(advanced, nowMs) - BUCKETS_PER_WINDOW;
   const expired = [...table.expiring.keys()].filter((bucket) => bucket < oldest);
   if (expired.length === 0) return advanced;
   const emptied = expired.reduce((current, bucket) => (
@@ -155,19 +183,35 @@
   };
 }
 
+/**
+ * Tells whether the table holds every claim of the window that ends now. After a gap that is so
+ * once a whole window was read, whatever the log's retention is; claims stand for up to one span
+ * longer than the window, which is why one is added.
+ */
+export function isComplete({ covered, limits, nowMs }: ClaimTable): boolean {
+  if (covered === 'complete') return true;
+  return covered !== 'unread'
+    && nowMs - covered >= limits.windowMs + limits.windowMs / BUCKETS_PER_WINDOW;
+}
+
 const HANDLERS: Readonly<Record<string, RecordHandler>> = {
   [OnceRecords.ONCE_KINDS.claim]: withBody(
     OnceRecords.OnceClaim,
     (table, { bodyDigest, claimId, keyDigest }, writer) => {
-      if (getHolder(table, keyDigest) !== undefined) return table;
-      // A repeated append can bring the claim again after its release.
+      // A repeated append can bring the claim again, also after its release.
       if (isReleased(table, claimId, writer)) return table;
-      const holder: Holder = {
-        bodyDigest, claimId, outcome: undefined, writer,
+      const claims = listClaims(table, keyDigest);
+      if (claims.some((claim) => claim.claimId === claimId)) return table;
+      const claim: StandingClaim = {
+        bodyDigest,
+        claimId,
+        outcome: undefined,
+        won: claims.length === 0 && isComplete(table),
+        writer,
       };
       return addExpiring(
-        { ...table, holders: HashMap.set(table.holders, keyDigest, holder) },
-        { claimId, keyDigest },
+        setClaims(table, keyDigest, [...claims, claim]),
+        { claimId, held: 'claim', keyDigest },
       );
     },
   ),
@@ -175,34 +219,32 @@
     OnceRecords.OnceRelease,
     (table, { claimId, keyDigest }, writer) => {
       if (HashMap.has(table.released, claimId)) return table;
-      const holder = getHolder(table, keyDigest);
-      const holds = holder?.claimId === claimId;
-      if (holds && !isSameWriter(holder.writer, writer)) return table;
-      if (holds && holder.outcome !== undefined) return table;
-      const freed = holds ? removeHolder(table, keyDigest) : table;
+      const found = listClaims(table, keyDigest).find((claim) => claim.claimId === claimId);
+      if (found !== undefined
+        && (found.outcome !== undefined || !isSameWriter(found.writer, writer))) return table;
+      const freed = removeClaim(table, { claimId, keyDigest });
       return addExpiring(
         { ...freed, released: HashMap.set(freed.released, claimId, writer) },
-        { claimId, keyDigest },
+        { claimId, held: 'release', keyDigest },
       );
     },
   ),
   [OnceRecords.ONCE_KINDS.result]: withBody(
     OnceRecords.OnceResult,
     (table, { claimId, keyDigest, outcome }, writer) => {
-      const holder = getHolder(table, keyDigest);
-      if (holder === undefined || holder.claimId !== claimId) return table;
-      if (holder.outcome !== undefined || !isSameWriter(holder.writer, writer)) return table;
-      const answered = { ...holder, outcome };
-      const bytes = countStoredBytes(answered);
-      const fits = table.storedBytes + bytes <= table.limits.storedBodyBytes;
-      const kept = fits || outcome._tag !== 'StoredAnswer'
-        ? answered
-        : { ...holder, outcome: { ...outcome, body: null } };
-      return {
-        ...table,
-        holders: HashMap.set(table.holders, keyDigest, kept),
-        storedBytes: table.storedBytes + countStoredBytes(kept),
-      };
+      const claims = listClaims(table, keyDigest);
+      const found = claims.find((claim) => claim.claimId === claimId);
+      if (found === undefined || found.outcome !== undefined) return table;
+      if (!isSameWriter(found.writer, writer)) return table;
+      const withOutcome = (kept: OnceRecords.Outcome): ClaimTable => setClaims(
+        table,
+        keyDigest,
+        claims.map((claim) => (claim === found ? { ...claim, outcome: kept } : claim)),
+      );
+      const stored = withOutcome(outcome);
+      return outcome._tag === 'UnknownOutcome' || stored.storedBytes <= table.limits.storedBodyBytes
+        ? stored
+        : withOutcome({ ...outcome, body: null });
     },
   ),
 };
@@ -227,29 +269,21 @@
   return { ...table, covered: 'unread', offset: first - 1 };
 }
 
-/**
- * Tells whether the table holds every claim of the window that ends now. After a gap that is so
- * once a whole window was read, whatever the log's retention is.
- */
-export function isComplete({ covered, limits, nowMs }: ClaimTable): boolean {
-  if (covered === 'complete') return true;
-  return covered !== 'unread' && nowMs - covered >= limits.windowMs;
-}
-
-/** Tells whether a claim holds a key. */
+/** Tells whether a claim has won its key and still stands. */
 export function isHolder(table: ClaimTable, keyDigest: string, claimId: string): boolean {
-  return getHolder(table, keyDigest)?.claimId === claimId;
+  return listClaims(table, keyDigest).some((claim) => claim.won && claim.claimId === claimId);
 }
 
-/** Counts the keys that are held. */
-export function countKeys(table: ClaimTable): number {
-  return HashMap.size(table.holders);
+/** Counts the claims that take memory, with those that are kept because they were released. */
+export function countClaims(table: ClaimTable): number {
+  return table.claimCount + HashMap.size(table.released);
 }
 
-const OUTCOME_STANDINGS = {
-  StoredAnswer: (answer: OnceRecords.StoredAnswer): Standing => ({ _tag: 'Answered', answer }),
-  UnknownOutcome: (): Standing => ({ _tag: 'Unknown' }),
-};
+function getOutcomeStanding(outcome: OnceRecords.Outcome): Standing {
+  return outcome._tag === 'StoredAnswer'
+    ? { _tag: 'Answered', answer: outcome }
+    : { _tag: 'Unknown' };
+}
 
 /**
  * Gets how a call stands. `isGone` tells that an incarnation has ended; a wrong `true` makes the
@@ -261,11 +295,13 @@
   bodyDigest: string,
   isGone: (writer: Core.Writer) => boolean,
 ): Standing {
-  const holder = getHolder(table, keyDigest);
-  if (holder === undefined) return { _tag: 'Free' };
-  if (holder.bodyDigest !== bodyDigest) return { _tag: 'BodyDiffers' };
-  const { outcome } = holder;
-  if (outcome?._tag === 'StoredAnswer') return OUTCOME_STANDINGS.StoredAnswer(outcome);
-  if (outcome !== undefined || isGone(holder.writer)) return { _tag: 'Unknown' };
-  return { _tag: 'Held', holder };
+  const claims = listClaims(table, keyDigest);
+  const claim = claims.find(({ outcome }) => outcome !== undefined)
+    ?? claims.find(({ won }) => won)
+    ?? claims[0];
+  if (claim === undefined) return { _tag: 'Free' };
+  const mayHaveRun = claim.won || claim.outcome !== undefined;
+  if (mayHaveRun && claim.bodyDigest !== bodyDigest) return { _tag: 'BodyDiffers' };
+  if (claim.outcome !== undefined) return getOutcomeStanding(claim.outcome);
+  return isGone(claim.writer) ? { _tag: 'Unknown' } : { _tag: 'Held', claim };
 }
