--- /dev/null
+++ b/packages/daemon/src/EntryServer.ts
@@ -0,0 +1,112 @@
+/**
+ * HTTP interface towards callers, over Node's `http`: receives a request within its limits and
+ * passes it through the filters of the path.
+ */
+import * as Core from '@berylyoke/core';
+import * as http from 'node:http';
+import * as Classify from './Classify.js';
+import * as ClientErrors from './ClientErrors.js';
+import type * as DaemonContext from './DaemonContext.js';
+import * as HealthRoutes from './HealthRoutes.js';
+import * as HttpServer from './HttpServer.js';
+import * as PathHandlers from './PathHandlers.js';
+import type * as PathTypes from './PathTypes.js';
+import * as ReceiveBody from './ReceiveBody.js';
+import * as Refusal from './Refusal.js';
+import type * as RelayChat from './RelayChat.js';
+
+/** Time to open a connection to a backend server, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Bodies of all requests in memory, in bytes: a small VM has to hold them beside its streams. */
+const TOTAL_BODY_BYTES = 256 * 1024 * 1024;
+/** How often the time limits of requests are checked, in milliseconds. */
+const TIMEOUT_CHECK_MS = 500;
+
+function sendRefusal(response: http.ServerResponse, refusal: Refusal.Refusal): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(
+    Refusal.REFUSAL_CODES[refusal.code].status,
+    Refusal.buildRefusalHeaders(refusal),
+  );
+  response.end(Refusal.buildRefusalBody(refusal));
+}
+
+/** Starts the interface towards callers. */
+export async function startEntryServer(
+  context: DaemonContext.DaemonContext,
+): Promise<HttpServer.RunningServer> {
+  const { limits } = context.settings;
+  const logger = Core.getPartLogger(context.logger, 'path');
+  const relay: RelayChat.RelayContext = {
+    agent: new http.Agent({ keepAlive: true, maxFreeSockets: 256 }),
+    clock: context.clock,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    credential: context.settings.backendCredential,
+    explain: (requestId, filter, decision, detail) => context.explanations.add(requestId, {
+      atMs: context.clock.readWall(), decision, filter, ...detail === undefined ? {} : { detail },
+    }),
+    ports: context.ports,
+    silentStreamMs: limits.silentStreamMs,
+  };
+  const bodies = ReceiveBody.createBodyReceiver(limits.bodyBytes, TOTAL_BODY_BYTES);
+  const handlers = PathHandlers.createPathHandlers(context, relay);
+  const table: Readonly<Record<string, PathHandlers.PathHandler>> = {
+    'GET /v1/models': handlers.handleModels,
+    [`POST ${Classify.CHAT_PATH}`]: handlers.handleChat,
+  };
+
+  const handleRequest = async (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const [path = '/'] = (request.url ?? '/').split('?');
+    const requestId = Core.createId();
+    response.setHeader('x-request-id', requestId);
+    // During a drain each answer ends its connection, so that the caller takes another daemon.
+    if (context.isDraining()) response.setHeader('connection', 'close');
+    if (HealthRoutes.handleHealth(context, path, response)) return;
+    const body = await bodies.receive(request);
+    if (Refusal.isRefusal(body)) {
+      response.setHeader('connection', 'close');
+      sendRefusal(response, body);
+      return;
+    }
+    const abort = new AbortController();
+    response.on('close', () => {
+      bodies.release(body);
+      if (!response.writableFinished) abort.abort();
+    });
+    const received: PathTypes.ReceivedRequest = {
+      body,
+      headers: request.headers,
+      method: request.method ?? 'GET',
+      path,
+      receivedAtMs: context.clock.readMonotonic(),
+      requestId,
+      signal: abort.signal,
+    };
+    const handle = table[`${received.method} ${path}`] ?? handlers.handleRoute;
+    const refusal = await handle(received, response);
+    if (refusal === undefined) return;
+    relay.explain(requestId, 'refuse', refusal.code, { notRun: refusal.notRun });
+    sendRefusal(response, refusal);
+  };
+
+  const server = http.createServer({
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    headersTimeout: limits.requestReadMs,
+    maxHeaderSize: limits.headerBytes,
+    requestTimeout: limits.requestReadMs,
+  }, (request, response) => {
+    handleRequest(request, response).catch((error: unknown) => {
+      logger.error({ err: error }, 'request failed');
+      response.destroy();
+    });
+  });
+  ClientErrors.handleClientErrors(server);
+  server.maxConnections = limits.connections;
+  return HttpServer.startHttpServer(server, context.settings.entry);
+}
--- a/packages/testkit/src/FakeServer.ts
+++ b/packages/testkit/src/FakeServer.ts
@@ -21,6 +21,8 @@
 export interface FakeOperation {
   readonly name: string;
   readonly pattern: RegExp;
+  /** True where the operation takes its faults from the table itself. */
+  readonly takesFaults?: boolean;
   readonly handle: (
     request: FakeRequest,
     response: http.ServerResponse,
@@ -33,6 +35,8 @@
   readonly url: string;
   readonly port: number;
   readonly faults: Faults.FaultTable;
+  /** Requests of an operation that arrived, those with a fault included. */
+  readonly countRequests: (operation: string) => number;
   readonly close: () => Promise<void>;
 }
 
@@ -72,6 +76,11 @@
 ) => Promise<FakeAnswer>;
 
 const FAULT_HANDLERS: Readonly<Record<Faults.FaultKind, FaultHandler>> = {
+  crash: async (effect, response) => {
+    response.destroy();
+    return undefined;
+  },
+  crossed: async (effect) => effect(),
   delay: async (effect, response, { delayMs }) => {
     await waitFor(delayMs);
     return effect();
@@ -88,6 +97,10 @@
   },
   refusal: async () => ({ body: { error: 'unavailable' }, status: HTTP_UNAVAILABLE }),
   silence: async () => undefined,
+  slow: async (effect, response, { delayMs }) => {
+    await waitFor(delayMs);
+    return effect();
+  },
 };
 
 /** Starts a fake on a loopback port; port 0 takes a free one. */
@@ -96,6 +109,7 @@
   port = 0,
 ): Promise<FakeServer> {
   const faults = Faults.createFaultTable();
+  const requests = new Map<string, number>();
   const setFaults: FakeOperation = {
     handle: ({ text }) => {
       faults.set(decodeFaults(JSON.parse(text)));
@@ -118,6 +132,7 @@
       sendAnswer(response, { body: { error: `no operation ${line}` }, status: HTTP_NOT_FOUND });
       return;
     }
+    requests.set(operation.name, (requests.get(operation.name) ?? 0) + 1);
     const request: FakeRequest = {
       headers: raw.headers,
       method,
@@ -128,7 +143,7 @@
     };
     const match = operation.pattern.exec(line) as RegExpExecArray;
     const effect: Effect = () => operation.handle(request, response, match);
-    const fault = faults.take(operation.name);
+    const fault = operation.takesFaults === true ? undefined : faults.take(operation.name);
     sendAnswer(response, await (fault === undefined
       ? effect()
       : FAULT_HANDLERS[fault.kind](effect, response, fault)));
@@ -151,6 +166,7 @@
         server.close(resolve);
       });
     },
+    countRequests: (operation) => requests.get(operation) ?? 0,
     faults,
     port: address.port,
     url: `http://127.0.0.1:${address.port}`,
