Add usage counters, seals, the reporter and a fake of the report interface

Cause: no window may be reported with two figures, a crash may lose at most one heartbeat of counts, and nothing may be counted twice.

Change: counters are cumulative per daemon, incarnation and window and merge by their greatest value, so repeated appends and appends by several peers count once. A seal names the seal before it; the first one that names the newest wins, so two reporters cannot both account for the same late counters. Seals list what they account for, and the difference to the counters of a window is its correction in the next seal. A seal of a window that has not begun by the log's timestamp is void for every reader. After a gap a reader takes the chain up only from a seal that another seal names.

Ruled out: a seal that carries only the figures of its window. Readers could not tell which late counters it had already included.

ClaimService uses the time limit of appendAndReadBack and skips the release of a claim that was never sent to the log.

--- a/packages/once/src/ClaimService.ts
+++ b/packages/once/src/ClaimService.ts
@@ -302,6 +302,8 @@
       Core.invariant(shard !== undefined, 'The shard of a key is one of the configured shards.');
       const claimId = Core.createId();
       let call = ClaimCall.createClaimCall(limits.sendWithinMs);
+      // A claim that was never sent to the log needs no release.
+      let canAppear = true;
       const step = (event: ClaimCall.CallEvent): readonly ClaimCall.CallAction[] => {
         const next = ClaimCall.reduceCall(call, event, clock.readMonotonic());
         call = next.call;
@@ -322,8 +324,7 @@
           bodyDigest: key.bodyDigest, claimId, keyDigest: key.keyDigest,
         };
         const record = Log.createRecord(log.writer, OnceRecords.ONCE_KINDS.claim, body);
-        return log.appendAndReadBack(shard.stream, record).pipe(
-          Effect.timeout(Duration.millis(limits.readBackMs)),
+        return log.appendAndReadBack(shard.stream, record, { timeoutMs: limits.readBackMs }).pipe(
           Effect.map((): ClaimCall.CallEvent => {
             // Without the whole window an earlier claim of the key may have been missed.
             if (!ClaimTable.isComplete(shard.table)) return { _tag: 'ReadBackTimedOut' };
@@ -333,7 +334,10 @@
               standing: getStanding(shard, key),
             };
           }),
-          Effect.orElseSucceed((): ClaimCall.CallEvent => ({ _tag: 'ReadBackTimedOut' })),
+          Effect.catchAll(({ sent }) => Effect.sync((): ClaimCall.CallEvent => {
+            canAppear = sent !== false;
+            return { _tag: 'ReadBackTimedOut' };
+          })),
           Effect.map(step),
           Effect.onInterrupt(() => Effect.sync(() => {
             if (step({ _tag: 'Abandoned' }).some(({ _tag }) => _tag === 'AppendRelease')) {
@@ -351,7 +355,7 @@
             : refuse(reason);
         },
         AppendRelease: () => {
-          appendRelease(shard, key, claimId);
+          if (canAppear) appendRelease(shard, key, claimId);
           return undefined;
         },
         Permit: () => {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -7,6 +7,7 @@
 export * from './FakeLog.js';
 export * from './FakePlainService.js';
 export * from './FakeServer.js';
+export * from './FakeUsageReports.js';
 export * from './FakeVmList.js';
 export * from './Faults.js';
 export * from './HttpText.js';
--- /dev/null
+++ b/packages/usage/src/__tests__/unit/UsageModel.ts
@@ -0,0 +1,321 @@
+/**
+ * Model of daemons that count, a log, heartbeats between peers, and reporters. Any daemon may act
+ * as the reporter at any time, which is harder than what the lease allows.
+ */
+import type * as Log from '@berylyoke/log';
+import * as FastCheck from 'fast-check';
+import * as CounterBook from '../../CounterBook.js';
+import * as Figures from '../../Figures.js';
+import * as PeerCounters from '../../PeerCounters.js';
+import * as UsageRecords from '../../UsageRecords.js';
+import * as UsageWindows from '../../UsageWindows.js';
+
+/** The rules under test; a mutant replaces one of them. */
+export interface UsageRules {
+  readonly recordUse: typeof CounterBook.recordUse;
+  readonly listUnwritten: typeof CounterBook.listUnwritten;
+  readonly applyHeartbeat: typeof PeerCounters.applyHeartbeat;
+  readonly reduceUsage: typeof UsageWindows.reduceUsage;
+  readonly planSeal: typeof UsageWindows.planSeal;
+  /** Reports that a reporter sends now, from its state. */
+  readonly listReports: (
+    state: UsageWindows.UsageState,
+    wallMs: number,
+  ) => readonly { readonly window: number; readonly figures: Figures.AccountFigures }[];
+}
+
+/** The rules as they are. */
+export const USAGE_RULES: UsageRules = {
+  applyHeartbeat: PeerCounters.applyHeartbeat,
+  listReports: (state) => state.unreported.map((seal) => (
+    { figures: UsageWindows.computeReport(seal), window: seal.window }
+  )),
+  listUnwritten: CounterBook.listUnwritten,
+  planSeal: UsageWindows.planSeal,
+  recordUse: CounterBook.recordUse,
+  reduceUsage: UsageWindows.reduceUsage,
+};
+
+/** One step of a schedule. Numbers select among what exists, modulo its size. */
+export type UsageStep = { readonly _tag: 'Count';
+  readonly daemon: number;
+  readonly account: number;
+  readonly requests: number; }
+  | { readonly _tag: 'Flush'; readonly daemon: number }
+  | { readonly _tag: 'Deliver';
+    readonly from: number;
+    readonly count: number;
+    readonly keep: boolean; }
+  | { readonly _tag: 'Read'; readonly daemon: number; readonly count: number }
+  | { readonly _tag: 'Beat';
+    readonly daemon: number;
+    readonly peer: number;
+    readonly late: boolean; }
+  | { readonly _tag: 'Crash'; readonly daemon: number; readonly keep: boolean }
+  | { readonly _tag: 'Lose'; readonly daemon: number }
+  | { readonly _tag: 'Seal'; readonly daemon: number }
+  | { readonly _tag: 'Report'; readonly daemon: number }
+  | { readonly _tag: 'Pass'; readonly byMs: number };
+
+const DAEMONS = 3;
+const WINDOW_MS = 100;
+const GRACE_MS = 10;
+const MANY = 1_000;
+const limits: UsageWindows.UsageLimits = { lateWindows: 1_000, windowMs: WINDOW_MS };
+
+const daemonIndex = FastCheck.nat({ max: DAEMONS - 1 });
+const small = FastCheck.nat({ max: 7 });
+
+const countStep = FastCheck.record({
+  _tag: FastCheck.constant('Count' as const),
+  account: FastCheck.nat({ max: 1 }),
+  daemon: daemonIndex,
+  requests: FastCheck.integer({ max: 5, min: 1 }),
+});
+const daemonStep = FastCheck.record({
+  _tag: FastCheck.constantFrom('Flush' as const, 'Seal' as const, 'Report' as const),
+  daemon: daemonIndex,
+});
+const deliverStep = FastCheck.record({
+  _tag: FastCheck.constant('Deliver' as const),
+  count: FastCheck.constantFrom(1, 2, MANY),
+  from: small,
+  keep: FastCheck.boolean(),
+});
+const readStep = FastCheck.record({
+  _tag: FastCheck.constant('Read' as const),
+  count: FastCheck.constantFrom(1, 2, MANY),
+  daemon: daemonIndex,
+});
+const beatStep = FastCheck.record({
+  _tag: FastCheck.constant('Beat' as const),
+  daemon: daemonIndex,
+  late: FastCheck.boolean(),
+  peer: daemonIndex,
+});
+const crashStep = FastCheck.record({
+  _tag: FastCheck.constant('Crash' as const),
+  daemon: daemonIndex,
+  keep: FastCheck.boolean(),
+});
+const loseStep = FastCheck.record({
+  _tag: FastCheck.constant('Lose' as const),
+  daemon: daemonIndex,
+});
+const passStep = FastCheck.record({
+  _tag: FastCheck.constant('Pass' as const),
+  byMs: FastCheck.constantFrom(5, 40, 110, 300),
+});
+
+/** Schedules. */
+export const usageSchedule: FastCheck.Arbitrary<UsageStep[]> = FastCheck.array(
+  FastCheck.oneof<FastCheck.WeightedArbitrary<UsageStep>[]>(
+    { arbitrary: countStep, weight: 5 },
+    { arbitrary: daemonStep, weight: 7 },
+    { arbitrary: deliverStep, weight: 6 },
+    { arbitrary: readStep, weight: 5 },
+    { arbitrary: beatStep, weight: 3 },
+    { arbitrary: crashStep, weight: 1 },
+    { arbitrary: loseStep, weight: 1 },
+    { arbitrary: passStep, weight: 4 },
+  ),
+  { maxLength: 60, minLength: 1, size: 'max' },
+);
+
+interface Daemon {
+  incarnation: number;
+  book: CounterBook.CounterBook;
+  peers: PeerCounters.PeerCounters;
+  state: UsageWindows.UsageState;
+  next: number;
+  sequence: number;
+  /** All that this incarnation counted, and how much of it a live peer knew at the last beat. */
+  counted: Figures.AccountFigures;
+  safe: { readonly peer: number; readonly figures: Figures.AccountFigures } | undefined;
+  /** Heartbeat messages that may still arrive. */
+  lateBeats: { readonly peer: number; readonly bytes: Uint8Array }[];
+}
+
+interface Ended {
+  readonly source: { readonly daemonId: string; readonly incarnation: string };
+  readonly counted: Figures.AccountFigures;
+  safe: Daemon['safe'];
+}
+
+/** Runs a schedule and returns each broken promise as a sentence. */
+export function findUsageViolations(rules: UsageRules, steps: readonly UsageStep[]): string[] {
+  let nowMs = 10 * WINDOW_MS;
+  let records = 0;
+  let inFlight: { readonly daemon: number; readonly record: Log.LogRecord }[] = [];
+  const log: Log.LogEntry[] = [];
+  const ended: Ended[] = [];
+  const reports = new Map<number, Set<string>>();
+  const violations: string[] = [];
+
+  const toSource = (daemon: number, incarnation: number) => (
+    { daemonId: `d${daemon}`, incarnation: String(incarnation) }
+  );
+  const createDaemon = (index: number, incarnation: number): Daemon => ({
+    book: CounterBook.createCounterBook(toSource(index, incarnation)),
+    counted: {},
+    incarnation,
+    lateBeats: [],
+    next: 0,
+    peers: new Map(),
+    safe: undefined,
+    sequence: 0,
+    state: UsageWindows.createUsageState(limits),
+  });
+  const daemons = Array.from({ length: DAEMONS }, (_, index) => createDaemon(index, 0));
+  const getDaemon = (index: number): Daemon => daemons[index] as Daemon;
+
+  const append = (daemon: number, kind: string, body: unknown): void => {
+    records += 1;
+    const writer = toSource(daemon, getDaemon(daemon).incarnation);
+    inFlight.push({
+      daemon,
+      record: {
+        body, kind, recordId: `r${records}`, writer,
+      },
+    });
+  };
+  const deliver = (chosen: readonly { readonly record: Log.LogRecord }[]): void => {
+    if (chosen.length === 0) return;
+    log.push({
+      offset: log.length, records: chosen.map(({ record }) => record), timestampMs: nowMs,
+    });
+  };
+  const read = (index: number, count: number): void => {
+    const daemon = getDaemon(index);
+    log.slice(daemon.next, daemon.next + count).forEach((entry) => {
+      daemon.state = rules.reduceUsage(daemon.state, entry);
+      daemon.next = entry.offset + 1;
+      entry.records.forEach(({ body, kind, writer }) => {
+        const isOwn = writer.daemonId === `d${index}`
+          && writer.incarnation === String(daemon.incarnation);
+        if (!isOwn || kind !== UsageRecords.USAGE_KINDS.counters) return;
+        const counters = body as UsageRecords.UsageCounters;
+        if (counters.source.daemonId !== writer.daemonId) return;
+        if (counters.source.incarnation !== writer.incarnation) return;
+        daemon.book = CounterBook.applyWritten(daemon.book, counters);
+      });
+    });
+  };
+  const flush = (index: number): void => rules.listUnwritten(getDaemon(index).book)
+    .forEach((counters) => append(index, UsageRecords.USAGE_KINDS.counters, counters));
+  const lose = (index: number): void => ended.forEach(({ source }) => {
+    const daemon = getDaemon(index);
+    const { counters, peers } = PeerCounters.removePeer(daemon.peers, source);
+    daemon.peers = peers;
+    counters.forEach((found) => append(index, UsageRecords.USAGE_KINDS.counters, found));
+  });
+  const seal = (index: number): void => {
+    const planned = rules.planSeal(getDaemon(index).state, nowMs, GRACE_MS, 0);
+    if (planned !== undefined) append(index, UsageRecords.USAGE_KINDS.seal, planned);
+  };
+  const report = (index: number): void => rules.listReports(getDaemon(index).state, nowMs)
+    .forEach(({ figures, window }) => {
+      const known = reports.get(window) ?? new Set();
+      reports.set(window, known.add(JSON.stringify(figures)));
+    });
+
+  type Handlers = {
+    readonly [Tag in UsageStep['_tag']]: (
+      found: Extract<UsageStep, { readonly _tag: Tag }>,
+    ) => void;
+  };
+  const handlers: Handlers = {
+    Beat: ({ daemon: index, late, peer }) => {
+      const daemon = getDaemon(index);
+      if (peer === index) return;
+      daemon.sequence += 1;
+      const bytes = PeerCounters.encodeCounters(
+        rules.listUnwritten(daemon.book),
+        daemon.sequence,
+      );
+      if (late) {
+        daemon.lateBeats.push({ bytes, peer });
+        return;
+      }
+      const { source } = daemon.book;
+      const receive = (to: number, found: Uint8Array): void => {
+        const receiver = getDaemon(to);
+        receiver.peers = rules.applyHeartbeat(receiver.peers, source, found);
+      };
+      receive(peer, bytes);
+      daemon.safe = { figures: daemon.counted, peer };
+      // Earlier heartbeats that were held up arrive after the newest one.
+      daemon.lateBeats.splice(0).forEach((beat) => receive(beat.peer, beat.bytes));
+    },
+    Count: ({ account, daemon: index, requests }) => {
+      const daemon = getDaemon(index);
+      const use = { inputTokens: requests * 3, outputTokens: requests * 7, requests };
+      const window = CounterBook.getWindow(nowMs, WINDOW_MS);
+      daemon.book = rules.recordUse(daemon.book, window, `a${account}`, use);
+      daemon.counted = Figures.sumFigures(daemon.counted, { [`a${account}`]: use });
+    },
+    Crash: ({ daemon: index, keep }) => {
+      const daemon = getDaemon(index);
+      ended.push({ counted: daemon.counted, safe: daemon.safe, source: daemon.book.source });
+      [...daemons, ...ended].forEach((found) => {
+        if (found.safe?.peer === index) Object.assign(found, { safe: undefined });
+      });
+      if (!keep) inFlight = inFlight.filter((found) => found.daemon !== index);
+      daemons[index] = createDaemon(index, daemon.incarnation + 1);
+    },
+    Deliver: ({ count, from, keep }) => {
+      const start = from % Math.max(1, inFlight.length);
+      const chosen = inFlight.slice(start, start + count);
+      if (!keep) inFlight = inFlight.filter((found) => !chosen.includes(found));
+      deliver(chosen);
+    },
+    Flush: ({ daemon }) => flush(daemon),
+    Lose: ({ daemon }) => lose(daemon),
+    Pass: ({ byMs }) => {
+      nowMs += byMs;
+    },
+    Read: ({ count, daemon }) => read(daemon, count),
+    Report: ({ daemon }) => report(daemon),
+    Seal: ({ daemon }) => seal(daemon),
+  };
+  steps.forEach((found) => (handlers[found._tag] as (step: UsageStep) => void)(found));
+
+  // The end: losses are noticed, everything arrives, and one reporter seals all that is left.
+  const settle = (): void => {
+    const rest = inFlight;
+    inFlight = [];
+    rest.forEach((found) => deliver([found]));
+    daemons.forEach((_, index) => read(index, MANY));
+  };
+  daemons.forEach((_, index) => lose(index));
+  daemons.forEach((_, index) => flush(index));
+  settle();
+  const rounds = Math.ceil(nowMs / WINDOW_MS);
+  nowMs += 2 * WINDOW_MS;
+  Array.from({ length: rounds }).forEach(() => {
+    seal(0);
+    settle();
+    report(0);
+  });
+  daemons.forEach((_, index) => report(index));
+
+  reports.forEach((figures, window) => {
+    if (figures.size > 1) violations.push(`window ${window} was reported with two figures`);
+  });
+  const sealed = [...reports.values()].map((figures) => JSON.parse([...figures][0] as string))
+    .reduce<Figures.AccountFigures>(Figures.sumFigures, {});
+  const all = [...daemons, ...ended];
+  const counted = all.map((found) => found.counted)
+    .reduce<Figures.AccountFigures>(Figures.sumFigures, {});
+  const least = [
+    ...daemons.map((found) => found.counted),
+    ...ended.map(({ safe }) => safe?.figures ?? {}),
+  ].reduce<Figures.AccountFigures>(Figures.sumFigures, {});
+  if (!Figures.isEmptyFigures(Figures.computeExcess(sealed, counted))) {
+    violations.push('more was reported than counted');
+  }
+  if (!Figures.isEmptyFigures(Figures.computeExcess(least, sealed))) {
+    violations.push('less was reported than counted and known to a peer');
+  }
+  return violations;
+}
