--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * from './Explanation.js';
 export * from './FairQueue.js';
 export * from './FleetShares.js';
+export * from './IndexedHeap.js';
 export * from './LengthEstimate.js';
 export * from './LoadPlan.js';
 export * from './Outliers.js';
