--- a/packages/bench/src/Measures.ts
+++ b/packages/bench/src/Measures.ts
@@ -106,7 +106,7 @@
         .reduce((sum, record) => sum + getWork(record), 0),
       weight,
     }));
-    const getServed = (id: string): number => run.servedByDeadline.get(`${group} ${id}`) ?? 0;
+    const getServed = (id: string): number => run.served.get(`${group} ${id}`) ?? 0;
     const amount = accounts.reduce((sum, { id }) => sum + getServed(id), 0);
     computeFairShares(claims, amount).forEach((fair, id) => {
       const total = totals.get(id) ?? { fair: 0, served: 0 };
