--- a/packages/membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/membership/src/__tests__/unit/Membership.test.ts
@@ -216,7 +216,8 @@
     fleet.run(2);
     const late = fleet.start('late', 'dc', 'r');
     fleet.run(SETTLE);
-    expect(late.store.getState()).toEqual(fleet.get(relays[0] ?? '').store.getState());
+    expect(Config.buildSnapshot(late.store.getState()))
+      .toEqual(Config.buildSnapshot(fleet.get(relays[0] ?? '').store.getState()));
     expect(late.store.isReady()).toBe(true);
   });
 
