--- a/packages/daemon/src/Classify.ts
+++ b/packages/daemon/src/Classify.ts
@@ -1,8 +1,7 @@
 /** Filter: finds the class and the target of a request and checks the plan of its caller. */
 import type * as Config from '@berylyoke/config';
 import * as Either from 'effect/Either';
-import * as ParseResult from 'effect/ParseResult';
-import * as Schema from 'effect/Schema';
+import * as ChatBody from './ChatBody.js';
 import type * as PathTypes from './PathTypes.js';
 import * as Refusal from './Refusal.js';
 
@@ -14,23 +13,6 @@
 /** Path of chat completions. */
 export const CHAT_PATH = '/v1/chat/completions';
 
-const ChatBody = Schema.Struct({
-  max_completion_tokens: Schema.optional(Schema.NullOr(Schema.Int)),
-  max_tokens: Schema.optional(Schema.NullOr(Schema.Int)),
-  messages: Schema.NonEmptyArray(Schema.Struct({
-    content: Schema.optional(Schema.Unknown),
-    role: Schema.String,
-  })),
-  model: Schema.String,
-  stream: Schema.optional(Schema.NullOr(Schema.Boolean)),
-  stream_options: Schema.optional(Schema.NullOr(
-    Schema.Struct({ include_usage: Schema.optional(Schema.Boolean) }),
-  )),
-});
-type ChatBody = typeof ChatBody.Type;
-
-const decodeChatBody = Schema.decodeUnknownEither(ChatBody);
-
 function parseJson(body: Buffer): Either.Either<unknown, Refusal.Refusal> {
   try {
     return Either.right(JSON.parse(body.toString('utf8')));
@@ -42,13 +24,7 @@
   }
 }
 
-function describeProblems(error: ParseResult.ParseError): string {
-  return ParseResult.ArrayFormatter.formatErrorSync(error)
-    .map(({ message, path }) => `${path.map(String).join('.')}: ${message}`)
-    .join('; ');
-}
-
-function getPrefix({ messages }: ChatBody): string {
+function getPrefix({ messages }: ChatBody.ChatBody): string {
   return messages
     .map(({ content, role }) => (
       `${role}:${typeof content === 'string' ? content : JSON.stringify(content)}`
@@ -57,11 +33,11 @@
     .slice(0, PREFIX_CHARACTERS);
 }
 
-function buildTarget(body: Buffer, json: unknown, chat: ChatBody): PathTypes.ChatTarget {
+function buildTarget(body: Buffer, chat: ChatBody.ChatBody): PathTypes.ChatTarget {
   const stream = chat.stream === true;
   const payload = stream
     ? Buffer.from(JSON.stringify({
-      ...json as object,
+      ...chat,
       stream_options: { ...chat.stream_options, include_usage: true },
     }))
     : body;
@@ -81,11 +57,11 @@
 export function parseChatTarget(body: Buffer): PathTypes.ChatTarget | Refusal.Refusal {
   const json = parseJson(body);
   if (Either.isLeft(json)) return json.left;
-  const chat = decodeChatBody(json.right);
-  if (Either.isLeft(chat)) {
-    return Refusal.createRefusal('invalid_request', describeProblems(chat.left));
+  const chat = json.right;
+  if (!ChatBody.isChatBody(chat)) {
+    return Refusal.createRefusal('invalid_request', ChatBody.describeProblems(chat));
   }
-  return buildTarget(body, json.right, chat.right);
+  return buildTarget(body, chat);
 }
 
 function checkClass(
