--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -4,6 +4,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
+import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
 import * as Delivery from './Delivery.js';
 import type * as PathMetrics from './PathMetrics.js';
@@ -19,6 +20,8 @@
 const ASSUMED_TOKENS = 4_096;
 /** Factor of a latency target beyond which a server that has not answered counts as silent. */
 const SILENCE_FACTOR = 4;
+/** Time after which a caller that reads nothing is cut off, since it occupies an engine. */
+const STALLED_CALLER_MS = 60_000;
 /** Largest plain answer of an engine, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
@@ -122,11 +125,12 @@
       timer?.refresh();
       const batch = reader.read(data);
       if (batch.tokens > 0) observeTokens?.(batch.tokens);
-      const writable = delivery.writeBatch(batch, target.includeUsage);
       if (batch.state === 'done') {
-        delivery.endStream();
+        delivery.endStream(batch, target.includeUsage);
         finish('done');
+        return;
       }
+      const writable = delivery.writeBatch(batch);
       // An engine that crosses answers may have given a token of this one to another request, so
       // the rest comes from another engine.
       if (batch.state === 'invalid') finish('failed');
@@ -134,8 +138,10 @@
       // The caller is slower than the engine: stop reading until its buffer is empty.
       answer.pause();
       clearTimeout(timer);
+      timer = setTimeout(() => finish('aborted'), STALLED_CALLER_MS);
       delivery.onDrain(() => {
         if (finished) return;
+        clearTimeout(timer);
         startTimer();
         answer.resume();
       });
@@ -267,19 +273,15 @@
   const giveUp = (refusal: Refusal.Refusal): ChatOutcome | Refusal.Refusal => {
     if (!delivery.getProgress().headSent) return refusal;
     delivery.cut();
-    return finish('broken');
+    return finish(signal.aborted ? 'aborted' : 'broken');
   };
 
   const attempt = async (excluded: readonly string[]): Promise<ChatOutcome | Refusal.Refusal> => {
-    const queueSpan = trace?.startChild('berylyoke.choose');
-    const dispatch = await context.ports.get('dispatch').acquire(request, excluded);
-    queueSpan?.end(Refusal.isRefusal(dispatch) ? dispatch.code : 'dispatched');
+    const dispatch = await AcquireDispatch.acquireDispatch(context, request, excluded);
     if (Refusal.isRefusal(dispatch)) {
-      context.explain(requestId, 'choose', 'refused', { code: dispatch.code, excluded });
-      return giveUp(dispatch);
+      return giveUp(excluded.length === 0 ? dispatch : { ...dispatch, notRun: false });
     }
     const { server } = dispatch;
-    context.explain(requestId, 'choose', 'dispatched', { excluded, server: server.id });
     const startedMs = context.clock.readMonotonic();
     if (excluded.length === 0) {
       context.metrics.observe('queue', request.class.id, startedMs - request.received.receivedAtMs);
@@ -302,7 +304,9 @@
       delivered: progress.delivered, server: server.id,
     });
     if (result === 'done') return finish('done');
-    if (result === 'aborted' || signal.aborted) return finish('aborted');
+    if (result === 'aborted' || signal.aborted) {
+      return giveUp({ ...AcquireDispatch.getAbortRefusal(signal), notRun: false });
+    }
     if (result === 'rejected') {
       return giveUp(Refusal.createUnknownOutcome(
         'backend_failed',
