--- a/packages/daemon/src/ActiveRequests.ts
+++ b/packages/daemon/src/ActiveRequests.ts
@@ -24,6 +24,17 @@
   readonly waitUntilEmpty: () => Promise<void>;
 }
 
+/** Waits until no request is in progress, at most `timeoutMs`. */
+export async function waitUntilEmptyWithin(
+  active: ActiveRequests,
+  timeoutMs: Core.Millis,
+): Promise<void> {
+  const deadline = new Promise<void>((resolve) => {
+    setTimeout(resolve, timeoutMs).unref();
+  });
+  await Promise.race([active.waitUntilEmpty(), deadline]);
+}
+
 /** Creates an empty table. */
 export function createActiveRequests(): ActiveRequests {
   const requests = new Map<string, ActiveRequest>();
--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -18,13 +18,18 @@
   /** Longest time until the head of the answer. */
   readonly headTimeoutMs: Core.Millis;
   readonly signal: AbortSignal;
+  /**
+   * Asked on a fresh connection in the event-loop turn of the first write; on false nothing is
+   * written and the call fails as not permitted.
+   */
+  readonly canSend?: (() => boolean) | undefined;
 }
 
 /** The call failed; `sent` is false where no byte can have left. */
 export interface BackendFailure {
   readonly _tag: 'BackendFailure';
   readonly sent: boolean;
-  readonly reason: 'aborted' | 'connection' | 'silent';
+  readonly reason: 'aborted' | 'connection' | 'not-permitted' | 'silent';
 }
 
 /** Sends a call and resolves at the answer's head, or with the failure; never rejects. */
@@ -34,6 +39,7 @@
   return new Promise((resolve) => {
     let sent = false;
     let isSilent = false;
+    let isPermitted = true;
     const [host, port] = call.address.split(':');
     const request = http.request({
       agent: call.agent ?? false,
@@ -50,7 +56,8 @@
     }, call.headTimeoutMs);
     const fail = (): void => {
       clearTimeout(headTimer);
-      const reason = isSilent ? 'silent' : 'connection';
+      const broken = isSilent ? 'silent' : 'connection';
+      const reason = isPermitted ? broken : 'not-permitted';
       resolve({
         _tag: 'BackendFailure', reason: call.signal.aborted ? 'aborted' : reason, sent,
       });
@@ -63,7 +70,10 @@
       const timer = setTimeout(() => request.destroy(), call.connectTimeoutMs);
       socket.once('connect', () => {
         clearTimeout(timer);
-        sent = true;
+        // Node writes the waiting request after this listener, and nothing once destroyed.
+        isPermitted = call.canSend?.() ?? true;
+        if (isPermitted) sent = true;
+        else request.destroy();
       });
       socket.once('close', () => clearTimeout(timer));
     });
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -50,13 +50,20 @@
 
 function createDefaultPorts(servers: DaemonContext.ServerView): PathPorts.PathPorts {
   return {
+    counters: {
+      applyHeartbeat: () => undefined,
+      applyLostPeer: () => undefined,
+      buildHeartbeat: () => new Uint8Array(),
+    },
     dispatch: DefaultDispatch.createDefaultDispatch(servers.getServers),
+    incarnations: { isEnded: () => false },
     keyGuard: { check: () => undefined },
     once: {
       claim: async () => (
         Refusal.createRefusal('log_unavailable', 'claims cannot be made now', CLAIM_RETRY_MS)
       ),
     },
+    reporting: { getAuthority: () => undefined },
     usage: { record: () => undefined },
   };
 }
--- /dev/null
+++ b/packages/daemon/src/OncePart.ts
@@ -0,0 +1,90 @@
+/** Part: claims of calls that carry an idempotency key and may not be repeated. */
+import * as Core from '@berylyoke/core';
+import * as Once from '@berylyoke/once';
+import * as Cause from 'effect/Cause';
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import * as Option from 'effect/Option';
+import * as ActiveRequests from './ActiveRequests.js';
+import type * as DaemonContext from './DaemonContext.js';
+import type * as PathPorts from './PathPorts.js';
+import * as Refusal from './Refusal.js';
+
+/** Time that the last results may take to reach the log at a planned stop, in milliseconds. */
+const DRAIN_MS = 5_000;
+
+const CODES: Readonly<Record<Once.ClaimRefusalReason, Refusal.RefusalCode>> = {
+  abandoned: 'overloaded',
+  'answer-not-kept': 'answer_not_kept',
+  behind: 'log_unavailable',
+  'body-differs': 'body_differs',
+  held: 'claim_in_progress',
+  'log-unavailable': 'log_unavailable',
+  'not-read-back': 'log_unavailable',
+  'table-full': 'overloaded',
+  unknown: 'outcome_unknown',
+};
+
+function buildRefusal(
+  {
+    message, notRun, reason, retryAfterMs,
+  }: Once.ClaimRefusal,
+): Refusal.Refusal {
+  const refusal: Refusal.Refusal = {
+    _tag: 'Refusal', code: CODES[reason], message, notRun,
+  };
+  return retryAfterMs === undefined ? refusal : { ...refusal, retryAfterMs };
+}
+
+function createTicket(permit: Once.SendPermit): PathPorts.ClaimTicket {
+  return {
+    _tag: 'ClaimTicket',
+    complete: async (answer) => {
+      await Effect.runPromise(permit.finish(answer));
+    },
+    markUnknown: async () => {
+      await Effect.runPromise(permit.finishUnknown());
+    },
+    release: async () => permit.release(),
+    requestSend: permit.requestSend,
+  };
+}
+
+/** Registers the claims. */
+export function registerOncePart(context: DaemonContext.DaemonContext): Core.Undo {
+  const service = Once.createClaimService({
+    clock: context.clock,
+    isGone: (writer) => context.ports.get('incarnations').isEnded(writer),
+    limits: Once.DEFAULT_CLAIM_LIMITS,
+    log: context.log,
+  });
+  const claim: PathPorts.OncePort['claim'] = async (request, idempotencyKey) => {
+    const { body, path, signal } = request.received;
+    const exit = await Effect.runPromiseExit(service.claim({
+      account: request.caller?.account.id ?? '', body, idempotencyKey, route: path,
+    }), { signal });
+    if (Exit.isSuccess(exit)) {
+      const found = exit.value;
+      return found._tag === 'Permit'
+        ? createTicket(found)
+        : { _tag: 'RepeatedAnswer', answer: { ...found, body: Buffer.from(found.body) } };
+    }
+    const refusal = Option.getOrUndefined(Cause.failureOption(exit.cause));
+    // The service has released the claim of a caller that left.
+    return refusal === undefined
+      ? Refusal.createRefusal('request_timeout', 'the caller left before the call was claimed')
+      : buildRefusal(refusal);
+  };
+  return Core.mergeUndos(
+    service.close,
+    context.ports.register('once', { claim }),
+    context.registerStatus('once', service.getCounts),
+    context.registerDrain('once', async () => {
+      await ActiveRequests.waitUntilEmptyWithin(
+        context.active,
+        context.settings.limits.drainMs,
+      );
+      await Effect.runPromise(service.drain(DRAIN_MS));
+    }),
+  );
+}
--- a/packages/daemon/src/PathPorts.ts
+++ b/packages/daemon/src/PathPorts.ts
@@ -28,6 +28,11 @@
 /** Right to run a keyed non-repeatable call; exactly one of the functions is called. */
 export interface ClaimTicket {
   readonly _tag: 'ClaimTicket';
+  /**
+   * Asks for the right to send in the event-loop turn of the first write; on false nothing may be
+   * sent, and the claim was released.
+   */
+  readonly requestSend: () => boolean;
   /** The service answered; resolves when the answer is stored or cannot be stored in time. */
   readonly complete: (answer: StoredAnswer) => Promise<void>;
   /** A byte may have been sent and no answer came. */
@@ -70,11 +75,35 @@
   readonly check: (nowMs: Core.Millis) => Refusal.Refusal | undefined;
 }
 
+/** Counters of this daemon and its peers that are not in the log yet, for heartbeats. */
+export interface CountersPort {
+  readonly buildHeartbeat: () => Uint8Array;
+  readonly applyHeartbeat: (source: Core.Writer, bytes: Uint8Array) => void;
+  /** Appends the last known counters of an incarnation that has ended. */
+  readonly applyLostPeer: (source: Core.Writer) => void;
+}
+
+/** What membership knows of incarnations. */
+export interface IncarnationPort {
+  /** True only where the incarnation is known to have ended. */
+  readonly isEnded: (writer: Core.Writer) => boolean;
+}
+
+/** Right to act as the reporter of usage, as its lease gives it. */
+export interface ReportingPort {
+  /** Undefined where this daemon does not hold the lease. */
+  readonly getAuthority: () => { readonly fence: number; readonly remainingMs: Core.Millis }
+  | undefined;
+}
+
 /** All ports of the path. */
 export interface PathPorts {
+  readonly counters: CountersPort;
   readonly dispatch: DispatchPort;
+  readonly incarnations: IncarnationPort;
   readonly keyGuard: KeyGuardPort;
   readonly once: OncePort;
+  readonly reporting: ReportingPort;
   readonly usage: UsagePort;
 }
 
--- a/packages/daemon/src/Refusal.ts
+++ b/packages/daemon/src/Refusal.ts
@@ -7,6 +7,7 @@
 /** Codes of all refusals, with status and type. */
 export const REFUSAL_CODES = {
   account_limit: { status: 429, type: 'rate_limit_error' },
+  answer_not_kept: { status: 409, type: 'conflict_error' },
   backend_failed: { status: 502, type: 'server_error' },
   body_differs: { status: 422, type: 'invalid_request_error' },
   body_too_large: { status: 413, type: 'invalid_request_error' },
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -175,7 +175,7 @@
 }
 
 const FAILURES: Readonly<Record<BackendCall.BackendFailure['reason'], AttemptResult>> = {
-  aborted: 'aborted', connection: 'failed', silent: 'silent',
+  aborted: 'aborted', connection: 'failed', 'not-permitted': 'failed', silent: 'silent',
 };
 
 async function runAttempt(
--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -54,12 +54,18 @@
   readonly answer: PathPorts.StoredAnswer | undefined;
   /** A byte may have left. */
   readonly sent: boolean;
+  /** The right to send was withdrawn, so that no further attempt may be made. */
+  readonly isWithdrawn: boolean;
 }
 
+/** Asked in the turn of the first write; undefined where no claim is needed. */
+type SendCheck = (() => boolean) | undefined;
+
 async function runAttempt(
   context: RelayChat.RelayContext,
   request: PathTypes.ClassifiedRequest,
   server: PathTypes.BackendServer,
+  canSend: SendCheck,
 ): Promise<Attempt> {
   const { received, repeatable } = request;
   const { tier } = request.class;
@@ -71,6 +77,7 @@
     address: server.address,
     agent: repeatable ? context.agent : undefined,
     body: received.body,
+    canSend,
     connectTimeoutMs: context.connectTimeoutMs,
     headTimeoutMs: ANSWER_TIMEOUT_MS,
     headers: {
@@ -83,19 +90,24 @@
     path: received.path,
     signal,
   });
-  if (BackendCall.isBackendFailure(answer)) return { answer: undefined, sent: answer.sent };
+  if (BackendCall.isBackendFailure(answer)) {
+    return {
+      answer: undefined, isWithdrawn: answer.reason === 'not-permitted', sent: answer.sent,
+    };
+  }
   const echoed = answer.headers['x-request-id'];
   if (echoed !== undefined && echoed !== received.requestId) {
     answer.destroy();
-    return { answer: undefined, sent: true };
+    return { answer: undefined, isWithdrawn: false, sent: true };
   }
-  return { answer: await readStoredAnswer(answer), sent: true };
+  return { answer: await readStoredAnswer(answer), isWithdrawn: false, sent: true };
 }
 
 /** Runs the call until it has an answer, or until it must not be sent again. */
 export async function runRoute(
   context: RelayChat.RelayContext,
   request: PathTypes.ClassifiedRequest,
+  canSend?: SendCheck,
 ): Promise<PathPorts.StoredAnswer | Refusal.Refusal> {
   const { received: { requestId, signal }, repeatable } = request;
   const attempt = async (
@@ -107,7 +119,12 @@
       return dispatch;
     }
     const startedMs = context.clock.readMonotonic();
-    const { answer, sent } = await runAttempt(context, request, dispatch.server);
+    const { answer, isWithdrawn, sent } = await runAttempt(
+      context,
+      request,
+      dispatch.server,
+      canSend,
+    );
     const durationMs = context.clock.readMonotonic() - startedMs;
     dispatch.settle({
       durationMs,
@@ -119,6 +136,9 @@
       sent, server: dispatch.server.id,
     });
     if (answer !== undefined) return answer;
+    if (isWithdrawn) {
+      return Refusal.createRefusal('overloaded', 'the call waited longer than its claim', 1_000);
+    }
     if (sent && !repeatable) {
       return Refusal.createUnknownOutcome(
         'outcome_unknown',
@@ -151,7 +171,12 @@
     return claim.answer;
   }
   context.explain(requestId, 'claim', 'won');
-  const result = await runRoute(context, request);
+  const result = await runRoute(context, request, claim.requestSend).catch(async (error) => {
+    // Has no effect on a claim under which a byte may have been sent; that one becomes unknown.
+    await claim.release();
+    await claim.markUnknown();
+    throw error;
+  });
   if (!Refusal.isRefusal(result)) await claim.complete(result);
   else if (result.notRun) await claim.release();
   else await claim.markUnknown();
--- a/packages/once/src/ClaimLimits.ts
+++ b/packages/once/src/ClaimLimits.ts
@@ -32,7 +32,8 @@
 /** Bounds for a fleet in which every daemon reads every shard. */
 export const DEFAULT_CLAIM_LIMITS: ClaimLimits = {
   bodyBytes: 16 * 1024,
-  claimsPerShard: 20_000,
+  // 0.95 KB of heap for each claim with a small answer (100,000 folded): 38 MB in 4 shards.
+  claimsPerShard: 10_000,
   contactMs: 5_000,
   holderWaitMs: 2_000,
   pendingRecords: 10_000,
@@ -41,7 +42,7 @@
   sendWithinMs: 60_000,
   shards: 4,
   storedBodyBytesPerShard: 4 * 1024 * 1024,
-  windowMs: 24 * 60 * 60 * 1_000,
+  windowMs: 60 * 60 * 1_000,
 };
 
 /** Two bounds contradict each other. */
--- a/packages/once/src/ClaimRefusals.ts
+++ b/packages/once/src/ClaimRefusals.ts
@@ -26,6 +26,7 @@
 
 const HTTP_CONFLICT = 409;
 const HTTP_UNPROCESSABLE = 422;
+const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 
 /** A claim is usually decided within this time once the log answers again, in milliseconds. */
@@ -89,7 +90,7 @@
     retryAfterMs: undefined,
     sentence: 'an earlier call with this idempotency key was sent or may have been sent, and its '
       + 'outcome is unknown',
-    status: HTTP_CONFLICT,
+    status: HTTP_BAD_GATEWAY,
   },
 };
 
