--- a/packages/daemon/src/OncePart.ts
+++ b/packages/daemon/src/OncePart.ts
@@ -9,6 +9,7 @@
 import type * as DaemonContext from './DaemonContext.js';
 import type * as PathPorts from './PathPorts.js';
 import * as Refusal from './Refusal.js';
+import * as RelayRoute from './RelayRoute.js';
 
 /** Time that the last results may take to reach the log at a planned stop, in milliseconds. */
 const DRAIN_MS = 5_000;
@@ -59,9 +60,19 @@
     log: context.log,
   });
   const claim: PathPorts.OncePort['claim'] = async (request, idempotencyKey) => {
-    const { body, path, signal } = request.received;
+    const { target, received } = request;
+    const {
+      body, method, path, signal,
+    } = received;
+    const sentPath = target._tag === 'RouteTarget'
+      ? RelayRoute.buildPath(received, target.route)
+      : path;
     const exit = await Effect.runPromiseExit(service.claim({
-      account: request.caller?.account.id ?? '', body, idempotencyKey, route: path,
+      account: request.caller?.account.id ?? '',
+      body,
+      idempotencyKey,
+      parameters: `${method} ${sentPath}`,
+      route: path,
     }), { signal });
     if (Exit.isSuccess(exit)) {
       const found = exit.value;
--- a/packages/daemon/src/PathPorts.ts
+++ b/packages/daemon/src/PathPorts.ts
@@ -96,6 +96,17 @@
   | undefined;
 }
 
+/** Budget of further attempts, as a share of requests. */
+export interface RetryPort {
+  /** Counts a first attempt. */
+  readonly addRequest: () => void;
+  /**
+   * Takes a further attempt from the budget. Resuming a stream is charged but never denied: the
+   * caller already has a part of the answer, and only the rest is generated again.
+   */
+  readonly claim: (isResume: boolean) => boolean;
+}
+
 /** All ports of the path. */
 export interface PathPorts {
   readonly counters: CountersPort;
@@ -104,6 +115,7 @@
   readonly keyGuard: KeyGuardPort;
   readonly once: OncePort;
   readonly reporting: ReportingPort;
+  readonly retry: RetryPort;
   readonly usage: UsagePort;
 }
 
