--- a/packages/once/src/__tests__/unit/ClaimService.test.ts
+++ b/packages/once/src/__tests__/unit/ClaimService.test.ts
@@ -22,7 +22,11 @@
 
 function buildCall(key: string, body = 'one fan'): ClaimKey.KeyedCall {
   return {
-    account: 'shop', body: Buffer.from(body), idempotencyKey: key, route: '/orders',
+    account: 'shop',
+    body: Buffer.from(body),
+    idempotencyKey: key,
+    parameters: 'POST',
+    route: '/orders',
   };
 }
 
@@ -108,6 +112,8 @@
     expect(await claim(service, buildCall('k1', 'two fans'))).toMatchObject({
       notRun: true, reason: 'body-differs', status: 422,
     });
+    expect(await claim(service, { ...buildCall('k1'), parameters: 'POST ?express=1' }))
+      .toMatchObject({ reason: 'body-differs' });
     await claimPermit(service, { ...buildCall('k1'), account: 'other' });
   });
 
