Let the expected first-token time of a class fade

Admission expected the first token from what it had observed of admitted requests alone. Once that exceeded the target, every request of the class was refused, nothing was observed any more, and the class stayed refused. The margin is now one mean deviation and not two.

--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -149,8 +149,12 @@
 interface ServiceTime {
   readonly meanMs: Core.Millis;
   readonly deviationMs: Core.Millis;
+  readonly observedMs: Core.Millis;
 }
 
+/** Time in which an observed time to the first token loses two thirds of its weight. */
+const SERVICE_TIME_FADING_MS = 3_000;
+
 /** Weight of a new observation of the time to the first token. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
@@ -184,10 +188,17 @@
     return added;
   };
 
-  const getServiceMs = ({ class: { classId }, pool, promptTokens }: ScheduledRequest): number => {
+  const getServiceMs = (
+    { class: { classId }, pool, promptTokens }: ScheduledRequest,
+    nowMs: Core.Millis,
+  ): Core.Millis => {
+    const priorMs = promptTokens * options.choice.promptTokenMs
+      + 2 * options.choice.betweenTokensMs;
     const known = serviceTimes.get(`${pool} ${classId}`);
-    if (known !== undefined) return known.meanMs + 2 * known.deviationMs;
-    return promptTokens * options.choice.promptTokenMs + 2 * options.choice.betweenTokensMs;
+    if (known === undefined) return priorMs;
+    // A class that is refused is not observed; without fading it would be refused for good.
+    const fading = Math.exp(-(nowMs - known.observedMs) / SERVICE_TIME_FADING_MS);
+    return priorMs + (known.meanMs + known.deviationMs - priorMs) * fading;
   };
 
   const buildChoiceRequest = (request: ScheduledRequest): ServerChoice.ChoiceRequest => ({
@@ -204,7 +215,7 @@
     const rate = getRate(request.pool);
     return {
       hasFreeSlot: chooser.countFreeSlots(request.pool) > 0,
-      serviceMs: getServiceMs(request),
+      serviceMs: getServiceMs(request, nowMs),
       tierTokensPerSecond: rate.getTierRate(request.class.tier, nowMs),
       totalTokensPerSecond: rate.getTotalRate(nowMs),
       workAhead: queue.estimateWorkAhead(request),
@@ -412,12 +423,15 @@
       chooser.recordFirstToken(entry.serverId, requestId, nowMs);
       const key = `${entry.request.pool} ${entry.request.class.classId}`;
       const observedMs = nowMs - entry.startedMs;
-      const known = serviceTimes.get(key) ?? { deviationMs: observedMs / 4, meanMs: observedMs };
+      const known = serviceTimes.get(key) ?? {
+        deviationMs: observedMs / 4, meanMs: observedMs,
+      };
       const errorMs = observedMs - known.meanMs;
       serviceTimes.set(key, {
         deviationMs: known.deviationMs
           + (Math.abs(errorMs) - known.deviationMs) * SERVICE_TIME_WEIGHT,
         meanMs: known.meanMs + errorMs * SERVICE_TIME_WEIGHT,
+        observedMs: nowMs,
       });
     },
     recordReport: chooser.recordReport,
