--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -105,8 +105,12 @@
 export interface FairQueue<T> {
   /** Adds a request and returns what had to go for it, which may be the request itself. */
   readonly queueRequest: (request: QueueRequest<T>) => readonly ShedRequest<T>[];
-  /** Takes the next request of a pool. */
-  readonly dequeueRequest: (pool: string, nowMs: Core.Millis) => DequeueResult<T>;
+  /**
+   * Takes the next request of a pool. Tiers below `lowestTier` are served only through floors.
+   */
+  readonly dequeueRequest: (
+    pool: string, nowMs: Core.Millis, lowestTier?: number,
+  ) => DequeueResult<T>;
   /** Puts back a request that found no server; its account is not charged for the dispatch. */
   readonly returnRequest: (request: QueueRequest<T>) => void;
   /** Removes the requests whose latest start has passed. */
@@ -442,16 +446,25 @@
     return due;
   };
 
-  const dequeueRequest = (poolName: string, nowMs: Core.Millis): DequeueResult<T> => {
+  const dequeueRequest: FairQueue<T>['dequeueRequest'] = (
+    poolName,
+    nowMs,
+    lowestTier = Infinity,
+  ) => {
     const expired = shedExpired(nowMs);
     const pool = pools.get(poolName);
     const tier = pool?.tiers.find(({ requests }) => requests > 0);
     const strict = tier === undefined ? undefined : findLowestLane(tier);
-    if (pool === undefined || tier === undefined || strict === undefined) {
+    const due = pool !== undefined && pool.floorCredit >= 1
+      ? findDueClass(pool, nowMs)
+      : undefined;
+    if (
+      pool === undefined || tier === undefined || strict === undefined
+      || (tier.tier > lowestTier && due === undefined)
+    ) {
       return { expired, reason: { _tag: 'Empty' }, request: undefined };
     }
-    const due = pool.floorCredit >= 1 ? findDueClass(pool, nowMs) : undefined;
-    const isFloor = due !== undefined && due.tier !== tier.tier;
+    const isFloor = due !== undefined && (due.tier !== tier.tier || due.tier > lowestTier);
     const lane = (due === undefined ? undefined : due.lanes.getTop()) ?? strict;
     const entry = lane.entries.getTop() as Entry<T>;
     const { classQueue, owner } = lane;
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -13,6 +13,7 @@
 import * as RetryBudget from './RetryBudget.js';
 import * as ServerChoice from './ServerChoice.js';
 import * as ServiceRate from './ServiceRate.js';
+import * as SlotReserve from './SlotReserve.js';
 
 /** A class as the scheduler needs it. */
 export interface ScheduledClass extends FairQueue.QueueClass {
@@ -79,6 +80,10 @@
   readonly queue: FairQueue.QueueOptions;
   /** Share of a server's slots that daemons may claim over an even division. */
   readonly slotHeadroom: number;
+  /** Targets up to this one count as urgent: slots are reserved for such requests. */
+  readonly urgentMs: Core.Millis;
+  /** Margin of the reserve, in units of the square root of the mean number of requests. */
+  readonly reserveDeviations: number;
 }
 
 /** Scheduler of one daemon. */
@@ -113,7 +118,9 @@
   length: LengthEstimate.defaultLengthOptions,
   outliers: Outliers.defaultOutlierOptions,
   queue: FairQueue.defaultQueueOptions,
+  reserveDeviations: 1,
   slotHeadroom: 1,
+  urgentMs: 1_000,
 };
 
 /** Work of a prompt token in units of an answer token: prompts are read in large batches. */
@@ -131,6 +138,9 @@
 /** Requests that find no server although others might, before the rest has to wait for them. */
 const MAX_BLOCKED = 8;
 
+/** Tiers of the operators' lists. */
+const TIERS = [0, 1, 2, 3, 4];
+
 const EMPTY_STEP: ScheduleStep = { refusals: [], starts: [] };
 
 interface Waiting {
@@ -173,6 +183,7 @@
   const queue = FairQueue.createFairQueue<Waiting>(options.queue);
   const rates = new Map<string, ServiceRate.ServiceRate>();
   const running = new Map<string, Running>();
+  const reserves = new Map<string, SlotReserve.SlotReserve>();
   const serviceTimes = new Map<string, ServiceTime>();
   let retries = RetryBudget.createRetryBudget();
   /** Servers that are compared with each other: those that answer for the same models. */
@@ -188,6 +199,30 @@
     return added;
   };
 
+  const getReserve = (pool: string): SlotReserve.SlotReserve => {
+    const known = reserves.get(pool);
+    if (known !== undefined) return known;
+    const added = SlotReserve.createSlotReserve(options.reserveDeviations);
+    reserves.set(pool, added);
+    return added;
+  };
+
+  const isUrgent = ({ class: { firstTokenMs } }: ScheduledRequest): boolean => (
+    firstTokenMs <= options.urgentMs
+  );
+
+  const releaseReserve = (request: ScheduledRequest, nowMs: Core.Millis): void => {
+    if (isUrgent(request)) getReserve(request.pool).removeRequest(request.class.tier, nowMs);
+  };
+
+  /** Finds the lowest tier that leaves its reserve with the free slots; -1 when none does. */
+  const findLowestTier = (pool: string, nowMs: Core.Millis): number => {
+    const free = chooser.countFreeSlots(pool);
+    const reserve = getReserve(pool);
+    const blocked = TIERS.findIndex((tier) => reserve.computeReserve(tier, nowMs) >= free);
+    return blocked === -1 ? Infinity : blocked - 1;
+  };
+
   const getServiceMs = (
     { class: { classId }, pool, promptTokens }: ScheduledRequest,
     nowMs: Core.Millis,
@@ -228,6 +263,7 @@
   ): ScheduledRefusal => {
     const { grant, request } = payload;
     admission.releaseGrant(grant, 0);
+    releaseReserve(request, nowMs);
     const waitMs = Admission.estimateFirstTokenMs(buildOutlook(request, nowMs));
     const { maxRetryAfterMs, minRetryAfterMs } = options.admission;
     const boundedMs = Math.min(Math.max(minRetryAfterMs, waitMs), maxRetryAfterMs);
@@ -267,13 +303,13 @@
       && queue.countRequests(pool) > 0
       && chooser.countFreeSlots(pool) > 0
     ) {
-      const { expired, reason, request: queued } = queue.dequeueRequest(pool, nowMs);
+      const lowestTier = findLowestTier(pool, nowMs);
+      const { expired, reason, request } = queue.dequeueRequest(pool, nowMs, lowestTier);
       refusals.push(...expired.map((shed) => refuseShed(shed, nowMs)));
-      if (queued !== undefined) {
-        const start = startQueued(queued, reason, nowMs);
-        if (start === undefined) blocked.push(queued);
-        else starts.push(start);
-      }
+      if (request === undefined) break;
+      const start = startQueued(request, reason, nowMs);
+      if (start === undefined) blocked.push(request);
+      else starts.push(start);
     }
     blocked.forEach(queue.returnRequest);
     return { refusals, starts };
@@ -285,6 +321,7 @@
     nowMs: Core.Millis,
   ): ScheduleStep => {
     const { request } = waiting;
+    if (isUrgent(request)) getReserve(request.pool).addRequest(request.class.tier, nowMs);
     const shed = queue.queueRequest({
       account: request.account,
       class: request.class,
@@ -393,9 +430,11 @@
       const step = startAll(nowMs);
       return { refusals: [...expired, ...step.refusals], starts: step.starts };
     },
-    cancelRequest: (requestId) => {
+    cancelRequest: (requestId, nowMs) => {
       const removed = queue.removeRequest(requestId);
-      if (removed !== undefined) admission.releaseGrant(removed.payload.grant, 0);
+      if (removed === undefined) return;
+      admission.releaseGrant(removed.payload.grant, 0);
+      releaseReserve(removed.payload.request, nowMs);
     },
     getOutliers: mergeOutliers,
     getQueueSnapshot: queue.getSnapshot,
@@ -406,6 +445,7 @@
       if (entry === undefined) return EMPTY_STEP;
       const { grant, request, serverId } = entry;
       running.delete(requestId);
+      releaseReserve(request, nowMs);
       chooser.recordEnd(serverId, requestId, nowMs);
       correctCharge(entry, LengthEstimate.closeTokenCharge(entry.charge));
       const { deliveredTokens } = entry.charge;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -18,3 +18,4 @@
 export * from './Scheduler.js';
 export * from './ServerChoice.js';
 export * from './ServiceRate.js';
+export * from './SlotReserve.js';
