--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -143,13 +143,6 @@
   maxRequests: 10_000,
 };
 
-/**
- * Service over weight that an account may make up for after its requests expired, in tokens. With
- * few slots a round over the accounts takes longer than a target; without a claim an account with
- * one request at a time expires in every round, while large accounts always have a younger one.
- */
-export const MAX_CLAIM_TOKENS = 4_000;
-
 /** Floor of a class whose own floor is lower, so that no class starves. */
 export const MIN_FLOOR_SHARE = 0.005;
 
@@ -171,8 +164,6 @@
   weight: number;
   virtualTokens: number;
   queuedTokens: number;
-  /** The last request left without being served, so the account was not idle by choice. */
-  hasClaim: boolean;
 }
 
 interface ClassQueue<T> {
@@ -314,7 +305,6 @@
     const added: AccountQueue<T> = {
       account: name,
       byLongestWait: new IndexedHeap.IndexedHeap<Entry<T>>((a, b) => compareStart(b, a)),
-      hasClaim: false,
       lanes: new Map(),
       queuedTokens: 0,
       virtualTokens: 0,
@@ -342,8 +332,7 @@
     if (owner.byLongestWait.size === 0) {
       // An account that was idle has no claim to what it did not use meanwhile.
       const level = findLowestLane(tier)?.owner.virtualTokens ?? tier.lastVirtualTokens;
-      const claimTokens = owner.hasClaim ? MAX_CLAIM_TOKENS : 0;
-      owner.virtualTokens = Math.max(owner.virtualTokens, level - claimTokens);
+      owner.virtualTokens = Math.max(owner.virtualTokens, level);
       owner.weight = request.weight;
       tier.activeWeight += request.weight;
     }
@@ -431,7 +420,6 @@
     let entry = byStart.getTop();
     while (entry !== undefined && entry.request.latestStartMs < nowMs) {
       removeEntry(entry);
-      entry.lane.owner.hasClaim = true;
       expired.push({
         reason: { _tag: 'Expired', lateMs: nowMs - entry.request.latestStartMs },
         request: entry.request,
@@ -489,7 +477,6 @@
     );
     classQueue.waitingSinceDispatch = pool.dispatches;
     classQueue.waitingSinceMs = nowMs;
-    owner.hasClaim = false;
     servedTier.lastVirtualTokens = owner.virtualTokens;
     setCounter(servedTier, owner, owner.virtualTokens + entry.request.costTokens / owner.weight);
     const { tier: servedNumber } = classQueue;
