Charge accounts with what the other daemons served them

Shares were fair inside a daemon only. The scheduler now builds digests of the service by tier, account and pool and charges what the sum of the others tells. Counting requests instead of tokens was ruled out, since answers differ by a factor of ten.

--- a/packages/bench/src/Policy.ts
+++ b/packages/bench/src/Policy.ts
@@ -37,6 +37,9 @@
   readonly listLoads: () => ReadonlyMap<string, number>;
 }
 
+/** Accounts in one digest. */
+const MAX_DIGEST_ACCOUNTS = 200;
+
 const NOTHING: Actions = { refused: [], starts: [] };
 
 /** Limits that do not bind: the cases measure sharing, not limits. */
@@ -71,6 +74,15 @@
     Scheduling.createScheduler(random, options)
   ));
   const owners = new Map<string, Scheduling.Scheduler>();
+  const served = daemons.map(() => new Map<string, number>());
+  const sumOthers = (index: number): ReadonlyMap<string, number> => {
+    const sums = new Map<string, number>();
+    served.forEach((counts, other) => {
+      if (other === index) return;
+      counts.forEach((tokens, key) => sums.set(key, (sums.get(key) ?? 0) + tokens));
+    });
+    return sums;
+  };
   const getOwner = (requestId: string): Scheduling.Scheduler => (
     owners.get(requestId) ?? daemons[0] as Scheduling.Scheduler
   );
@@ -99,7 +111,15 @@
     ...request.callMs === undefined ? {} : { maxAnswerTokens: 1 },
   });
   return {
-    advanceTime: (nowMs) => mergeActions(daemons.map((one) => toActions(one.advanceTime(nowMs)))),
+    advanceTime: (nowMs) => {
+      // What was built a second ago arrives now, as through a relay of the data centre.
+      daemons.forEach((one, index) => one.applyDigest({
+        takenMs: nowMs - 1_000, tokens: sumOthers(index),
+      }));
+      daemons.forEach((one, index) => one.buildDigest(nowMs, MAX_DIGEST_ACCOUNTS).tokens
+        .forEach((tokens, key) => served[index]?.set(key, tokens)));
+      return mergeActions(daemons.map((one) => toActions(one.advanceTime(nowMs))));
+    },
     cancelRequest: (requestId, nowMs) => getOwner(requestId).cancelRequest(requestId, nowMs),
     hasPriorities: true,
     hasPurchases: true,
--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -123,7 +123,7 @@
   ) => readonly QueueRequest<T>[];
   /** Corrects what an account was charged; negative when an answer was shorter than expected. */
   readonly recordTokens: (
-    request: Pick<QueueRequest<unknown>, 'account' | 'class' | 'pool' | 'weight'>,
+    owner: { readonly account: string; readonly pool: string; readonly tier: number },
     deltaTokens: number,
   ) => void;
   /** Estimates the work that would be served before a new request of an account. */
@@ -489,9 +489,9 @@
     };
   };
 
-  const recordTokens: FairQueue<T>['recordTokens'] = (request, deltaTokens) => {
-    const tier = findTier(request.pool, request.class.tier);
-    const owner = tier?.accounts.get(request.account);
+  const recordTokens: FairQueue<T>['recordTokens'] = (served, deltaTokens) => {
+    const tier = findTier(served.pool, served.tier);
+    const owner = tier?.accounts.get(served.account);
     if (tier === undefined || owner === undefined) return;
     setCounter(tier, owner, Math.max(0, owner.virtualTokens + deltaTokens / owner.weight));
   };
@@ -548,7 +548,8 @@
     },
     returnRequest: (request) => {
       addRequest(request);
-      recordTokens(request, -request.costTokens);
+      const { account, class: { tier }, pool } = request;
+      recordTokens({ account, pool, tier }, -request.costTokens);
     },
     shedExpired,
   };
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -8,6 +8,7 @@
 import type * as CacheIndex from './CacheIndex.js';
 import type * as Explanation from './Explanation.js';
 import * as FairQueue from './FairQueue.js';
+import * as FleetShares from './FleetShares.js';
 import * as LengthEstimate from './LengthEstimate.js';
 import * as Outliers from './Outliers.js';
 import * as RetryBudget from './RetryBudget.js';
@@ -106,6 +107,10 @@
   ) => ScheduleStep;
   readonly recordReport: (report: ServerChoice.LoadReport) => void;
   readonly recordCacheEvent: (event: CacheIndex.CacheEvent, nowMs: Core.Millis) => void;
+  /** Builds this daemon's part of the next digest, the accounts with the largest changes first. */
+  readonly buildDigest: (nowMs: Core.Millis, maxAccounts: number) => FleetShares.ServiceDigest;
+  /** Charges the accounts with what the other daemons, summed up, have served them. */
+  readonly applyDigest: (digest: FleetShares.ServiceDigest) => void;
   readonly getQueueSnapshot: () => FairQueue.QueueSnapshot;
   readonly listEstimates: () => readonly ServerChoice.ServerEstimate[];
   readonly getOutliers: () => Outliers.OutlierState;
@@ -165,6 +170,13 @@
 /** Time in which an observed time to the first token loses two thirds of its weight. */
 const SERVICE_TIME_FADING_MS = 3_000;
 
+/** Service is shared fairly inside a tier of a pool, so that is what digests count. */
+function formatShareKey(
+  { account, class: { tier }, pool }: Pick<ScheduledRequest, 'account' | 'class' | 'pool'>,
+): string {
+  return `${tier} ${account} ${pool}`;
+}
+
 /** Weight of a new observation of the time to the first token. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
@@ -181,6 +193,7 @@
   const chooser = ServerChoice.createServerChooser(options.choice);
   const lengths = LengthEstimate.createLengthEstimates(options.length);
   const queue = FairQueue.createFairQueue<Waiting>(options.queue);
+  const shares = FleetShares.createFleetShares();
   const rates = new Map<string, ServiceRate.ServiceRate>();
   const running = new Map<string, Running>();
   const reserves = new Map<string, SlotReserve.SlotReserve>();
@@ -282,6 +295,7 @@
     const choice = chooser.chooseServer(choiceRequest, nowMs, random).extract();
     if ('_tag' in choice) return undefined;
     chooser.recordDispatch(choiceRequest, choice, nowMs);
+    shares.recordService(formatShareKey(request), request.promptTokens * PROMPT_TOKEN_WORK);
     const isSaturated = queue.countRequests(pool) > 0;
     getRate(pool).recordDispatch(request.class.tier, costTokens, nowMs, isSaturated);
     running.set(request.requestId, {
@@ -384,7 +398,10 @@
   const correctCharge = (entry: Running, step: LengthEstimate.ChargeStep): void => {
     const current = entry;
     current.charge = step.charge;
-    if (step.deltaTokens !== 0) queue.recordTokens(entry.request, step.deltaTokens);
+    if (step.deltaTokens !== 0) {
+      const { account, class: { tier }, pool } = entry.request;
+      queue.recordTokens({ account, pool, tier }, step.deltaTokens);
+    }
   };
 
   const submitRequest: Scheduler['submitRequest'] = (request, nowMs) => {
@@ -423,6 +440,14 @@
     });
   };
 
+  const applyDigest = (digest: FleetShares.ServiceDigest): void => {
+    shares.applyDigest(digest).forEach(({ account: key, tokens }) => {
+      const [tier, account, pool] = key.split(' ');
+      if (account === undefined || pool === undefined) return;
+      queue.recordTokens({ account, pool, tier: Number(tier) }, tokens);
+    });
+  };
+
   return {
     advanceTime: (nowMs) => {
       const expired = queue.shedExpired(nowMs).map((shed) => refuseShed(shed, nowMs));
@@ -430,6 +455,8 @@
       const step = startAll(nowMs);
       return { refusals: [...expired, ...step.refusals], starts: step.starts };
     },
+    applyDigest,
+    buildDigest: shares.buildDigest,
     cancelRequest: (requestId, nowMs) => {
       const removed = queue.removeRequest(requestId);
       if (removed === undefined) return;
@@ -482,6 +509,7 @@
         chooser.recordGap(entry.serverId, (nowMs - entry.lastTokenMs) / tokens);
       }
       entry.lastTokenMs = nowMs;
+      shares.recordService(formatShareKey(entry.request), tokens);
       correctCharge(entry, LengthEstimate.addDeliveredTokens(entry.charge, tokens));
     },
     resumeRequest: (request, nowMs) => RetryBudget.claimRetry(retries).caseOf<ScheduleStep>({
--- a/packages/scheduling/src/__tests__/unit/Properties.test.ts
+++ b/packages/scheduling/src/__tests__/unit/Properties.test.ts
@@ -201,7 +201,10 @@
         dequeueRequest: (pool, nowMs) => {
           const result = queue.dequeueRequest(pool, nowMs);
           const { request } = result;
-          if (request !== undefined) queue.recordTokens(request, 1 - request.costTokens);
+          if (request !== undefined) {
+            const { account, class: { tier } } = request;
+            queue.recordTokens({ account, pool, tier }, 1 - request.costTokens);
+          }
           return result;
         },
       };
