Add membership over connect, the server directory and the isolation rule in the daemon

Cause: daemons did not know each other, every daemon tailed the configuration itself, no peer could vouch for the log, and a backend server had only the VM list as a signal.

Ruled out: digests with every sequence to every member (2,600 daemons: 82 members would cost each member two lists a second); trusting a peer's contact with the log from its arrival; forgetting a summary that is stale (a peer that still passes it on would renew it); a chain of awaited reads on a long-lived stream (it grows with the stream).

An unknown key gets 503 and not 401 while the daemon is isolated, because its issue may not have been read. The tail of the configuration reads again what an answer left out.

Faults found by the two-process test and then guarded by unit tests that fail without the fix: two data centres that open to each other at once learnt addresses without a summary and stayed apart; a summary that still named a lost relay kept it from being tried again.

--- a/packages/config/src/ConfigTail.ts
+++ b/packages/config/src/ConfigTail.ts
@@ -15,13 +15,15 @@
 const READ_WAIT_MS = 1_000;
 /** Entries in one read. */
 const READ_LIMIT = 500;
-/** Wait after the first failed read, and while the tail rests, in milliseconds. */
-const RETRY_MS = 200;
+/** Wait while the tail rests, in milliseconds. */
+const REST_MS = 200;
+/** Shortest time between two reads of which the first found nothing, in milliseconds. */
+const EMPTY_READ_MS = 50;
 /**
- * Longest wait between failed reads, in milliseconds. In an outage every daemon reads, because no
- * relay can; this bounds 2,600 daemons to 1,700 reads a second.
+ * Wait after failed reads. In an outage every daemon reads, because no relay can; the maximum
+ * bounds 2,600 daemons to 1,700 reads a second.
  */
-const RETRY_MAX_MS = 3_000;
+const BACKOFF = { baseMs: 200, maxMs: 3_000 };
 
 /** What a tail needs. */
 export interface ConfigTailOptions {
@@ -45,24 +47,46 @@
   let failures = 0;
 
   const waitAfterFailure = (): Effect.Effect<void> => {
-    const longestMs = Math.min(RETRY_MAX_MS, RETRY_MS * (2 ** failures));
     failures += 1;
-    return Effect.sleep(Duration.millis((longestMs * (1 + readRandom())) / 2));
+    return Effect.sleep(Duration.millis(Log.computeBackoffMs(failures, BACKOFF, readRandom)));
   };
 
-  const handlePage = (page: Log.LogPage, askedMs: Core.Millis): void => {
+  const handleGap = (first: number): void => {
+    store.applyEvent({ _tag: 'gap', firstOffset: first });
+    position = { after: first - 1, next: first };
+  };
+
+  /** Applies a page; false when entries that the log retains were left out of it. */
+  const handlePage = (page: Log.LogPage, askedMs: Core.Millis): boolean => {
+    if (page.first > position.next) handleGap(page.first);
+    const { after, next } = position;
+    const entries = page.entries.filter(({ offset }, index) => offset === next + index);
+    store.applyEvent({ _tag: 'entries', afterOffset: after, entries });
+    const last = entries[entries.length - 1];
+    if (last !== undefined) position = { after: last.offset, next: last.offset + 1 };
+    if (entries.length < page.entries.length) return false;
     failures = 0;
-    store.applyEvent({ _tag: 'entries', afterOffset: position.after, entries: page.entries });
-    const last = page.entries[page.entries.length - 1];
-    position = { after: last?.offset ?? position.after, next: page.next };
     // A full page says that the log holds more than was read.
     if (page.entries.length < READ_LIMIT && !ConfigReader.isInGap(store.getReader())) {
       store.recordContact(askedMs);
     }
+    return true;
+  };
+
+  const waitAfterPage = (
+    page: Log.LogPage,
+    askedMs: Core.Millis,
+    complete: boolean,
+  ): Effect.Effect<void> => {
+    if (!complete) return waitAfterFailure();
+    // A log that does not wait for entries must not be asked in a busy loop.
+    const spareMs = askedMs + EMPTY_READ_MS - clock.readMonotonic();
+    if (page.entries.length > 0 || spareMs <= 0) return Effect.void;
+    return Effect.sleep(Duration.millis(spareMs));
   };
 
   const readOnce = Effect.suspend(() => {
-    if (!isActive()) return Effect.sleep(Duration.millis(RETRY_MS));
+    if (!isActive()) return Effect.sleep(Duration.millis(REST_MS));
     const { offset } = store.getState();
     if (offset >= position.next) position = { after: offset, next: offset + 1 };
     const askedMs = clock.readMonotonic();
@@ -70,14 +94,15 @@
       from: position.next,
       limit: READ_LIMIT,
       stream: Log.STREAMS.config,
-      // Without a recent answer the first one is wanted at once.
+      // Without any contact yet the first answer is wanted at once.
       waitMs: store.getOwnContactMs() === undefined ? 0 : READ_WAIT_MS,
     }).pipe(
-      Effect.map((page) => handlePage(page, askedMs)),
-      Effect.catchTag('LogOffsetExpiredError', ({ first }) => Effect.sync(() => {
-        store.applyEvent({ _tag: 'gap', firstOffset: first });
-        position = { after: first - 1, next: first };
-      })),
+      Effect.flatMap((page) => waitAfterPage(page, askedMs, handlePage(page, askedMs))),
+      Effect.catchTag('LogOffsetExpiredError', ({ first }) => {
+        if (first <= position.next) return waitAfterFailure();
+        handleGap(first);
+        return Effect.void;
+      }),
       Effect.catchTag('LogUnavailableError', (error) => {
         onFailure?.(error);
         return waitAfterFailure();
--- a/packages/config/src/Settings.ts
+++ b/packages/config/src/Settings.ts
@@ -64,6 +64,8 @@
   operator: ListenAddress,
   /** Towards other daemons. */
   peer: ListenAddress,
+  /** `host:port` at which other daemons reach this one; by default that of `peer`. */
+  peerAddress: Schema.optional(Schema.String.pipe(Schema.pattern(/^\S+:[0-9]+$/))),
   /** Base addresses of the platform's interfaces. */
   platform: Schema.Struct({
     logUrl: Url,
--- a/packages/config/src/__tests__/unit/ConfigStore.test.ts
+++ b/packages/config/src/__tests__/unit/ConfigStore.test.ts
@@ -142,6 +142,30 @@
     expect(store.isReady()).toBe(false);
   });
 
+  // Guards against an entry that is left out of one answer and then missing for good.
+  test('reads again what an answer left out', async () => {
+    const entries = buildIssues(8);
+    const whole = createFakePort(entries, 0);
+    let answers = 0;
+    const port: Log.LogPort = {
+      ...whole,
+      read: (request) => {
+        answers += 1;
+        const isFirst = answers === 1;
+        return whole.read(request).pipe(Effect.map((page) => ({
+          ...page, entries: page.entries.filter(({ offset }) => !isFirst || offset !== 3),
+        })));
+      },
+    };
+    const store = Config.createConfigStore(Core.systemClock, 60_000);
+    const stop = Config.startConfigTail({ clock: Core.systemClock, port, store });
+    await vi.waitUntil(() => store.getState().offset === 2);
+    expect(store.getContact()).toBeUndefined();
+    await vi.waitUntil(() => store.getContact() !== undefined);
+    stop();
+    expect(store.getState().keys.size).toBe(8);
+  });
+
   test('rests while it is not active and goes on behind the state of a peer', async () => {
     let isActive = false;
     const entries = buildIssues(8);
--- a/packages/daemon/src/ConfigPart.ts
+++ b/packages/daemon/src/ConfigPart.ts
@@ -1,34 +1,38 @@
 /** Part: follows the configuration stream and ends the requests of withdrawn keys. */
 import * as Config from '@berylyoke/config';
 import * as Core from '@berylyoke/core';
-import * as Log from '@berylyoke/log';
+import type * as Log from '@berylyoke/log';
 import type * as ActiveRequests from './ActiveRequests.js';
 import type * as DaemonContext from './DaemonContext.js';
 
-/** Store of the configuration in force, fed by the log. */
+/** Store of the configuration in force, fed by the log and by peers. */
 export interface ConfigSource extends DaemonContext.ConfigView {
   readonly close: Core.Undo;
 }
 
 /** Starts to follow the configuration stream. */
-export function createConfigSource(log: Log.LogClient): ConfigSource {
-  let state = Config.initialConfigState;
-  const listeners = new Set<(next: Config.ConfigState) => void>();
-  const undoReader = log.registerReader(Log.STREAMS.config, 0, {
-    onEntry: (entry) => {
-      state = Config.reduceConfig(state, entry);
-      listeners.forEach((listener) => listener(state));
-    },
+export function createConfigSource(
+  port: Log.LogPort,
+  clock: Core.Clock,
+  isolationMs: Core.Millis,
+): ConfigSource {
+  const store = Config.createConfigStore(clock, isolationMs);
+  let isTailNeeded = (): boolean => true;
+  const close = Config.startConfigTail({
+    clock, isActive: () => isTailNeeded(), port, store,
   });
   return {
-    close: undoReader,
-    getState: () => state,
-    registerListener: (listener) => {
-      listeners.add(listener);
+    close,
+    getState: store.getState,
+    registerListener: store.registerListener,
+    registerTailRule: (rule) => {
+      const before = isTailNeeded;
+      isTailNeeded = rule;
       return () => {
-        listeners.delete(listener);
+        isTailNeeded = before;
       };
     },
+    store,
   };
 }
 
@@ -55,9 +59,10 @@
         context.settings.timing.withdrawnGraceMs,
       ).unref();
     }),
-    context.registerReadiness('config', () => (
-      version > 0 ? undefined : 'no configuration was read yet'
-    )),
+    context.registerReadiness('config', () => {
+      if (!context.config.store.isReady()) return 'entries of the configuration are missing';
+      return version > 0 ? undefined : 'no configuration was read yet';
+    }),
     context.registerStatus('config', () => {
       const { keys, offset, lists } = context.config.getState();
       return {
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -71,12 +71,14 @@
   };
   const root = Core.createLogger(settings.logLevel, { daemon: settings.daemonId });
   const logger = Core.getPartLogger(root, 'daemon');
-  const log = Log.createLogClient(Log.createHttpLog(settings.platform.logUrl), writer, clock);
-  const config = ConfigPart.createConfigSource(log);
+  const logPort = Log.createHttpLog(settings.platform.logUrl);
+  const log = Log.createLogClient(logPort, writer, clock);
+  const config = ConfigPart.createConfigSource(logPort, clock, settings.timing.isolationMs);
   const servers = ServersPart.createServerSource(
     settings.platform.vmListUrl,
     settings.timing.vmListMs,
     Core.getPartLogger(root, 'membership'),
+    clock,
   );
   const readiness = createRegistry<DaemonContext.ReadinessCheck>();
   const status = createRegistry<DaemonContext.StatusSection>();
--- a/packages/daemon/src/DaemonContext.ts
+++ b/packages/daemon/src/DaemonContext.ts
@@ -2,6 +2,7 @@
 import type * as Config from '@berylyoke/config';
 import type * as Core from '@berylyoke/core';
 import type * as Log from '@berylyoke/log';
+import type * as Membership from '@berylyoke/membership';
 import type * as ActiveRequests from './ActiveRequests.js';
 import type * as Explanations from './Explanations.js';
 import type * as PathPorts from './PathPorts.js';
@@ -17,12 +18,17 @@
 export interface ConfigView {
   readonly getState: () => Config.ConfigState;
   readonly registerListener: (listener: (state: Config.ConfigState) => void) => Core.Undo;
+  readonly store: Config.ConfigStore;
+  /** Decides when this daemon reads the log itself instead of waiting for a relay. */
+  readonly registerTailRule: (isTailNeeded: () => boolean) => Core.Undo;
 }
 
 /** Backend servers as last known; the array is replaced as a whole. */
 export interface ServerView {
   readonly getServers: () => readonly PathTypes.BackendServer[];
   readonly registerListener: (listener: () => void) => Core.Undo;
+  /** Takes notices and failures as signals that a server is leaving. */
+  readonly directory: Membership.ServerDirectory;
 }
 
 /** Core of a daemon. */
--- a/packages/daemon/src/Identify.ts
+++ b/packages/daemon/src/Identify.ts
@@ -19,8 +19,10 @@
   const match = BEARER_PATTERN.exec(headers.authorization ?? '');
   const parsed = match === null ? undefined : Config.parseKey(match[1] ?? '');
   const known = parsed === undefined ? undefined : state.keys.get(parsed.keyId);
-  if (parsed === undefined || known === undefined) {
-    return Refusal.createRefusal('invalid_key', INVALID);
+  if (parsed === undefined) return Refusal.createRefusal('invalid_key', INVALID);
+  if (known === undefined) {
+    // An isolated daemon may not have read the issue of this key yet.
+    return guard.check(nowMs) ?? Refusal.createRefusal('invalid_key', INVALID);
   }
   if (!Config.isSecretOf(known.digest, parsed.secret)) {
     return Refusal.createRefusal('invalid_key', INVALID);
--- a/packages/daemon/src/Parts.ts
+++ b/packages/daemon/src/Parts.ts
@@ -1,10 +1,12 @@
 /** All parts of a daemon, in the order in which they register. */
 import * as ConfigPart from './ConfigPart.js';
 import type * as DaemonContext from './DaemonContext.js';
+import * as MembershipPart from './MembershipPart.js';
 import * as ServersPart from './ServersPart.js';
 
 /** Parts by name; they are undone in reverse order. */
 export const PARTS: readonly DaemonContext.RegisterPart[] = [
   ConfigPart.registerConfigPart,
   ServersPart.registerServersPart,
+  MembershipPart.registerMembershipPart,
 ];
--- a/packages/daemon/src/ServersPart.ts
+++ b/packages/daemon/src/ServersPart.ts
@@ -1,64 +1,40 @@
 /** Part: follows the platform's lagging list of VMs. */
 import * as Core from '@berylyoke/core';
-import * as Effect from 'effect/Effect';
-import * as Schema from 'effect/Schema';
+import * as Membership from '@berylyoke/membership';
 import type * as DaemonContext from './DaemonContext.js';
 import type * as PathTypes from './PathTypes.js';
 
-const Vm = Schema.Struct({
-  address: Schema.String,
-  dataCentre: Schema.String,
-  id: Schema.String,
-  kind: Schema.Literal('cheap', 'dear'),
-  models: Schema.Array(Schema.String),
-  priceCents: Schema.Number,
-  role: Schema.Literal('engine', 'entry', 'service'),
-  service: Schema.optional(Schema.String),
-  state: Schema.Literal('leaving', 'live'),
-});
-const decodeVms = Schema.decodeUnknown(Schema.Array(Vm));
-
 /** List of backend servers, refreshed from the platform. */
 export interface ServerSource extends DaemonContext.ServerView {
   readonly close: Core.Undo;
 }
 
+/** Converts a server of the directory: the path only asks whether it may get new work. */
+function toPathServer(server: Membership.BackendServer): PathTypes.BackendServer {
+  return { ...server, state: server.state === 'live' ? 'live' : 'leaving' };
+}
+
 /** Starts to follow the list; a failed poll keeps the last known list. */
 export function createServerSource(
   vmListUrl: string,
   intervalMs: Core.Millis,
   logger: Core.Logger,
+  clock: Core.Clock,
 ): ServerSource {
   let servers: readonly PathTypes.BackendServer[] = [];
-  const listeners = new Set<() => void>();
-  const poll = Core.requestJson({
-    method: 'GET', timeoutMs: intervalMs, url: `${vmListUrl}/vms`,
-  }).pipe(
-    Effect.flatMap(({ body }) => decodeVms(body)),
-    Effect.match({
-      onFailure: (error) => logger.warn({ reason: error._tag }, 'VM list is not available'),
-      onSuccess: (vms) => {
-        servers = vms.flatMap(({ role, service, ...vm }) => (
-          role === 'entry' ? [] : [{ ...vm, role, service }]
-        ));
-        listeners.forEach((listener) => listener());
-      },
-    }),
-  );
-  const run = (): void => {
-    Effect.runFork(poll);
-  };
-  const timer = setInterval(run, intervalMs);
-  run();
+  const directory = Membership.createServerDirectory({
+    clock,
+    onFailure: ({ reason }) => logger.warn({ reason }, 'VM list is not available'),
+    port: Membership.createHttpVmList(vmListUrl, intervalMs),
+  });
+  const undoListener = directory.registerListener((snapshot) => {
+    servers = snapshot.servers.map(toPathServer);
+  });
   return {
-    close: () => clearInterval(timer),
+    close: Core.mergeUndos(undoListener, directory.start(intervalMs)),
+    directory,
     getServers: () => servers,
-    registerListener: (listener) => {
-      listeners.add(listener);
-      return () => {
-        listeners.delete(listener);
-      };
-    },
+    registerListener: (listener) => directory.registerListener(() => listener()),
   };
 }
 
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -4,5 +4,6 @@
 export * from './LogClientOptions.js';
 export * from './LogPort.js';
 export * from './LogRecord.js';
+export { computeBackoffMs } from './Backoff.js';
 export type { AppenderCounts } from './Appender.js';
 export type { LogReader, TailCounts, TailStatus } from './Tail.js';
--- a/packages/membership/src/Member.ts
+++ b/packages/membership/src/Member.ts
@@ -4,6 +4,11 @@
 /** Status of a daemon; the values are those of the protocol, and a greater one counts more. */
 export const STATUS = { leaving: 2, live: 1, lost: 3 } as const;
 
+/** Names of the statuses, for people. */
+export const STATUS_NAMES: Readonly<Record<number, string>> = {
+  [STATUS.leaving]: 'leaving', [STATUS.live]: 'live', [STATUS.lost]: 'lost',
+};
+
 /** One daemon as stated in a message. */
 export interface Member {
   readonly daemonId: string;
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -47,7 +47,7 @@
   readonly clock: Core.Clock;
   readonly store: Config.ConfigStore;
   readonly transport: PeerLink.PeerTransport;
-  readonly getSeeds: () => readonly string[];
+  readonly getSeeds: () => readonly Topology.Seed[];
   readonly logger?: Core.Logger;
 }
 
--- a/packages/membership/src/ServerDirectory.ts
+++ b/packages/membership/src/ServerDirectory.ts
@@ -5,6 +5,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
+import type * as Topology from './Topology.js';
 import type * as VmList from './VmList.js';
 
 /** What a server may be given: new work, no new work, or nothing until it is heard of again. */
@@ -31,8 +32,8 @@
   readonly version: number;
   /** In order of id. */
   readonly servers: readonly BackendServer[];
-  /** Addresses of entry VMs in the list. */
-  readonly entryAddresses: readonly string[];
+  /** Entry VMs that the list calls live. */
+  readonly entries: readonly Topology.Seed[];
   /** Monotonic time of the last list; undefined before the first. */
   readonly listedMs: Core.Millis | undefined;
 }
@@ -75,7 +76,7 @@
 /** State of the directory. */
 export interface DirectoryState {
   readonly known: ReadonlyMap<string, KnownServer>;
-  readonly entryAddresses: readonly string[];
+  readonly entries: readonly Topology.Seed[];
   readonly listedMs: Core.Millis | undefined;
 }
 
@@ -100,7 +101,7 @@
 
 /** State before the first list. */
 export const initialDirectoryState: DirectoryState = {
-  entryAddresses: [], known: new Map(), listedMs: undefined,
+  entries: [], known: new Map(), listedMs: undefined,
 };
 
 type Reduce<Event extends DirectoryEvent> = (
@@ -142,9 +143,9 @@
     }] as const;
   });
   return {
-    entryAddresses: vms
+    entries: vms
       .filter((vm) => vm.role === 'entry' && vm.state === 'live')
-      .map(({ address }) => address),
+      .map(({ address, dataCentre }) => ({ address, dataCentre })),
     known: new Map([...kept, ...fresh]),
     listedMs: nowMs,
   };
@@ -230,8 +231,8 @@
 }
 
 function isSame(a: DirectorySnapshot, b: DirectorySnapshot): boolean {
-  return JSON.stringify([a.servers, a.entryAddresses])
-    === JSON.stringify([b.servers, b.entryAddresses]);
+  return JSON.stringify([a.servers, a.entries])
+    === JSON.stringify([b.servers, b.entries]);
 }
 
 /** Creates an empty directory. */
@@ -241,15 +242,15 @@
   const listeners = new Set<(snapshot: DirectorySnapshot) => void>();
   let state = initialDirectoryState;
   let snapshot: DirectorySnapshot = {
-    entryAddresses: [], listedMs: undefined, servers: [], version: 0,
+    entries: [], listedMs: undefined, servers: [], version: 0,
   };
 
   // A failed server is tried again by the passage of time, so each poll renews the snapshot.
   const updateSnapshot = (): void => {
-    const { entryAddresses, listedMs } = state;
+    const { entries, listedMs } = state;
     const servers = listServers(state, clock.readMonotonic(), bounds);
     const next = {
-      entryAddresses, listedMs, servers, version: snapshot.version + 1,
+      entries, listedMs, servers, version: snapshot.version + 1,
     };
     if (isSame(next, snapshot)) {
       snapshot = { ...snapshot, listedMs };
--- a/packages/membership/src/Topology.ts
+++ b/packages/membership/src/Topology.ts
@@ -149,35 +149,55 @@
   return { dataCentres: listDataCentres(state, ownValues), members, regions };
 }
 
+/** An address from the settings or the VM list; the list also tells the data centre. */
+export interface Seed {
+  readonly address: string;
+  readonly dataCentre: string | undefined;
+}
+
 /** What the plan of streams looks at besides the view. */
 export interface PlanInput {
   readonly state: MembershipState.MembershipState;
-  /** Addresses from the settings and the VM list. */
-  readonly seeds: readonly string[];
+  readonly seeds: readonly Seed[];
   /** Grows with each interval, so that unknown seeds are tried in turn. */
   readonly round: number;
 }
 
-/** Lists addresses that the view accounts for. */
+/**
+ * Lists addresses that the view accounts for. A member of another data centre does as long as that
+ * data centre has a summary, because a stream to its relay follows from it.
+ */
 function listKnownAddresses(state: MembershipState.MembershipState): ReadonlySet<string> {
+  const summaries = [...chooseSummaries(state.dataCentres), ...chooseSummaries(state.regions)];
+  const scopes = new Set([state.self.dataCentre, ...summaries.map(({ scope }) => scope)]);
+  const members = [...state.members.values()].map(({ member }) => member);
+  // A summary may still name a relay that is lost here; its address is tried again.
+  const lost = new Set(members
+    .filter(({ status }) => status === Member.STATUS.lost)
+    .map(({ address }) => address));
   return new Set([
     state.self.address,
-    ...[...state.members.values()]
-      .filter(({ member }) => member.status !== Member.STATUS.lost)
-      .map(({ member }) => member.address),
-    ...[...state.dataCentres.values(), ...state.regions.values()]
-      .flatMap(({ summary }) => summary.addresses),
-  ]);
+    ...members.filter(({ dataCentre }) => scopes.has(dataCentre)).map(({ address }) => address),
+    ...summaries.flatMap(({ addresses }) => addresses),
+  ].filter((address) => !lost.has(address)));
 }
 
 /** Heartbeat intervals for which one unknown seed is tried. */
 const PROBE_ROUNDS = 3;
 
-/** Chooses one address that the view does not account for, in turn. */
+/**
+ * Chooses one address that the view does not account for, in turn. A daemon that knows no neighbour
+ * tries those of its own data centre first: any of them names the relays.
+ */
 function chooseProbe({ round, seeds, state }: PlanInput): readonly Target[] {
   const known = listKnownAddresses(state);
-  const unknown = seeds.filter((address) => !known.has(address));
-  const address = unknown[Math.floor(round / PROBE_ROUNDS) % Math.max(1, unknown.length)];
+  const unknown = seeds.filter(({ address }) => !known.has(address));
+  const near = MembershipState.listNeighbours(state).length > 1
+    ? []
+    : unknown.filter(({ dataCentre }) => dataCentre === state.self.dataCentre);
+  const candidates = near.length > 0 ? near : unknown;
+  const turn = Math.floor(round / PROBE_ROUNDS) % Math.max(1, candidates.length);
+  const address = candidates[turn]?.address;
   return address === undefined ? [] : [{ address, purpose: 'probe' }];
 }
 
--- a/packages/membership/src/__tests__/exploreFleet.ts
+++ b/packages/membership/src/__tests__/exploreFleet.ts
@@ -56,12 +56,15 @@
 // The first two daemons of each data centre are known beforehand.
 const seeds = names.slice(0, dataCentreCount * 2).map((name) => `${name}:1`);
 
-const fleet = FakeFleet.createFakeFleet(seeds, (message, daemonId) => {
-  if (!counting) return;
-  const cost = costs.get(daemonId) ?? { sentBytes: 0, sentMessages: 0 };
-  costs.set(daemonId, {
-    sentBytes: cost.sentBytes + measureBytes(message), sentMessages: cost.sentMessages + 1,
-  });
+const fleet = FakeFleet.createFakeFleet(seeds, {
+  getDataCentre: (address) => `dc-${address.split('-')[1]}`,
+  onSend: (message, daemonId) => {
+    if (!counting) return;
+    const cost = costs.get(daemonId) ?? { sentBytes: 0, sentMessages: 0 };
+    costs.set(daemonId, {
+      sentBytes: cost.sentBytes + measureBytes(message), sentMessages: cost.sentMessages + 1,
+    });
+  },
 });
 names.forEach((name, i) => {
   const dataCentre = dataCentreOf(i);
--- a/packages/membership/src/__tests__/support/FakeFleet.ts
+++ b/packages/membership/src/__tests__/support/FakeFleet.ts
@@ -41,16 +41,32 @@
   handlers: Membership.PeerLinkHandlers | undefined;
 }
 
+/** How a fake fleet differs from the default. */
+export interface FakeFleetOptions {
+  /** Called for each message that a daemon sends. */
+  readonly onSend?: (message: Membership.PeerMessage, daemonId: string) => void;
+  /** Data centre of a seed, where the list tells it. */
+  readonly getDataCentre?: (address: string) => string | undefined;
+  /** Intervals that a message takes. */
+  readonly delayIntervals?: number;
+}
+
 /** Creates a fleet without daemons. `seeds` are the addresses that every daemon knows. */
 export function createFakeFleet(
   seeds: readonly string[],
-  onSend: (message: Membership.PeerMessage, daemonId: string) => void = () => undefined,
+  {
+    delayIntervals = 0, getDataCentre = () => undefined, onSend = () => undefined,
+  }: FakeFleetOptions = {},
 ): FakeFleet {
   const clock = Core.createManualClock(1_000_000);
   const daemons = new Map<string, FakeDaemon>();
   const queue: (() => void)[] = [];
+  const delayed: (() => void)[][] = Array.from({ length: delayIntervals }, () => []);
   let decideFate: (opener: string, accepter: string) => Fate = () => 'deliver';
   let messages = 0;
+  const listSeeds = (): readonly Membership.Seed[] => seeds.map((address) => ({
+    address, dataCentre: getDataCentre(address),
+  }));
 
   const createLink = (
     opener: string,
@@ -70,7 +86,9 @@
       onSend(message, message.sender.daemonId);
       const copies = { deliver: 1, lose: 0, repeat: 2 }[decideFate(opener, accepter)];
       Array.from({ length: copies }).forEach(() => {
-        queue.push(() => other.handlers?.onMessage(message));
+        const handle = (): void => other.handlers?.onMessage(message);
+        if (delayIntervals === 0) queue.push(handle);
+        else delayed[delayIntervals - 1]?.push(handle);
       });
     },
   });
@@ -111,6 +129,8 @@
     run: (intervals) => {
       Array.from({ length: intervals }).forEach(() => {
         clock.advance(TIMING.heartbeatMs);
+        queue.push(...delayed.shift() ?? []);
+        delayed.push([]);
         daemons.forEach(({ membership }) => membership.runInterval());
         deliver();
       });
@@ -123,7 +143,7 @@
       const store = Config.createConfigStore(clock, 10_000);
       const membership = Membership.createMembership({
         clock,
-        getSeeds: () => seeds.filter((seed) => seed !== address),
+        getSeeds: () => listSeeds().filter((seed) => seed.address !== address),
         self: {
           address, daemonId: id, dataCentre, incarnation, region,
         },
--- a/packages/membership/src/__tests__/unit/ConnectPeers.test.ts
+++ b/packages/membership/src/__tests__/unit/ConnectPeers.test.ts
@@ -30,7 +30,7 @@
   });
   const membership = Membership.createMembership({
     clock: Core.systemClock,
-    getSeeds: () => seeds,
+    getSeeds: () => seeds.map((address) => ({ address, dataCentre: undefined })),
     self: {
       address: server.address, daemonId, dataCentre: 'dc', incarnation, region: 'r',
     },
--- a/packages/membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/membership/src/__tests__/unit/Membership.test.ts
@@ -63,6 +63,16 @@
     });
   });
 
+  // Guards against daemons that learn each other's address but no summary, when both open at once.
+  test('two data centres find each other when answers take longer than an interval', () => {
+    const fleet = FakeFleet.createFakeFleet(['a0:1', 'b0:1'], { delayIntervals: 1 });
+    ['a0', 'b0'].forEach((id) => fleet.start(id, `dc-${id[0]}`, 'r'));
+    fleet.run(SETTLE);
+    fleet.daemons.forEach(({ membership }) => {
+      expect(membership.getView().dataCentres.map(({ live }) => live)).toEqual([1, 1]);
+    });
+  });
+
   test('a planned stop is known to the neighbour before its next interval', () => {
     const fleet = startSmallFleet();
     fleet.run(SETTLE);
@@ -138,6 +148,18 @@
     expect(fleet.get(relays[0] ?? '').membership.getCounts().acceptedStreams).toBe(5);
   });
 
+  // Guards against a summary that still names a lost relay and so keeps it from being tried again.
+  test('two daemons that lost each other for long find each other again', () => {
+    const fleet = startDataCentre(2);
+    fleet.run(SETTLE);
+    fleet.setFate(() => 'lose');
+    fleet.run(10);
+    expect(listStatuses(fleet.get('m0'))).toEqual({ m0: 1, m1: Membership.STATUS.lost });
+    fleet.setFate(() => 'deliver');
+    fleet.run(6);
+    fleet.daemons.forEach((daemon) => expect(listStatuses(daemon)).toEqual({ m0: 1, m1: 1 }));
+  });
+
   test('views agree once messages arrive again, after any loss and repetition', () => {
     const anyFates = fc.array(fc.constantFrom<FakeFleet.Fate>('deliver', 'lose', 'repeat'), {
       minLength: 1,
--- a/packages/membership/src/__tests__/unit/ServerDirectory.test.ts
+++ b/packages/membership/src/__tests__/unit/ServerDirectory.test.ts
@@ -120,7 +120,7 @@
     list(buildVm('b'));
     expect(listener).toHaveBeenCalledTimes(2);
     expect(before.servers.map(({ state }) => state)).toEqual(['live']);
-    expect(before.entryAddresses).toEqual(['e:1']);
+    expect(before.entries).toEqual([{ address: 'e:1', dataCentre: 'dc' }]);
   });
 
   test('no list or success of a lagging platform gives work to a server within the bound', () => {
