--- a/packages/once/src/ClaimService.ts
+++ b/packages/once/src/ClaimService.ts
@@ -60,7 +60,8 @@
   readonly pendingRecords: number;
   /** Releases and results that were given up because too many waited. */
   readonly droppedRecords: number;
-  readonly keys: number;
+  /** Claims and releases that the tables hold. */
+  readonly claims: number;
   readonly storedBytes: number;
   readonly skippedRecords: number;
 }
@@ -249,7 +250,7 @@
     const silentMs = clock.readMonotonic() - (lastContactMs ?? -Infinity);
     if (silentMs > limits.contactMs) return 'log-unavailable';
     if (!caughtUp) return 'behind';
-    return ClaimTable.countKeys(shard.table) >= limits.keysPerShard ? 'table-full' : undefined;
+    return ClaimTable.countClaims(shard.table) >= limits.claimsPerShard ? 'table-full' : undefined;
   };
 
   const createPermit = (
@@ -301,6 +302,8 @@
       Core.invariant(shard !== undefined, 'The shard of a key is one of the configured shards.');
       const claimId = Core.createId();
       let call = ClaimCall.createClaimCall(limits.sendWithinMs);
+      // A claim that was never sent to the log needs no release.
+      let canAppear = true;
       const step = (event: ClaimCall.CallEvent): readonly ClaimCall.CallAction[] => {
         const next = ClaimCall.reduceCall(call, event, clock.readMonotonic());
         call = next.call;
@@ -321,8 +324,7 @@
           bodyDigest: key.bodyDigest, claimId, keyDigest: key.keyDigest,
         };
         const record = Log.createRecord(log.writer, OnceRecords.ONCE_KINDS.claim, body);
-        return log.appendAndReadBack(shard.stream, record).pipe(
-          Effect.timeout(Duration.millis(limits.readBackMs)),
+        return log.appendAndReadBack(shard.stream, record, { timeoutMs: limits.readBackMs }).pipe(
           Effect.map((): ClaimCall.CallEvent => {
             // Without the whole window an earlier claim of the key may have been missed.
             if (!ClaimTable.isComplete(shard.table)) return { _tag: 'ReadBackTimedOut' };
@@ -332,7 +334,10 @@
               standing: getStanding(shard, key),
             };
           }),
-          Effect.orElseSucceed((): ClaimCall.CallEvent => ({ _tag: 'ReadBackTimedOut' })),
+          Effect.catchAll(({ sent }) => Effect.sync((): ClaimCall.CallEvent => {
+            canAppear = sent !== false;
+            return { _tag: 'ReadBackTimedOut' };
+          })),
           Effect.map(step),
           Effect.onInterrupt(() => Effect.sync(() => {
             if (step({ _tag: 'Abandoned' }).some(({ _tag }) => _tag === 'AppendRelease')) {
@@ -350,7 +355,7 @@
             : refuse(reason);
         },
         AppendRelease: () => {
-          appendRelease(shard, key, claimId);
+          if (canAppear) appendRelease(shard, key, claimId);
           return undefined;
         },
         Permit: () => {
@@ -397,7 +402,7 @@
     ),
     getCounts: () => ({
       droppedRecords: dropped,
-      keys: shards.reduce((sum, { table }) => sum + ClaimTable.countKeys(table), 0),
+      claims: shards.reduce((sum, { table }) => sum + ClaimTable.countClaims(table), 0),
       pendingRecords: pending.size,
       permits,
       refusals: Object.fromEntries(refusals),
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 /** Small fakes of the platform's interfaces, each with a table of faults. */
+export * from './DemoChild.js';
 export * from './DemoLists.js';
 export * from './DemoProcess.js';
 export * from './DemoSystem.js';
@@ -7,6 +8,7 @@
 export * from './FakeLog.js';
 export * from './FakePlainService.js';
 export * from './FakeServer.js';
+export * from './FakeUsageReports.js';
 export * from './FakeVmList.js';
 export * from './Faults.js';
 export * from './HttpText.js';
