--- a/packages/daemon/src/Parts.ts
+++ b/packages/daemon/src/Parts.ts
@@ -2,6 +2,7 @@
 import * as ConfigPart from './ConfigPart.js';
 import type * as DaemonContext from './DaemonContext.js';
 import * as OncePart from './OncePart.js';
+import * as MembershipPart from './MembershipPart.js';
 import * as ServersPart from './ServersPart.js';
 import * as UsagePart from './UsagePart.js';
 
@@ -11,4 +12,5 @@
   ServersPart.registerServersPart,
   OncePart.registerOncePart,
   UsagePart.registerUsagePart,
+  MembershipPart.registerMembershipPart,
 ];
