Add the lease fold, the holder's rules and their properties

Cause: platform orders must never come from two processes that both believe they hold the lease, whatever pauses, losses and clock rates do.

Ruled out: trusting the first record after a gap (the mutant of that name makes two readers disagree). Records expire, so a reader after a gap takes as proof that a later claim names a retained record; when nobody knows the state, a reset claim is judged by a condition that all readers can check.

Change: Lease (fold), LeaseHolder (claim, renewal, belief, release, pause), a discrete-event simulation with 2 to 4 processes and clock rates 10 % apart from true time, and a table of eight weakened rules that the properties must catch.

--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,2 +1,4 @@
 /** Leases and fenced orders. */
-export {};
+export * from './DutyRecords.js';
+export * from './Lease.js';
+export * from './LeaseHolder.js';
