--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -19,13 +19,18 @@
   readonly headTimeoutMs: Core.Millis;
   /** Undefined where the call goes on after its caller has left. */
   readonly signal: AbortSignal | undefined;
+  /**
+   * Asked on a fresh connection in the event-loop turn of the first write; on false nothing is
+   * written and the call fails as not permitted.
+   */
+  readonly canSend?: (() => boolean) | undefined;
 }
 
 /** The call failed; `sent` is false where no byte can have left. */
 export interface BackendFailure {
   readonly _tag: 'BackendFailure';
   readonly sent: boolean;
-  readonly reason: 'aborted' | 'connection' | 'silent';
+  readonly reason: 'aborted' | 'connection' | 'not-permitted' | 'silent';
 }
 
 /** Sends a call and resolves at the answer's head, or with the failure; never rejects. */
@@ -35,6 +40,7 @@
   return new Promise((resolve) => {
     let sent = false;
     let isSilent = false;
+    let isPermitted = true;
     const [host, port] = call.address.split(':');
     const request = http.request({
       agent: call.agent ?? false,
@@ -56,7 +62,8 @@
     const fail = (): void => {
       clearTimeout(headTimer);
       call.signal?.removeEventListener('abort', abort);
-      const reason = isSilent ? 'silent' : 'connection';
+      const broken = isSilent ? 'silent' : 'connection';
+      const reason = isPermitted ? broken : 'not-permitted';
       resolve({
         _tag: 'BackendFailure', reason: call.signal?.aborted === true ? 'aborted' : reason, sent,
       });
@@ -69,7 +76,10 @@
       const timer = setTimeout(() => request.destroy(), call.connectTimeoutMs);
       socket.once('connect', () => {
         clearTimeout(timer);
-        sent = true;
+        // Node writes the waiting request after this listener, and nothing once destroyed.
+        isPermitted = call.canSend?.() ?? true;
+        if (isPermitted) sent = true;
+        else request.destroy();
       });
       socket.once('close', () => clearTimeout(timer));
     });
@@ -81,7 +91,9 @@
       answer.once('close', () => call.signal?.removeEventListener('abort', abort));
       resolve(answer);
     });
-    request.end(call.body);
+    // A caller that left while the request was queued has fired its event already.
+    if (call.signal?.aborted === true) abort();
+    else request.end(call.body);
   });
 }
 
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -53,13 +53,20 @@
 
 function createDefaultPorts(servers: DaemonContext.ServerView): PathPorts.PathPorts {
   return {
+    counters: {
+      applyHeartbeat: () => undefined,
+      applyLostPeer: () => undefined,
+      buildHeartbeat: () => new Uint8Array(),
+    },
     dispatch: DefaultDispatch.createDefaultDispatch(servers.getServers),
+    incarnations: { isEnded: () => false },
     keyGuard: { check: () => undefined },
     once: {
       claim: async () => (
         Refusal.createRefusal('log_unavailable', 'claims cannot be made now', CLAIM_RETRY_MS)
       ),
     },
+    reporting: { getAuthority: () => undefined },
     retry: DefaultRetry.createDefaultRetry(),
     usage: { record: () => undefined },
   };
@@ -75,12 +82,14 @@
   };
   const root = Core.createLogger(settings.logLevel, { daemon: settings.daemonId });
   const logger = Core.getPartLogger(root, 'daemon');
-  const log = Log.createLogClient(Log.createHttpLog(settings.platform.logUrl), writer, clock);
-  const config = ConfigPart.createConfigSource(log);
+  const logPort = Log.createHttpLog(settings.platform.logUrl);
+  const log = Log.createLogClient(logPort, writer, clock);
+  const config = ConfigPart.createConfigSource(logPort, clock, settings.timing.isolationMs);
   const servers = ServersPart.createServerSource(
     settings.platform.vmListUrl,
     settings.timing.vmListMs,
     Core.getPartLogger(root, 'membership'),
+    clock,
   );
   const readiness = createRegistry<DaemonContext.ReadinessCheck>();
   const status = createRegistry<DaemonContext.StatusSection>();
