Keep unaccounted use per window in a persistent map

Cause: a trial with 2,600 daemons and 2,300 accounts took 4.3 ms of processor time for a record of 20 accounts, because every record merged and sorted all accounts of its window.

Change: the fold keeps what no seal has accounted for, changed by the accounts of a record alone, and the set of windows that have such use, so that planning a seal looks at no other window.

The mutants are still caught.

--- a/packages/daemon/src/__tests__/unit/UsageDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/UsageDaemons.test.ts
@@ -23,7 +23,9 @@
       Usage.reduceUsage,
       Usage.createUsageState({ lateWindows: 10, windowMs: 60_000 }),
     );
-    const total = [...state.windows].flatMap(([, window]) => Object.values(window.total))
+    const total = [...state.windows].flatMap(([window]) => (
+      Object.values(Usage.computeUnaccounted(state, window))
+    ))
       .reduce((sum, { requests }) => sum + requests, 0);
     expect(total).toBe(REQUESTS);
     await system.stop();
--- a/packages/usage/src/Figures.ts
+++ b/packages/usage/src/Figures.ts
@@ -23,7 +23,7 @@
   b: AccountFigures,
   merge: (x: number, y: number) => number,
 ): AccountFigures {
-  return Object.fromEntries([...new Set([...Object.keys(a), ...Object.keys(b)])].sort()
+  return Object.fromEntries([...new Set([...Object.keys(a), ...Object.keys(b)])]
     .map((account) => {
       const x = a[account] ?? ZERO_FIGURES;
       const y = b[account] ?? ZERO_FIGURES;
@@ -46,6 +46,24 @@
   );
 }
 
+/** Adds the use of one account. */
+export function addFigures(a: Figures, b: Figures): Figures {
+  return {
+    inputTokens: a.inputTokens + b.inputTokens,
+    outputTokens: a.outputTokens + b.outputTokens,
+    requests: a.requests + b.requests,
+  };
+}
+
+/** Subtracts the use of one account, down to zero. */
+export function subtractFigures(a: Figures, b: Figures): Figures {
+  return {
+    inputTokens: Math.max(0, a.inputTokens - b.inputTokens),
+    outputTokens: Math.max(0, a.outputTokens - b.outputTokens),
+    requests: Math.max(0, a.requests - b.requests),
+  };
+}
+
 /** Adds the use of two sets of accounts. */
 export function sumFigures(a: AccountFigures, b: AccountFigures): AccountFigures {
   return mergeFigures(a, b, (x, y) => x + y);
@@ -61,6 +79,11 @@
   return removeZeros(mergeFigures(a, b, (x, y) => Math.max(0, x - y)));
 }
 
+/** Sorts the accounts by name, so that equal figures are written alike. */
+export function sortFigures(figures: AccountFigures): AccountFigures {
+  return Object.fromEntries(Object.entries(figures).sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
 /** Tells whether there is no account with use. */
 export function isEmptyFigures(figures: AccountFigures): boolean {
   return Object.values(figures).every(isZeroFigures);
--- a/packages/usage/src/UsageWindows.ts
+++ b/packages/usage/src/UsageWindows.ts
@@ -7,6 +7,7 @@
 import type * as Log from '@berylyoke/log';
 import * as Either from 'effect/Either';
 import * as HashMap from 'effect/HashMap';
+import * as HashSet from 'effect/HashSet';
 import * as Option from 'effect/Option';
 import * as Schema from 'effect/Schema';
 import * as Figures from './Figures.js';
@@ -23,9 +24,11 @@
 /** Counters of one window. */
 export interface WindowCounters {
   readonly sources: HashMap.HashMap<string, Figures.AccountFigures>;
-  readonly total: Figures.AccountFigures;
-  /** Sum of what seals have accounted for. */
-  readonly accounted: Figures.AccountFigures;
+  /**
+   * Use by account that no seal has accounted for. A persistent map: adding a record of 20 accounts
+   * to a plain object of 2,300 took 4.3 ms.
+   */
+  readonly unaccounted: HashMap.HashMap<string, Figures.Figures>;
 }
 
 /** A seal that won. */
@@ -44,6 +47,8 @@
   readonly offset: number;
   readonly nowMs: Core.Millis;
   readonly windows: HashMap.HashMap<number, WindowCounters>;
+  /** Windows with use that no seal has accounted for. */
+  readonly unsealed: HashSet.HashSet<number>;
   /** Newest seal that won; undefined before the first one, or while the chain is not known. */
   readonly last: Seal | undefined;
   /** Seals that won and are not known to be reported, oldest first. */
@@ -76,11 +81,14 @@
     offset: -1,
     skipped: 0,
     unreported: [],
+    unsealed: HashSet.empty(),
     windows: HashMap.empty(),
   };
 }
 
-const EMPTY_COUNTERS: WindowCounters = { accounted: {}, sources: HashMap.empty(), total: {} };
+const EMPTY_COUNTERS: WindowCounters = {
+  sources: HashMap.empty(), unaccounted: HashMap.empty(),
+};
 
 function getCounters(state: UsageState, window: number): WindowCounters {
   return Option.getOrElse(HashMap.get(state.windows, window), () => EMPTY_COUNTERS);
@@ -104,35 +112,53 @@
   const key = PeerCounters.formatSource(source);
   const before = Option.getOrElse(HashMap.get(counters.sources, key), () => ({}));
   const after = Figures.joinFigures(before, accounts);
+  const added = Figures.computeExcess(after, before);
+  if (Figures.isEmptyFigures(added)) return state;
   return {
     ...state,
+    unsealed: HashSet.add(state.unsealed, window),
     windows: HashMap.set(state.windows, window, {
-      ...counters,
       sources: HashMap.set(counters.sources, key, after),
-      total: Figures.sumFigures(counters.total, Figures.computeExcess(after, before)),
+      unaccounted: Object.entries(added).reduce((sums, [account, figures]) => (
+        HashMap.modifyAt(sums, account, (known) => Option.some(
+          Figures.addFigures(Option.getOrElse(known, () => Figures.ZERO_FIGURES), figures),
+        ))
+      ), counters.unaccounted),
     }),
   };
 }
 
 function applyPart(
-  windows: UsageState['windows'],
+  state: UsageState,
   { accounts, window }: UsageRecords.SealPart,
-): UsageState['windows'] {
-  const counters = Option.getOrElse(HashMap.get(windows, window), () => EMPTY_COUNTERS);
-  return HashMap.set(windows, window, {
-    ...counters, accounted: Figures.sumFigures(counters.accounted, accounts),
-  });
+): UsageState {
+  const counters = getCounters(state, window);
+  const unaccounted = Object.entries(accounts).reduce((sums, [account, figures]) => (
+    HashMap.modifyAt(sums, account, (known) => Option.flatMap(known, (sum) => {
+      const rest = Figures.subtractFigures(sum, figures);
+      return Figures.isZeroFigures(rest) ? Option.none() : Option.some(rest);
+    }))
+  ), counters.unaccounted);
+  return {
+    ...state,
+    unsealed: HashMap.isEmpty(unaccounted)
+      ? HashSet.remove(state.unsealed, window)
+      : state.unsealed,
+    windows: HashMap.set(state.windows, window, { ...counters, unaccounted }),
+  };
 }
 
 function addSeal(state: UsageState, seal: Seal): UsageState {
   const sealed = {
-    ...state,
+    ...seal.parts.reduce(applyPart, state),
     last: seal,
     unreported: [...state.unreported, seal],
-    windows: seal.parts.reduce(applyPart, state.windows),
   };
+  const closed = [...HashMap.keys(sealed.windows)].filter((window) => !isOpen(sealed, window));
   return {
-    ...sealed, windows: HashMap.filter(sealed.windows, (_, window) => isOpen(sealed, window)),
+    ...sealed,
+    unsealed: closed.reduce((kept, window) => HashSet.remove(kept, window), sealed.unsealed),
+    windows: HashMap.removeMany(sealed.windows, closed),
   };
 }
 
@@ -236,16 +262,15 @@
 /** Computes the use of a window that no seal has accounted for. */
 export function computeUnaccounted(state: UsageState, window: number): Figures.AccountFigures {
   if (!isWhole(state, window)) return {};
-  const { accounted, total } = getCounters(state, window);
-  return Figures.computeExcess(total, accounted);
+  return Figures.sortFigures(Object.fromEntries(getCounters(state, window).unaccounted));
 }
 
 /** Computes what is reported for a sealed window: its own use and the corrections. */
 export function computeReport({ parts }: Seal): Figures.AccountFigures {
-  return parts.reduce<Figures.AccountFigures>(
+  return Figures.sortFigures(parts.reduce<Figures.AccountFigures>(
     (sum, { accounts }) => Figures.sumFigures(sum, accounts),
     {},
-  );
+  ));
 }
 
 /**
@@ -264,7 +289,7 @@
   const newest = (Math.floor((wallMs - graceMs) / limits.windowMs) - 1) * limits.windowMs;
   const sealed = last?.window ?? -Infinity;
   if (newest <= sealed) return undefined;
-  const unaccounted = [...HashMap.keys(state.windows)]
+  const unaccounted = [...state.unsealed]
     .filter((window) => window <= newest)
     .map((window) => ({ accounts: computeUnaccounted(state, window), window }))
     .filter(({ accounts }) => !Figures.isEmptyFigures(accounts))
--- a/packages/usage/src/__tests__/unit/UsageMutants.ts
+++ b/packages/usage/src/__tests__/unit/UsageMutants.ts
@@ -1,6 +1,7 @@
 /** Deliberately weakened rules. The properties must catch each of them. */
 import type * as Log from '@berylyoke/log';
 import * as HashMap from 'effect/HashMap';
+import * as HashSet from 'effect/HashSet';
 import * as CounterBook from '../../CounterBook.js';
 import * as Figures from '../../Figures.js';
 import * as PeerCounters from '../../PeerCounters.js';
@@ -125,17 +126,13 @@
         const next = UsageWindows.reduceUsage(state, entry);
         const { last } = next;
         if (last === undefined || last === state.last) return next;
-        return {
-          ...next,
-          windows: HashMap.map(next.windows, (found, window) => (window === last.window
-            ? found
-            : {
-              ...found,
-              accounted: last.parts.reduce((sum, part) => (
-                part.window === window ? Figures.computeExcess(sum, part.accounts) : sum
-              ), found.accounted),
-            })),
-        };
+        const corrected = last.parts.map(({ window }) => window)
+          .filter((window) => window !== last.window);
+        return corrected.reduce((current, window) => ({
+          ...current,
+          unsealed: HashSet.add(current.unsealed, window),
+          windows: HashMap.set(current.windows, window, HashMap.unsafeGet(state.windows, window)),
+        }), next);
       },
     },
     violation: /more was reported than counted/,
