--- a/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
@@ -1,3 +1,4 @@
+import * as Config from '@berylyoke/config';
 import * as Testkit from '@berylyoke/testkit';
 import * as fs from 'node:fs/promises';
 import * as net from 'node:net';
@@ -72,6 +73,7 @@
   let logPath: LogPath;
   let daemons: readonly Testkit.DemoProcess[] = [];
   let ports: readonly number[];
+  let files: readonly string[];
   let settings: string;
   let valid: Issued;
 
@@ -129,7 +131,7 @@
       service: Testkit.DEMO_NAMES.service,
       state: 'live',
     }]);
-    const files = await Promise.all([log.url, logPath.url].map(async (logUrl, index) => {
+    files = await Promise.all([log.url, logPath.url].map(async (logUrl, index) => {
       const file = path.join(directory, `daemon-${index}.toml`);
       await fs.writeFile(file, `
 daemon_id = "entry-${index}"
@@ -146,6 +148,7 @@
 timing.suspect_ms = 1000
 timing.isolation_ms = 4000
 timing.vm_list_ms = 200
+timing.snapshot_ms = 500
 `);
       return file;
     }));
@@ -227,4 +230,41 @@
     log.faults.set([]);
     await Promise.all([0, 1].map((daemon) => waitForStatus(daemon, valid, 200)));
   });
+
+  test('the first relay appends a snapshot that covers the entries before it', async () => {
+    const listSnapshots = (): readonly Config.ConfigState[] => log.listEntries('config')
+      .flatMap(({ records }) => records)
+      .filter(({ kind }) => kind === Config.CONFIG_KINDS.snapshot)
+      .flatMap(({ body }) => Config.parseSnapshot(body) ?? []);
+    await vi.waitUntil(() => listSnapshots().length > 0, WAIT);
+    const [{ offset, version } = Config.initialConfigState] = listSnapshots();
+    const covered = log.listEntries('config').slice(0, offset + 1).reduce(
+      (state, entry) => Config.reduceConfig(state, entry),
+      Config.initialConfigState,
+    );
+    expect(version).toBe(covered.version);
+    expect(Config.buildSnapshot(covered)).toEqual(Config.buildSnapshot(
+      listSnapshots()[0] ?? Config.initialConfigState,
+    ));
+  });
+
+  // Guards against a daemon that waits for the log although a peer has the configuration.
+  test('a daemon that boots in an outage of the log takes the state of its peer', async () => {
+    await daemons[1]?.stop();
+    log.faults.set(['append', 'read'].map((operation) => ({
+      afterTokens: 0, count: UNTIL_CLEARED, delayMs: 0, kind: 'refusal', operation,
+    })));
+    daemons = [daemons[0], Testkit.startDaemonProcess(files[1] ?? '')]
+      .flatMap((daemon) => daemon ?? []);
+    await vi.waitUntil(async () => (
+      Testkit.requestText(`http://127.0.0.1:${ports[3]}/readyz`).then(
+        ({ status }) => status === 200,
+        () => false,
+      )
+    ), WAIT);
+    // Nobody has heard the log within the bound, so the state alone does not admit a key.
+    await waitForStatus(1, valid, 503);
+    log.faults.set([]);
+    await waitForStatus(1, valid, 200);
+  });
 });
