--- a/packages/membership/src/ConnectPeers.ts
+++ b/packages/membership/src/ConnectPeers.ts
@@ -70,12 +70,12 @@
     configOffset: message.configOffset,
     contact: message.contact,
     dataCentres: message.dataCentres.map((summary) => ({
-      ...summary, addresses: [...summary.addresses],
+      ...summary, addresses: [...summary.addresses], dataCentres: [...summary.dataCentres],
     })),
     members: [...message.members],
     parts: message.parts,
     regions: message.regions.map((summary) => ({
-      ...summary, addresses: [...summary.addresses],
+      ...summary, addresses: [...summary.addresses], dataCentres: [...summary.dataCentres],
     })),
     sender: message.sender,
     values: message.values,
--- a/packages/membership/src/Member.ts
+++ b/packages/membership/src/Member.ts
@@ -35,6 +35,8 @@
   readonly live: number;
   readonly leaving: number;
   readonly addresses: readonly string[];
+  /** Names of the data centres that the sums cover. */
+  readonly dataCentres: readonly string[];
   readonly values: Readonly<Record<string, number>>;
 }
 
--- a/packages/membership/src/Topology.ts
+++ b/packages/membership/src/Topology.ts
@@ -71,6 +71,7 @@
   return {
     addresses: relays.map(({ address }) => address),
     author: self.daemonId,
+    dataCentres: [self.dataCentre],
     incarnation: self.incarnation,
     leaving: neighbours.filter(({ status }) => status === Member.STATUS.leaving).length,
     live: live.length,
@@ -116,6 +117,7 @@
   return {
     addresses: [state.self.address],
     author: state.self.daemonId,
+    dataCentres: dataCentres.map(({ scope }) => scope),
     incarnation: state.self.incarnation,
     leaving: dataCentres.reduce((sum, { leaving }) => sum + leaving, 0),
     live: dataCentres.reduce((sum, { live }) => sum + live, 0),
@@ -164,22 +166,29 @@
 }
 
 /**
- * Lists addresses that the view accounts for. A member of another data centre does as long as that
- * data centre has a summary, because a stream to its relay follows from it.
+ * Lists the seeds that the view does not account for. A member or a seed of another data centre is
+ * accounted for as long as a summary covers that data centre, because the streams to its relays
+ * follow from it; so a fleet that has settled tries no seeds of the VM list.
  */
-function listKnownAddresses(state: MembershipState.MembershipState): ReadonlySet<string> {
+function listUnknownSeeds({ seeds, state }: PlanInput): readonly Seed[] {
   const summaries = [...chooseSummaries(state.dataCentres), ...chooseSummaries(state.regions)];
-  const scopes = new Set([state.self.dataCentre, ...summaries.map(({ scope }) => scope)]);
+  const covered = new Set(summaries.flatMap(({ dataCentres }) => dataCentres));
   const members = [...state.members.values()].map(({ member }) => member);
   // A summary may still name a relay that is lost here; its address is tried again.
   const lost = new Set(members
     .filter(({ status }) => status === Member.STATUS.lost)
     .map(({ address }) => address));
-  return new Set([
+  const known = new Set([
     state.self.address,
-    ...members.filter(({ dataCentre }) => scopes.has(dataCentre)).map(({ address }) => address),
+    ...members
+      .filter(({ dataCentre }) => dataCentre === state.self.dataCentre || covered.has(dataCentre))
+      .map(({ address }) => address),
     ...summaries.flatMap(({ addresses }) => addresses),
   ].filter((address) => !lost.has(address)));
+  return seeds.filter(({ address, dataCentre }) => {
+    if (known.has(address)) return false;
+    return dataCentre === state.self.dataCentre || !covered.has(dataCentre ?? '');
+  });
 }
 
 /** Heartbeat intervals for which one unknown seed is tried. */
@@ -189,9 +198,9 @@
  * Chooses one address that the view does not account for, in turn. A daemon that knows no neighbour
  * tries those of its own data centre first: any of them names the relays.
  */
-function chooseProbe({ round, seeds, state }: PlanInput): readonly Target[] {
-  const known = listKnownAddresses(state);
-  const unknown = seeds.filter(({ address }) => !known.has(address));
+function chooseProbe(input: PlanInput): readonly Target[] {
+  const { round, state } = input;
+  const unknown = listUnknownSeeds(input);
   const near = MembershipState.listNeighbours(state).length > 1
     ? []
     : unknown.filter(({ dataCentre }) => dataCentre === state.self.dataCentre);
--- a/packages/membership/src/__tests__/exploreFleet.ts
+++ b/packages/membership/src/__tests__/exploreFleet.ts
@@ -36,11 +36,11 @@
     configOffset: message.configOffset,
     contact: message.contact,
     dataCentres: message.dataCentres.map((summary) => ({
-      ...summary, addresses: [...summary.addresses],
+      ...summary, addresses: [...summary.addresses], dataCentres: [...summary.dataCentres],
     })),
     members: [...message.members],
     regions: message.regions.map((summary) => ({
-      ...summary, addresses: [...summary.addresses],
+      ...summary, addresses: [...summary.addresses], dataCentres: [...summary.dataCentres],
     })),
     sender: message.sender,
   })).length;
