--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -17,14 +17,20 @@
   readonly connectTimeoutMs: Core.Millis;
   /** Longest time until the head of the answer. */
   readonly headTimeoutMs: Core.Millis;
-  readonly signal: AbortSignal;
+  /** Undefined where the call goes on after its caller has left. */
+  readonly signal: AbortSignal | undefined;
+  /**
+   * Asked on a fresh connection in the event-loop turn of the first write; on false nothing is
+   * written and the call fails as not permitted.
+   */
+  readonly canSend?: (() => boolean) | undefined;
 }
 
 /** The call failed; `sent` is false where no byte can have left. */
 export interface BackendFailure {
   readonly _tag: 'BackendFailure';
   readonly sent: boolean;
-  readonly reason: 'aborted' | 'connection' | 'silent';
+  readonly reason: 'aborted' | 'connection' | 'not-permitted' | 'silent';
 }
 
 /** Sends a call and resolves at the answer's head, or with the failure; never rejects. */
@@ -34,6 +40,7 @@
   return new Promise((resolve) => {
     let sent = false;
     let isSilent = false;
+    let isPermitted = true;
     const [host, port] = call.address.split(':');
     const request = http.request({
       agent: call.agent ?? false,
@@ -42,17 +49,23 @@
       method: call.method,
       path: call.path,
       port: Number(port),
-      signal: call.signal,
     });
+    // An own listener costs a third of the `signal` option of `http.request`.
+    const abort = (): void => {
+      request.destroy();
+    };
+    call.signal?.addEventListener('abort', abort, { once: true });
     const headTimer = setTimeout(() => {
       isSilent = true;
       request.destroy();
     }, call.headTimeoutMs);
     const fail = (): void => {
       clearTimeout(headTimer);
-      const reason = isSilent ? 'silent' : 'connection';
+      call.signal?.removeEventListener('abort', abort);
+      const broken = isSilent ? 'silent' : 'connection';
+      const reason = isPermitted ? broken : 'not-permitted';
       resolve({
-        _tag: 'BackendFailure', reason: call.signal.aborted ? 'aborted' : reason, sent,
+        _tag: 'BackendFailure', reason: call.signal?.aborted === true ? 'aborted' : reason, sent,
       });
     };
     request.on('socket', (socket) => {
@@ -63,7 +76,10 @@
       const timer = setTimeout(() => request.destroy(), call.connectTimeoutMs);
       socket.once('connect', () => {
         clearTimeout(timer);
-        sent = true;
+        // Node writes the waiting request after this listener, and nothing once destroyed.
+        isPermitted = call.canSend?.() ?? true;
+        if (isPermitted) sent = true;
+        else request.destroy();
       });
       socket.once('close', () => clearTimeout(timer));
     });
@@ -72,9 +88,12 @@
     request.on('close', fail);
     request.on('response', (answer) => {
       clearTimeout(headTimer);
+      answer.once('close', () => call.signal?.removeEventListener('abort', abort));
       resolve(answer);
     });
-    request.end(call.body);
+    // A caller that left while the request was queued has fired its event already.
+    if (call.signal?.aborted === true) abort();
+    else request.end(call.body);
   });
 }
 
--- a/packages/daemon/src/Refusal.ts
+++ b/packages/daemon/src/Refusal.ts
@@ -7,9 +7,11 @@
 /** Codes of all refusals, with status and type. */
 export const REFUSAL_CODES = {
   account_limit: { status: 429, type: 'rate_limit_error' },
+  answer_not_kept: { status: 409, type: 'conflict_error' },
   backend_failed: { status: 502, type: 'server_error' },
   body_differs: { status: 422, type: 'invalid_request_error' },
   body_too_large: { status: 413, type: 'invalid_request_error' },
+  caller_left: { status: 499, type: 'invalid_request_error' },
   claim_in_progress: { status: 409, type: 'conflict_error' },
   class_not_allowed: { status: 403, type: 'permission_error' },
   draining: { status: 503, type: 'server_error' },
--- a/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
@@ -155,7 +155,7 @@
     [settings = ''] = files;
     const lists = path.join(directory, 'lists.toml');
     await fs.writeFile(lists, Testkit.DEMO_LISTS);
-    daemons = files.map(Testkit.startDaemonProcess);
+    daemons = files.map((file) => Testkit.startDaemonProcess(file));
     await runCli('config', 'publish', lists);
     valid = await issueKey();
     await Promise.all([0, 1].map((daemon) => vi.waitUntil(async () => (
