Retry elsewhere when an engine has no room, and say when to come back

Cause: an engine's 429 was taken for a fault of the request and answered 502 without Retry-After; with a full queue on one engine, requests failed that another engine could have run.

--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -26,6 +26,10 @@
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
 const HTTP_SERVER_ERROR = 500;
+/** Statuses by which an engine says that it has no room: 429 and 503. */
+const BUSY_STATUSES: readonly number[] = [429, 503];
+/** When a caller should come back after every attempt failed, in milliseconds. */
+const RETRY_MS = 1_000;
 
 /** What the relay needs of the daemon. */
 export interface RelayContext {
@@ -44,7 +48,7 @@
   ) => void;
 }
 
-type AttemptResult = 'aborted' | 'done' | 'failed' | 'rejected' | 'silent';
+type AttemptResult = 'aborted' | 'busy' | 'done' | 'failed' | 'rejected' | 'silent';
 
 function buildHeaders(
   request: PathTypes.ClassifiedRequest,
@@ -214,6 +218,7 @@
   const echoed = answer.headers['x-request-id'];
   if (answer.statusCode !== HTTP_OK || (echoed !== undefined && echoed !== requestId)) {
     answer.resume();
+    if (BUSY_STATUSES.includes(answer.statusCode ?? 0)) return 'busy';
     const isRejected = (answer.statusCode ?? HTTP_SERVER_ERROR) < HTTP_SERVER_ERROR;
     return isRejected && answer.statusCode !== HTTP_OK ? 'rejected' : 'failed';
   }
@@ -231,7 +236,12 @@
 }
 
 const OUTCOMES: Readonly<Record<AttemptResult, PathTypes.AttemptOutcome['result']>> = {
-  aborted: 'cancelled', done: 'ok', failed: 'failed', rejected: 'ok', silent: 'silent',
+  aborted: 'cancelled',
+  busy: 'failed',
+  done: 'ok',
+  failed: 'failed',
+  rejected: 'ok',
+  silent: 'silent',
 };
 
 /** What became of a chat completion; the response has ended unless it is a refusal. */
@@ -321,10 +331,10 @@
       }
       context.metrics.addRetry('denied');
     }
-    return giveUp(Refusal.createUnknownOutcome(
-      'backend_failed',
-      'every attempt on a backend server failed',
-    ));
+    const refusal = result === 'busy'
+      ? Refusal.createUnknownOutcome('overloaded', 'the backend servers have no room')
+      : Refusal.createUnknownOutcome('backend_failed', 'every attempt on a backend server failed');
+    return giveUp({ ...refusal, retryAfterMs: RETRY_MS });
   };
   retry.addRequest();
   return attempt([]);
--- a/packages/daemon/src/__tests__/unit/TwoDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/TwoDaemons.test.ts
@@ -157,6 +157,43 @@
     },
   );
 
+  test('answers a plain request whole after two engines broke the connection', async () => {
+    const before = sumCounts('started');
+    system.engines.slice(0, 2).forEach(({ faults }) => faults.set([{
+      kind: 'crash', operation: 'chat',
+    }]));
+    const answers = await Promise.all(['a', 'b', 'c'].map((name) => (
+      createClient().chat.completions.create(chatBody(`plain ${name}`))
+    )));
+    expect(answers.map(({ choices }) => choices[0]?.message.content))
+      .toEqual(['a', 'b', 'c'].map((name) => expectedText(`plain ${name}`)));
+    expect(sumCounts('started') - before).toBe(5);
+  });
+
+  test('says when to come back if every engine refuses', async () => {
+    system.engines.forEach(({ faults }) => faults.set([{ kind: 'refusal', operation: 'chat' }]));
+    const refused = await call('/v1/chat/completions', JSON.stringify(chatBody('busy')));
+    expect(refused.status).toBe(503);
+    expect(refused.headers['retry-after']).toBeDefined();
+    system.engines.forEach(({ faults }) => faults.set([]));
+  });
+
+  test('explains a request to the command line from either daemon', async () => {
+    const answer = await call('/v1/chat/completions', JSON.stringify(chatBody('explain')), {}, 1);
+    const explained = await Testkit.runCliProcess([
+      '--settings',
+      system.description.settings,
+      '--json',
+      'explain',
+      String(answer.headers['x-request-id']),
+    ]);
+    expect(explained.status).toBe(0);
+    const { explanation, operator } = JSON.parse(explained.out);
+    expect(operator).toBe(system.operators[1]);
+    expect(explanation.steps.map(({ filter }: { filter: string }) => filter))
+      .toEqual(expect.arrayContaining(['classify', 'choose', 'forward', 'account']));
+  });
+
   test('cancels on the engine when the caller leaves', async () => {
     const before = sumCounts('cancelled');
     const body = { ...chatBody('leaves', LONG_ANSWER_TOKENS), stream: true };
