--- a/packages/usage/src/__tests__/unit/UsageMutants.ts
+++ b/packages/usage/src/__tests__/unit/UsageMutants.ts
@@ -1,6 +1,7 @@
 /** Deliberately weakened rules. The properties must catch each of them. */
 import type * as Log from '@berylyoke/log';
 import * as HashMap from 'effect/HashMap';
+import * as HashSet from 'effect/HashSet';
 import * as CounterBook from '../../CounterBook.js';
 import * as Figures from '../../Figures.js';
 import * as PeerCounters from '../../PeerCounters.js';
@@ -13,6 +14,8 @@
   readonly rule: string;
   readonly violation: RegExp;
   readonly rules: Partial<UsageModel.UsageRules>;
+  /** The log drops entries. */
+  readonly isLossy?: boolean;
 }
 
 /** Replaces the bodies of one kind of record before the fold sees them. */
@@ -61,7 +64,7 @@
       reduceUsage: withBodies<UsageRecords.UsageSeal>(seal, (body, state) => {
         if (state.last?.window === body.window) {
           Object.assign(state, { last: { ...state.last, window: -1 } });
-          return { ...body, base: state.last?.offset ?? -1 };
+          return { ...body, base: state.last?.recordId ?? '' };
         }
         return body;
       }),
@@ -72,7 +75,7 @@
     rule: 'accept a seal that does not name the newest one',
     rules: {
       reduceUsage: withBodies<UsageRecords.UsageSeal>(seal, (body, state) => (
-        { ...body, base: state.last?.offset ?? -1 }
+        { ...body, base: state.last?.recordId ?? '' }
       )),
     },
     violation: /more was reported than counted/,
@@ -125,17 +128,13 @@
         const next = UsageWindows.reduceUsage(state, entry);
         const { last } = next;
         if (last === undefined || last === state.last) return next;
-        return {
-          ...next,
-          windows: HashMap.map(next.windows, (found, window) => (window === last.window
-            ? found
-            : {
-              ...found,
-              accounted: last.parts.reduce((sum, part) => (
-                part.window === window ? Figures.computeExcess(sum, part.accounts) : sum
-              ), found.accounted),
-            })),
-        };
+        const corrected = last.parts.map(({ window }) => window)
+          .filter((window) => window !== last.window);
+        return corrected.reduce((current, window) => ({
+          ...current,
+          unsealed: HashSet.add(current.unsealed, window),
+          windows: HashMap.set(current.windows, window, HashMap.unsafeGet(state.windows, window)),
+        }), next);
       },
     },
     violation: /more was reported than counted/,
@@ -152,6 +151,43 @@
     },
     violation: /less was reported/,
   },
+  {
+    isLossy: true,
+    rule: 'go on after a gap as if nothing had been lost',
+    rules: {
+      reduceUsageGap: (state, first) => (
+        { ...UsageWindows.reduceUsageGap(state, first), covered: 'complete' }
+      ),
+    },
+    violation: /two figures|more was reported than counted/,
+  },
+  {
+    isLossy: true,
+    rule: 'take up the chain after a gap from any seal',
+    rules: {
+      reduceUsage: (state, entry) => {
+        const next = UsageWindows.reduceUsage(state, entry);
+        const [named] = next.candidates.values();
+        return named === undefined
+          ? next
+          : {
+            ...next, candidates: new Map(), last: named, unreported: [named],
+          };
+      },
+    },
+    violation: /two figures|more was reported than counted/,
+  },
+  {
+    isLossy: true,
+    rule: 'correct windows of which a part was lost',
+    rules: {
+      reduceUsage: (state, entry) => {
+        const next = UsageWindows.reduceUsage(state, entry);
+        return next.last === undefined ? next : { ...next, covered: 'complete' };
+      },
+    },
+    violation: /more was reported than counted/,
+  },
   {
     rule: 'take an older heartbeat in place of a newer one',
     rules: {
