--- a/packages/usage/src/UsageRecords.ts
+++ b/packages/usage/src/UsageRecords.ts
@@ -41,6 +41,8 @@
   base: Schema.String,
   /** Fencing token of the duty `reporting`. */
   fence: Schema.Int,
+  /** Log timestamp of the newest entry that the reporter had read, in milliseconds. */
+  plannedMs: Schema.Number,
   /** The window's own use, and corrections of earlier windows. */
   parts: Schema.Array(SealPart),
 });
--- a/packages/usage/src/UsageWindows.ts
+++ b/packages/usage/src/UsageWindows.ts
@@ -56,6 +56,8 @@
   readonly candidates: ReadonlyMap<string, Seal>;
   /** Timestamp from which on every entry was read, after a gap. */
   readonly covered: Core.Millis | 'complete' | 'unread';
+  /** Timestamp of the gap or of the newest seal record since, while the chain is not known. */
+  readonly quietSinceMs: Core.Millis;
   /** Greatest fencing token of a seal that won. */
   readonly fence: number;
   /** Counters that came too late for any correction. */
@@ -78,6 +80,7 @@
     limits,
     nowMs: 0,
     offset: -1,
+    quietSinceMs: 0,
     skipped: 0,
     unreported: [],
     unsealed: HashSet.empty(),
@@ -166,14 +169,26 @@
   const restartMs = getRestartMs(state.limits);
   if (state.last !== undefined) return timeMs - state.last.timestampMs >= restartMs;
   if (state.covered === 'complete') return true;
-  return state.covered !== 'unread' && state.candidates.size === 0
-    && timeMs - state.covered >= restartMs;
+  return state.covered !== 'unread' && timeMs - state.quietSinceMs >= restartMs;
+}
+
+/** Latest window that a lost seal may have sealed when a chain begins anew. */
+function getRestartFloor({ covered, last, limits }: UsageState, timeMs: Core.Millis): number {
+  const isVeryFirst = covered === 'complete' && last === undefined;
+  return isVeryFirst ? -Infinity : timeMs - getRestartMs(limits);
+}
+
+/** Leaves out the windows that a lost or unproven seal may have accounted for. */
+function withRestart(state: UsageState, timeMs: Core.Millis): UsageState {
+  const { covered, last } = state;
+  if (last !== undefined || covered === 'complete' || covered === 'unread') return state;
+  return { ...state, covered: Math.max(covered, getRestartFloor(state, timeMs)) };
 }
 
 function applySeal(
   state: UsageState,
   {
-    base, fence, parts, window,
+    base, fence, parts, plannedMs, window,
   }: UsageRecords.UsageSeal,
   entry: Log.LogEntry,
   { recordId }: Log.LogRecord,
@@ -186,17 +201,25 @@
     parts, recordId, timestampMs: state.nowMs, window,
   };
   const isNext = state.last !== undefined && state.last.recordId === base;
-  if (isNext || (base === UsageRecords.NO_SEAL && canRestart(state, state.nowMs))) {
-    return { ...addSeal(state, seal), candidates: new Map(), fence };
+  // A seal that was planned before the gap may be the repetition of a lost one.
+  const isAfterGap = state.covered === 'complete' || plannedMs > Number(state.covered);
+  const isFirst = base === UsageRecords.NO_SEAL && canRestart(state, state.nowMs)
+    && (state.last !== undefined || isAfterGap)
+    && window > getRestartFloor(state, state.nowMs);
+  if (isNext) return { ...addSeal(state, seal), fence };
+  if (isFirst) {
+    return { ...addSeal(withRestart(state, state.nowMs), seal), candidates: new Map(), fence };
   }
   if (state.last !== undefined || state.covered === 'complete') return state;
+  const seen = { ...state, quietSinceMs: state.nowMs };
+  if (!isAfterGap) return seen;
   // Only a seal that won is ever named as a base, and the first seal that names it wins.
   const named = state.candidates.get(base);
   if (named !== undefined) {
     return { ...addSeal(addSeal(state, named), seal), candidates: new Map(), fence };
   }
-  if (state.candidates.size >= MAX_CANDIDATES) return state;
-  return { ...state, candidates: new Map(state.candidates).set(recordId, seal) };
+  if (state.candidates.size >= MAX_CANDIDATES) return seen;
+  return { ...seen, candidates: new Map(state.candidates).set(recordId, seal) };
 }
 
 function applyReported(
@@ -241,9 +264,12 @@
   if (entry.offset <= state.offset) return state;
   const nowMs = Math.max(state.nowMs, entry.timestampMs);
   const covered = state.covered === 'unread' ? nowMs : state.covered;
+  const quietSinceMs = state.covered === 'unread' ? nowMs : state.quietSinceMs;
   const next = entry.records.reduce<UsageState>((current, record) => (
     HANDLERS[record.kind]?.(current, record, entry) ?? current
-  ), { ...state, covered, nowMs });
+  ), {
+    ...state, covered, nowMs, quietSinceMs,
+  });
   return { ...next, offset: entry.offset };
 }
 
@@ -291,12 +317,15 @@
 ): UsageRecords.UsageSeal | undefined {
   const { last, limits } = state;
   if (last === undefined && !canRestart(state, wallMs)) return undefined;
+  // Readers could not tell the seal from the repetition of one before the gap.
+  if (last === undefined && state.covered === state.nowMs) return undefined;
+  const known = withRestart(state, wallMs);
   const newest = (Math.floor((wallMs - graceMs) / limits.windowMs) - 1) * limits.windowMs;
-  const sealed = last?.window ?? -Infinity;
+  const sealed = last?.window ?? getRestartFloor(state, wallMs);
   if (newest <= sealed) return undefined;
   const unaccounted = [...state.unsealed]
     .filter((window) => window <= newest)
-    .map((window) => ({ accounts: computeUnaccounted(state, window), window }))
+    .map((window) => ({ accounts: computeUnaccounted(known, window), window }))
     .filter(({ accounts }) => !Figures.isEmptyFigures(accounts))
     .sort((a, b) => a.window - b.window);
   const window = unaccounted.find((part) => part.window > sealed)?.window ?? newest;
@@ -304,6 +333,7 @@
     base: last?.recordId ?? UsageRecords.NO_SEAL,
     fence,
     parts: unaccounted.filter((part) => part.window <= window),
+    plannedMs: state.nowMs,
     window,
   };
 }
--- a/packages/usage/src/__tests__/unit/UsageModel.ts
+++ b/packages/usage/src/__tests__/unit/UsageModel.ts
@@ -119,27 +119,52 @@
   keptMs: FastCheck.constantFrom(0, 100, 400),
 });
 
+/** A window is counted, sealed and reported without a fault: reaches deep states sooner. */
+const roundSteps: FastCheck.Arbitrary<UsageStep[]> = FastCheck.record({
+  daemon: daemonIndex, keep: FastCheck.boolean(),
+}).map(({ daemon, keep }) => [
+  { _tag: 'Flush', daemon },
+  {
+    _tag: 'Deliver', count: MANY, from: 0, keep,
+  },
+  { _tag: 'Read', count: MANY, daemon },
+  { _tag: 'Pass', byMs: 110 },
+  { _tag: 'Seal', daemon },
+  {
+    _tag: 'Deliver', count: MANY, from: 0, keep: false,
+  },
+  { _tag: 'Read', count: MANY, daemon },
+  { _tag: 'Report', daemon },
+]);
+
+const toSteps = <Step extends UsageStep>(
+  step: FastCheck.Arbitrary<Step>,
+): FastCheck.Arbitrary<UsageStep[]> => step.map((found) => [found]);
+
 const createSchedule = (
-  ...added: readonly FastCheck.WeightedArbitrary<UsageStep>[]
+  ...added: readonly FastCheck.WeightedArbitrary<UsageStep[]>[]
 ): FastCheck.Arbitrary<UsageStep[]> => FastCheck.array(
-  FastCheck.oneof<FastCheck.WeightedArbitrary<UsageStep>[]>(
-    { arbitrary: countStep, weight: 5 },
-    { arbitrary: daemonStep, weight: 7 },
-    { arbitrary: deliverStep, weight: 6 },
-    { arbitrary: readStep, weight: 5 },
-    { arbitrary: beatStep, weight: 3 },
-    { arbitrary: crashStep, weight: 1 },
-    { arbitrary: loseStep, weight: 1 },
-    { arbitrary: passStep, weight: 4 },
+  FastCheck.oneof<FastCheck.WeightedArbitrary<UsageStep[]>[]>(
+    { arbitrary: toSteps(countStep), weight: 5 },
+    { arbitrary: toSteps(daemonStep), weight: 7 },
+    { arbitrary: toSteps(deliverStep), weight: 6 },
+    { arbitrary: toSteps(readStep), weight: 5 },
+    { arbitrary: toSteps(beatStep), weight: 3 },
+    { arbitrary: toSteps(crashStep), weight: 1 },
+    { arbitrary: toSteps(loseStep), weight: 1 },
+    { arbitrary: toSteps(passStep), weight: 4 },
     ...added,
   ),
   { maxLength: 60, minLength: 1, size: 'max' },
-);
+).map((steps) => steps.flat());
 
 /** Schedules in which the log keeps every entry. */
 export const usageSchedule = createSchedule();
 /** Schedules in which the log also drops entries, so that counts may be lost but never doubled. */
-export const lossySchedule = createSchedule({ arbitrary: retainStep, weight: 2 });
+export const lossySchedule = createSchedule(
+  { arbitrary: toSteps(retainStep), weight: 2 },
+  { arbitrary: roundSteps, weight: 6 },
+);
 
 interface Daemon {
   incarnation: number;
--- a/packages/usage/src/__tests__/unit/UsageWindows.test.ts
+++ b/packages/usage/src/__tests__/unit/UsageWindows.test.ts
@@ -42,7 +42,10 @@
   timestampMs: number,
   seal: Pick<UsageRecords.UsageSeal, 'base' | 'window'> & Partial<UsageRecords.UsageSeal>,
 ): Log.LogEntry {
-  return buildEntry(offset, timestampMs, 'usage.seal', { fence: 0, parts: [], ...seal });
+  const body: UsageRecords.UsageSeal = {
+    fence: 0, parts: [], plannedMs: timestampMs, ...seal,
+  };
+  return buildEntry(offset, timestampMs, 'usage.seal', body);
 }
 
 function reduceAll(
@@ -92,8 +95,9 @@
   });
 
   test('takes a chain up after a gap only from a seal that another one names', () => {
-    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 10);
+    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 9);
     const unknown = reduceAll([
+      buildCounters(9, 1_990, 1_900, 1),
       buildSeal(10, 2_000, { base: 'r7', window: 1_800 }),
       buildSeal(11, 2_000, { base: 'r8', window: 1_800 }),
     ], gap);
@@ -104,10 +108,20 @@
     expect(known.unreported.map(({ recordId }) => recordId)).toEqual(['r11', 'r12']);
   });
 
+  test('takes no repetition of a seal from before the gap for a part of the chain', () => {
+    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 9);
+    const state = reduceAll([
+      buildCounters(9, 2_000, 1_900, 1),
+      buildSeal(10, 2_010, { base: 'r7', plannedMs: 1_990, window: 1_700 }),
+      buildSeal(11, 2_010, { base: 'r10', plannedMs: 1_995, window: 1_800 }),
+    ], gap);
+    expect(state.last).toBeUndefined();
+  });
+
   test('corrects no window after a gap whose earlier records may be lost', () => {
     const state = reduceAll([
       buildCounters(10, 2_000, 1_900, 9),
-      buildCounters(11, 2_000, 2_100, 1),
+      buildCounters(11, 2_001, 2_100, 1),
       buildSeal(12, 2_250, { base: 'r5', window: 2_000 }),
       buildSeal(13, 2_250, { base: 'r12', window: 2_050 }),
     ], UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 10));
@@ -117,13 +131,15 @@
   });
 
   test('begins a new chain after a gap when no seal can be recent', () => {
-    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 10);
-    const quiet = reduceAll([buildCounters(10, 2_000, 1_900, 9)], gap);
+    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 9);
+    const quiet = reduceAll([
+      buildCounters(9, 2_000, 1_900, 9), buildCounters(10, 2_100, 1_900, 9),
+    ], gap);
     expect(UsageWindows.planSeal(quiet, 2_400, 0, 0)).toBeUndefined();
     const seal = UsageWindows.planSeal(quiet, 2_500, 0, 0);
     expect(seal).toMatchObject({ base: '' });
     const sealed = reduceAll([
-      buildSeal(11, 2_500, seal as UsageRecords.UsageSeal),
+      buildSeal(11, 2_500, { ...seal as UsageRecords.UsageSeal, plannedMs: 2_100 }),
     ], quiet);
     expect(sealed.last).toMatchObject({ recordId: 'r11' });
   });
