--- a/packages/config/src/Settings.ts
+++ b/packages/config/src/Settings.ts
@@ -43,7 +43,7 @@
   orderDeadlineMs: Schema.optionalWith(PositiveInt, { default: () => 2_000 }),
   usageWindowMs: Schema.optionalWith(PositiveInt, { default: () => 60_000 }),
   /** Shortest time between two snapshots of a configuration that changes. */
-  snapshotMs: Schema.optionalWith(PositiveInt, { default: () => 60_000 }),
+  snapshotMs: Schema.optionalWith(PositiveInt, { default: () => 300_000 }),
   vmListMs: Schema.optionalWith(PositiveInt, { default: () => 1_000 }),
   withdrawnGraceMs: Schema.optionalWith(PositiveInt, { default: () => 2_000 }),
 });
@@ -64,6 +64,8 @@
   operator: ListenAddress,
   /** Towards other daemons. */
   peer: ListenAddress,
+  /** `host:port` at which other daemons reach this one; by default that of `peer`. */
+  peerAddress: Schema.optional(Schema.String.pipe(Schema.pattern(/^\S+:[0-9]+$/))),
   /** Base addresses of the platform's interfaces. */
   platform: Schema.Struct({
     logUrl: Url,
--- a/packages/membership/src/Topology.ts
+++ b/packages/membership/src/Topology.ts
@@ -71,6 +71,7 @@
   return {
     addresses: relays.map(({ address }) => address),
     author: self.daemonId,
+    dataCentres: [self.dataCentre],
     incarnation: self.incarnation,
     leaving: neighbours.filter(({ status }) => status === Member.STATUS.leaving).length,
     live: live.length,
@@ -116,6 +117,7 @@
   return {
     addresses: [state.self.address],
     author: state.self.daemonId,
+    dataCentres: dataCentres.map(({ scope }) => scope),
     incarnation: state.self.incarnation,
     leaving: dataCentres.reduce((sum, { leaving }) => sum + leaving, 0),
     live: dataCentres.reduce((sum, { live }) => sum + live, 0),
@@ -149,35 +151,62 @@
   return { dataCentres: listDataCentres(state, ownValues), members, regions };
 }
 
+/** An address from the settings or the VM list; the list also tells the data centre. */
+export interface Seed {
+  readonly address: string;
+  readonly dataCentre: string | undefined;
+}
+
 /** What the plan of streams looks at besides the view. */
 export interface PlanInput {
   readonly state: MembershipState.MembershipState;
-  /** Addresses from the settings and the VM list. */
-  readonly seeds: readonly string[];
+  readonly seeds: readonly Seed[];
   /** Grows with each interval, so that unknown seeds are tried in turn. */
   readonly round: number;
 }
 
-/** Lists addresses that the view accounts for. */
-function listKnownAddresses(state: MembershipState.MembershipState): ReadonlySet<string> {
-  return new Set([
+/**
+ * Lists the seeds that the view does not account for. A member or a seed of another data centre is
+ * accounted for as long as a summary covers that data centre, because the streams to its relays
+ * follow from it; so a fleet that has settled tries no seeds of the VM list.
+ */
+function listUnknownSeeds({ seeds, state }: PlanInput): readonly Seed[] {
+  const summaries = [...chooseSummaries(state.dataCentres), ...chooseSummaries(state.regions)];
+  const covered = new Set(summaries.flatMap(({ dataCentres }) => dataCentres));
+  const members = [...state.members.values()].map(({ member }) => member);
+  // A summary may still name a relay that is lost here; its address is tried again.
+  const lost = new Set(members
+    .filter(({ status }) => status === Member.STATUS.lost)
+    .map(({ address }) => address));
+  const known = new Set([
     state.self.address,
-    ...[...state.members.values()]
-      .filter(({ member }) => member.status !== Member.STATUS.lost)
-      .map(({ member }) => member.address),
-    ...[...state.dataCentres.values(), ...state.regions.values()]
-      .flatMap(({ summary }) => summary.addresses),
-  ]);
+    ...members
+      .filter(({ dataCentre }) => dataCentre === state.self.dataCentre || covered.has(dataCentre))
+      .map(({ address }) => address),
+    ...summaries.flatMap(({ addresses }) => addresses),
+  ].filter((address) => !lost.has(address)));
+  return seeds.filter(({ address, dataCentre }) => {
+    if (known.has(address)) return false;
+    return dataCentre === state.self.dataCentre || !covered.has(dataCentre ?? '');
+  });
 }
 
 /** Heartbeat intervals for which one unknown seed is tried. */
 const PROBE_ROUNDS = 3;
 
-/** Chooses one address that the view does not account for, in turn. */
-function chooseProbe({ round, seeds, state }: PlanInput): readonly Target[] {
-  const known = listKnownAddresses(state);
-  const unknown = seeds.filter((address) => !known.has(address));
-  const address = unknown[Math.floor(round / PROBE_ROUNDS) % Math.max(1, unknown.length)];
+/**
+ * Chooses one address that the view does not account for, in turn. A daemon that knows no neighbour
+ * tries those of its own data centre first: any of them names the relays.
+ */
+function chooseProbe(input: PlanInput): readonly Target[] {
+  const { round, state } = input;
+  const unknown = listUnknownSeeds(input);
+  const near = MembershipState.listNeighbours(state).length > 1
+    ? []
+    : unknown.filter(({ dataCentre }) => dataCentre === state.self.dataCentre);
+  const candidates = near.length > 0 ? near : unknown;
+  const turn = Math.floor(round / PROBE_ROUNDS) % Math.max(1, candidates.length);
+  const address = candidates[turn]?.address;
   return address === undefined ? [] : [{ address, purpose: 'probe' }];
 }
 
--- a/packages/usage/src/UsageWindows.ts
+++ b/packages/usage/src/UsageWindows.ts
@@ -172,10 +172,13 @@
   return state.covered !== 'unread' && timeMs - state.quietSinceMs >= restartMs;
 }
 
+function isVeryFirst({ covered, last }: UsageState): boolean {
+  return covered === 'complete' && last === undefined;
+}
+
 /** Latest window that a lost seal may have sealed when a chain begins anew. */
-function getRestartFloor({ covered, last, limits }: UsageState, timeMs: Core.Millis): number {
-  const isVeryFirst = covered === 'complete' && last === undefined;
-  return isVeryFirst ? -Infinity : timeMs - getRestartMs(limits);
+function getRestartFloor(state: UsageState, timeMs: Core.Millis): number {
+  return isVeryFirst(state) ? -Infinity : timeMs - getRestartMs(state.limits);
 }
 
 /** Leaves out the windows that a lost or unproven seal may have accounted for. */
@@ -203,15 +206,20 @@
   const isNext = state.last !== undefined && state.last.recordId === base;
   // A seal that was planned before the gap may be the repetition of a lost one.
   const isAfterGap = state.covered === 'complete' || plannedMs > Number(state.covered);
+  // Its reporter had read the newest seal: one that lags may not break the chain.
   const isFirst = base === UsageRecords.NO_SEAL && canRestart(state, state.nowMs)
-    && (state.last !== undefined || isAfterGap)
-    && window > getRestartFloor(state, state.nowMs);
+    && window > getRestartFloor(state, state.nowMs)
+    && (isVeryFirst(state) || plannedMs > (state.last?.timestampMs ?? state.quietSinceMs));
   if (isNext) return { ...addSeal(state, seal), fence };
   if (isFirst) {
     return { ...addSeal(withRestart(state, state.nowMs), seal), candidates: new Map(), fence };
   }
   if (state.last !== undefined || state.covered === 'complete') return state;
   const seen = { ...state, quietSinceMs: state.nowMs };
+  // Readers that know the chain may have taken this seal for the beginning of a new one.
+  if (base === UsageRecords.NO_SEAL) {
+    return { ...seen, candidates: new Map(), covered: state.nowMs };
+  }
   if (!isAfterGap) return seen;
   // Only a seal that won is ever named as a base, and the first seal that names it wins.
   const named = state.candidates.get(base);
@@ -318,7 +326,9 @@
   const { last, limits } = state;
   if (last === undefined && !canRestart(state, wallMs)) return undefined;
   // Readers could not tell the seal from the repetition of one before the gap.
-  if (last === undefined && state.covered === state.nowMs) return undefined;
+  if (!isVeryFirst(state) && last === undefined && state.nowMs <= state.quietSinceMs) {
+    return undefined;
+  }
   const known = withRestart(state, wallMs);
   const newest = (Math.floor((wallMs - graceMs) / limits.windowMs) - 1) * limits.windowMs;
   const sealed = last?.window ?? getRestartFloor(state, wallMs);
