Carry usage counters in heartbeats and tell claims of replaced incarnations

Cause: the ports `counters` and `incarnations` of the daemon had defaults only, so counters that were not in the log yet were lost with their daemon.

Change: a heartbeat part hears the bytes of members that report to a relay, and that an incarnation was lost or replaced; MembershipPart connects both ports. Taking a lost member for ended was ruled out, because it may come back.

--- a/packages/daemon/src/MembershipPart.ts
+++ b/packages/daemon/src/MembershipPart.ts
@@ -1,6 +1,7 @@
 /**
  * Part: joins the fleet. It opens the peer interface, runs the heartbeats, decides whether keyed
- * requests are accepted, and appends snapshots of the configuration.
+ * requests are accepted, appends snapshots of the configuration, and carries the usage counters
+ * that are not in the log yet.
  */
 import * as Config from '@berylyoke/config';
 import * as Core from '@berylyoke/core';
@@ -101,6 +102,11 @@
       timing: settings.timing,
       transport: Membership.createConnectTransport(),
     });
+    const undoUsage = joined.registerPart('usage', {
+      build: () => context.ports.get('counters').buildHeartbeat(),
+      onLost: (source) => context.ports.get('counters').applyLostPeer(source),
+      onReport: (source, bytes) => context.ports.get('counters').applyHeartbeat(source, bytes),
+    });
     membership = joined;
     const timer = setInterval(() => {
       joined.runInterval();
@@ -113,6 +119,7 @@
       },
       joined.close,
       () => clearInterval(timer),
+      undoUsage,
       config.registerTailRule(joined.isTailNeeded),
     );
   };
@@ -141,6 +148,9 @@
       undoOpened();
     },
     context.ports.register('keyGuard', createKeyGuard(store)),
+    context.ports.register('incarnations', {
+      isEnded: (source) => membership?.isReplaced(source) ?? false,
+    }),
     context.registerReadiness('membership', () => (
       membership === undefined ? 'the peer interface is not open' : undefined
     )),
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -34,6 +34,10 @@
 export interface HeartbeatPart {
   /** Builds the bytes for the next heartbeat; empty for none. */
   readonly build: () => Uint8Array;
+  /** Takes the bytes of a member that reports to this relay. */
+  readonly onReport?: (source: Core.Writer, bytes: Uint8Array) => void;
+  /** Hears that an incarnation was lost, or replaced by a newer one. */
+  readonly onLost?: (source: Core.Writer) => void;
 }
 
 /** What the service needs. */
@@ -86,6 +90,8 @@
   readonly registerListener: (listener: (view: FleetView) => void) => Core.Undo;
   /** True where this daemon has to read the log itself, because no relay passes it on. */
   readonly isTailNeeded: () => boolean;
+  /** True where a newer incarnation of the daemon is known; a lost one may come back. */
+  readonly isReplaced: (writer: Core.Writer) => boolean;
   /** Tells every peer at once that this daemon is leaving. */
   readonly announceLeaving: () => void;
   readonly close: () => void;
@@ -163,6 +169,16 @@
 
 type Members = MembershipState.MembershipState['members'];
 
+/** Lists the incarnations that are lost or replaced after a change of the members. */
+function listLost(before: Members, after: Members): readonly Core.Writer[] {
+  return [...before.values()].flatMap(({ member }) => {
+    const now = after.get(member.daemonId)?.member;
+    if (member.status === Member.STATUS.lost || now === undefined) return [];
+    const isGone = now.incarnation !== member.incarnation || now.status === Member.STATUS.lost;
+    return isGone ? [{ daemonId: member.daemonId, incarnation: member.incarnation }] : [];
+  });
+}
+
 /** True when a member came, went, or changed in more than its sequence. */
 function hasChanged(before: Members, after: Members): boolean {
   if (before === after) return false;
@@ -223,8 +239,10 @@
   const setState = (next: MembershipState.MembershipState): void => {
     const changed = next.self.status !== state.self.status
       || hasChanged(state.members, next.members);
+    const lost = changed ? listLost(state.members, next.members) : [];
     state = next;
     if (!changed) return;
+    lost.forEach((source) => parts.forEach(({ onLost }) => onLost?.(source)));
     // Between changes, which are rare, a message costs no ranking and no comparison of members.
     revision += 1;
     relays = MembershipState.chooseOwnRelays(state).map(({ daemonId }) => daemonId);
@@ -345,6 +363,13 @@
     const stated = MembershipState.applyStatements(state, message, nowMs);
     // Only the opener of a stream reports; an answer carries no report that could replace one.
     setState(stream.address === undefined ? MembershipState.applyReport(stated, message) : stated);
+    if (stream.address === undefined && sender.dataCentre === self.dataCentre) {
+      const { daemonId, incarnation } = sender;
+      parts.forEach(({ onReport }, name) => {
+        const bytes = message.parts[name];
+        if (bytes !== undefined) onReport?.({ daemonId, incarnation }, bytes);
+      });
+    }
     applyConfig(message);
     applyContact(stream, message);
     if (remote === undefined) {
@@ -420,6 +445,10 @@
       openedStreams: [...streams].filter(({ address }) => address !== undefined).length,
     }),
     getView: buildView,
+    isReplaced: ({ daemonId, incarnation }) => {
+      const known = state.members.get(daemonId)?.member.incarnation;
+      return known !== undefined && Member.compareIncarnations(incarnation, known) < 0;
+    },
     isTailNeeded: () => relays.includes(self.daemonId)
       || relayContactMs === undefined
       || clock.readMonotonic() - relayContactMs > timing.suspectMs,
--- a/packages/membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/membership/src/__tests__/unit/Membership.test.ts
@@ -93,6 +93,9 @@
     fleet.deliver();
     const found = membership.getView().neighbours.find(({ daemonId }) => daemonId === 'a0');
     expect(found?.incarnation).toBe('2-a');
+    expect(['1-a', '2-a'].map((incarnation) => (
+      membership.isReplaced({ daemonId: 'a0', incarnation })
+    ))).toEqual([true, false]);
     expect(found?.status).toBe(Membership.STATUS.live);
   });
 });
@@ -199,6 +202,36 @@
   });
 });
 
+describe('parts of the heartbeat', () => {
+  // Guards against usage counters that are lost with the daemon that had not appended them.
+  test('a relay hears the bytes of a member, and that it was lost or replaced', () => {
+    const fleet = startDataCentre(4);
+    const heard: string[] = [];
+    const { relays } = fleet.get('m0').membership.getView();
+    expect(relays).toEqual(['m0']);
+    fleet.daemons.forEach(({ id, membership }) => {
+      membership.registerPart('usage', {
+        build: () => Uint8Array.from([Number(id[1])]),
+        onLost: ({ daemonId, incarnation }) => heard.push(`${id} lost ${daemonId} ${incarnation}`),
+        onReport: ({ daemonId }, bytes) => heard.push(`${id} heard ${daemonId} ${bytes[0]}`),
+      });
+    });
+    fleet.run(SETTLE);
+    const [relay = ''] = fleet.get('m0').membership.getView().relays;
+    const [crashed = '', replaced = ''] = [...fleet.daemons.keys()]
+      .filter((id) => !fleet.get('m0').membership.getView().relays.includes(id));
+    expect(heard).toContain(`${relay} heard ${crashed} ${crashed[1]}`);
+    expect(heard.filter((line) => line.includes('lost'))).toEqual([]);
+    fleet.crash(crashed);
+    fleet.crash(replaced);
+    fleet.start(replaced, 'dc', 'r', '2-a');
+    fleet.run(SETTLE);
+    expect(heard).toContain(`${relay} lost ${crashed} 1-a`);
+    expect(heard).toContain(`${relay} lost ${replaced} 1-a`);
+    expect(heard.filter((line) => line.startsWith(`${relay} lost`))).toHaveLength(2);
+  });
+});
+
 describe('configuration over relays', () => {
   test('members get entries at once, rest from the log, and are vouched for', () => {
     const fleet = startDataCentre(6);
