--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -4,6 +4,7 @@
  */
 import type * as Config from '@berylyoke/config';
 import type * as http from 'node:http';
+import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
 import type * as PathPorts from './PathPorts.js';
 import type * as PathTypes from './PathTypes.js';
@@ -42,7 +43,11 @@
   }));
 }
 
-function buildPath({ path, query = '' }: PathTypes.ReceivedRequest, route: Config.Route): string {
+/** Builds the path that a plain service gets, with the allowed query parameters. */
+export function buildPath(
+  { path, query = '' }: PathTypes.ReceivedRequest,
+  route: Config.Route,
+): string {
   if (query === '' || route.query.length === 0) return path;
   const allowed = [...new URLSearchParams(query)].filter(([name, value]) => (
     route.query.includes(name) && !KEY_PATTERN.test(value)
@@ -65,25 +70,31 @@
   readonly answer: PathPorts.StoredAnswer | undefined;
   /** A byte may have left. */
   readonly sent: boolean;
+  /** The right to send was withdrawn, so that no further attempt may be made. */
+  readonly isWithdrawn: boolean;
 }
 
+/** Asked in the turn of the first write; undefined where no claim is needed. */
+type SendCheck = (() => boolean) | undefined;
+
 async function runAttempt(
   context: RelayChat.RelayContext,
   request: PathTypes.ClassifiedRequest,
   target: PathTypes.RouteTarget,
   server: PathTypes.BackendServer,
   traceparent: string | undefined,
+  canSend: SendCheck,
 ): Promise<Attempt> {
   const { received, repeatable } = request;
   const { tier } = request.class;
   // A non-repeatable call is not cancelled when its caller leaves: it finishes, and its answer
   // can be stored for a repeat.
-  const timeout = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
-  const signal = repeatable ? AbortSignal.any([received.signal, timeout]) : timeout;
+  const signal = repeatable ? received.signal : undefined;
   const answer = await BackendCall.sendBackendRequest({
     address: server.address,
     agent: repeatable ? context.agent : undefined,
     body: received.body,
+    canSend,
     connectTimeoutMs: context.connectTimeoutMs,
     headTimeoutMs: ANSWER_TIMEOUT_MS,
     headers: {
@@ -97,13 +108,17 @@
     path: buildPath(received, target.route),
     signal,
   });
-  if (BackendCall.isBackendFailure(answer)) return { answer: undefined, sent: answer.sent };
+  if (BackendCall.isBackendFailure(answer)) {
+    return {
+      answer: undefined, isWithdrawn: answer.reason === 'not-permitted', sent: answer.sent,
+    };
+  }
   const echoed = answer.headers['x-request-id'];
   if (echoed !== undefined && echoed !== received.requestId) {
     answer.destroy();
-    return { answer: undefined, sent: true };
+    return { answer: undefined, isWithdrawn: false, sent: true };
   }
-  return { answer: await readStoredAnswer(answer), sent: true };
+  return { answer: await readStoredAnswer(answer), isWithdrawn: false, sent: true };
 }
 
 /** Runs the call until it has an answer, or until it must not be sent again. */
@@ -111,29 +126,27 @@
   context: RelayChat.RelayContext,
   request: PathTypes.ClassifiedRequest,
   target: PathTypes.RouteTarget,
+  canSend?: SendCheck,
 ): Promise<PathPorts.StoredAnswer | Refusal.Refusal> {
   const { received: { requestId, signal, trace }, repeatable } = request;
   const retry = context.ports.get('retry');
   const attempt = async (
     excluded: readonly string[],
+    anySent: boolean,
   ): Promise<PathPorts.StoredAnswer | Refusal.Refusal> => {
-    const queueSpan = trace?.startChild('berylyoke.choose');
-    const dispatch = await context.ports.get('dispatch').acquire(request, excluded);
-    queueSpan?.end(Refusal.isRefusal(dispatch) ? dispatch.code : 'dispatched');
-    if (Refusal.isRefusal(dispatch)) {
-      context.explain(requestId, 'choose', 'refused', { code: dispatch.code, excluded });
-      return dispatch;
-    }
+    const dispatch = await AcquireDispatch.acquireDispatch(context, request, excluded);
+    if (Refusal.isRefusal(dispatch)) return { ...dispatch, notRun: dispatch.notRun && !anySent };
     const startedMs = context.clock.readMonotonic();
     const span = trace?.startChild('berylyoke.forward', {
       'berylyoke.server': dispatch.server.id,
     });
-    const { answer, sent } = await runAttempt(
+    const { answer, isWithdrawn, sent } = await runAttempt(
       context,
       request,
       target,
       dispatch.server,
       span?.traceparent,
+      canSend,
     );
     span?.end(answer === undefined ? 'failed' : 'answered');
     const durationMs = context.clock.readMonotonic() - startedMs;
@@ -147,6 +160,9 @@
       sent, server: dispatch.server.id,
     });
     if (answer !== undefined) return answer;
+    if (isWithdrawn) {
+      return Refusal.createRefusal('overloaded', 'the call waited longer than its claim', 1_000);
+    }
     if (sent && !repeatable) {
       return Refusal.createUnknownOutcome(
         'outcome_unknown',
@@ -155,14 +171,18 @@
     }
     if (excluded.length + 1 < MAX_ATTEMPTS && !signal.aborted && retry.claim(false)) {
       context.metrics.addRetry('restart');
-      return attempt([...excluded, dispatch.server.id]);
+      return attempt([...excluded, dispatch.server.id], anySent || sent);
+    }
+    if (signal.aborted) {
+      const refusal = AcquireDispatch.getAbortRefusal(signal);
+      return { ...refusal, notRun: !sent && !anySent };
     }
-    return sent
+    return sent || anySent
       ? Refusal.createUnknownOutcome('backend_failed', 'every attempt on a backend server failed')
       : Refusal.createRefusal('no_server', 'no backend server could be reached', 1_000);
   };
   retry.addRequest();
-  return attempt([]);
+  return attempt([], false);
 }
 
 async function runClaimed(
@@ -182,7 +202,13 @@
     return claim.answer;
   }
   context.explain(requestId, 'claim', 'won');
-  const result = await runRoute(context, request, target);
+  const running = runRoute(context, request, target, claim.requestSend);
+  const result = await running.catch(async (error) => {
+    // Has no effect on a claim under which a byte may have been sent; that one becomes unknown.
+    await claim.release();
+    await claim.markUnknown();
+    throw error;
+  });
   if (!Refusal.isRefusal(result)) await claim.complete(result);
   else if (result.notRun) await claim.release();
   else await claim.markUnknown();
--- a/packages/once/src/ClaimKey.ts
+++ b/packages/once/src/ClaimKey.ts
@@ -7,6 +7,8 @@
   readonly account: string;
   readonly route: string;
   readonly idempotencyKey: string;
+  /** Method and query, which a repeat has to send alike, as well as the body. */
+  readonly parameters: string;
   readonly body: Uint8Array;
 }
 
@@ -28,6 +30,9 @@
   const keyDigest = crypto.createHash('sha256')
     .update(JSON.stringify([call.account, call.route, call.idempotencyKey]))
     .digest('base64url');
-  const bodyDigest = crypto.createHash('sha256').update(call.body).digest('base64url');
+  const bodyDigest = crypto.createHash('sha256')
+    .update(JSON.stringify(call.parameters))
+    .update(call.body)
+    .digest('base64url');
   return { bodyDigest, keyDigest, shard: chooseShard(keyDigest, shards) };
 }
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -8,11 +8,13 @@
 import type * as CacheIndex from './CacheIndex.js';
 import type * as Explanation from './Explanation.js';
 import * as FairQueue from './FairQueue.js';
+import * as FleetShares from './FleetShares.js';
 import * as LengthEstimate from './LengthEstimate.js';
 import * as Outliers from './Outliers.js';
 import * as RetryBudget from './RetryBudget.js';
 import * as ServerChoice from './ServerChoice.js';
 import * as ServiceRate from './ServiceRate.js';
+import * as SlotReserve from './SlotReserve.js';
 
 /** A class as the scheduler needs it. */
 export interface ScheduledClass extends FairQueue.QueueClass {
@@ -79,6 +81,10 @@
   readonly queue: FairQueue.QueueOptions;
   /** Share of a server's slots that daemons may claim over an even division. */
   readonly slotHeadroom: number;
+  /** Targets up to this one count as urgent: slots are reserved for such requests. */
+  readonly urgentMs: Core.Millis;
+  /** Margin of the reserve, in units of the square root of the mean number of requests. */
+  readonly reserveDeviations: number;
 }
 
 /** Scheduler of one daemon. */
@@ -101,6 +107,10 @@
   ) => ScheduleStep;
   readonly recordReport: (report: ServerChoice.LoadReport) => void;
   readonly recordCacheEvent: (event: CacheIndex.CacheEvent, nowMs: Core.Millis) => void;
+  /** Builds this daemon's part of the next digest, the accounts with the largest changes first. */
+  readonly buildDigest: (nowMs: Core.Millis, maxAccounts: number) => FleetShares.ServiceDigest;
+  /** Charges the accounts with what the other daemons, summed up, have served them. */
+  readonly applyDigest: (digest: FleetShares.ServiceDigest) => void;
   readonly getQueueSnapshot: () => FairQueue.QueueSnapshot;
   readonly listEstimates: () => readonly ServerChoice.ServerEstimate[];
   readonly getOutliers: () => Outliers.OutlierState;
@@ -113,7 +123,9 @@
   length: LengthEstimate.defaultLengthOptions,
   outliers: Outliers.defaultOutlierOptions,
   queue: FairQueue.defaultQueueOptions,
+  reserveDeviations: 1,
   slotHeadroom: 1,
+  urgentMs: 1_000,
 };
 
 /** Work of a prompt token in units of an answer token: prompts are read in large batches. */
@@ -131,6 +143,9 @@
 /** Requests that find no server although others might, before the rest has to wait for them. */
 const MAX_BLOCKED = 8;
 
+/** Tiers of the operators' lists. */
+const TIERS = [0, 1, 2, 3, 4];
+
 const EMPTY_STEP: ScheduleStep = { refusals: [], starts: [] };
 
 interface Waiting {
@@ -149,6 +164,17 @@
 interface ServiceTime {
   readonly meanMs: Core.Millis;
   readonly deviationMs: Core.Millis;
+  readonly observedMs: Core.Millis;
+}
+
+/** Time in which an observed time to the first token loses two thirds of its weight. */
+const SERVICE_TIME_FADING_MS = 3_000;
+
+/** Service is shared fairly inside a tier of a pool, so that is what digests count. */
+function formatShareKey(
+  { account, class: { tier }, pool }: Pick<ScheduledRequest, 'account' | 'class' | 'pool'>,
+): string {
+  return `${tier} ${account} ${pool}`;
 }
 
 /** Weight of a new observation of the time to the first token. */
@@ -167,8 +193,10 @@
   const chooser = ServerChoice.createServerChooser(options.choice);
   const lengths = LengthEstimate.createLengthEstimates(options.length);
   const queue = FairQueue.createFairQueue<Waiting>(options.queue);
+  const shares = FleetShares.createFleetShares();
   const rates = new Map<string, ServiceRate.ServiceRate>();
   const running = new Map<string, Running>();
+  const reserves = new Map<string, SlotReserve.SlotReserve>();
   const serviceTimes = new Map<string, ServiceTime>();
   let retries = RetryBudget.createRetryBudget();
   /** Servers that are compared with each other: those that answer for the same models. */
@@ -184,10 +212,41 @@
     return added;
   };
 
-  const getServiceMs = ({ class: { classId }, pool, promptTokens }: ScheduledRequest): number => {
+  const getReserve = (pool: string): SlotReserve.SlotReserve => {
+    const known = reserves.get(pool);
+    if (known !== undefined) return known;
+    const added = SlotReserve.createSlotReserve(options.reserveDeviations);
+    reserves.set(pool, added);
+    return added;
+  };
+
+  const isUrgent = ({ class: { firstTokenMs } }: ScheduledRequest): boolean => (
+    firstTokenMs <= options.urgentMs
+  );
+
+  const releaseReserve = (request: ScheduledRequest, nowMs: Core.Millis): void => {
+    if (isUrgent(request)) getReserve(request.pool).removeRequest(request.class.tier, nowMs);
+  };
+
+  /** Finds the lowest tier that leaves its reserve with the free slots; -1 when none does. */
+  const findLowestTier = (pool: string, nowMs: Core.Millis): number => {
+    const free = chooser.countFreeSlots(pool);
+    const reserve = getReserve(pool);
+    const blocked = TIERS.findIndex((tier) => reserve.computeReserve(tier, nowMs) >= free);
+    return blocked === -1 ? Infinity : blocked - 1;
+  };
+
+  const getServiceMs = (
+    { class: { classId }, pool, promptTokens }: ScheduledRequest,
+    nowMs: Core.Millis,
+  ): Core.Millis => {
+    const priorMs = promptTokens * options.choice.promptTokenMs
+      + 2 * options.choice.betweenTokensMs;
     const known = serviceTimes.get(`${pool} ${classId}`);
-    if (known !== undefined) return known.meanMs + 2 * known.deviationMs;
-    return promptTokens * options.choice.promptTokenMs + 2 * options.choice.betweenTokensMs;
+    if (known === undefined) return priorMs;
+    // A class that is refused is not observed; without fading it would be refused for good.
+    const fading = Math.exp(-(nowMs - known.observedMs) / SERVICE_TIME_FADING_MS);
+    return priorMs + (known.meanMs + known.deviationMs - priorMs) * fading;
   };
 
   const buildChoiceRequest = (request: ScheduledRequest): ServerChoice.ChoiceRequest => ({
@@ -204,7 +263,7 @@
     const rate = getRate(request.pool);
     return {
       hasFreeSlot: chooser.countFreeSlots(request.pool) > 0,
-      serviceMs: getServiceMs(request),
+      serviceMs: getServiceMs(request, nowMs),
       tierTokensPerSecond: rate.getTierRate(request.class.tier, nowMs),
       totalTokensPerSecond: rate.getTotalRate(nowMs),
       workAhead: queue.estimateWorkAhead(request),
@@ -217,6 +276,7 @@
   ): ScheduledRefusal => {
     const { grant, request } = payload;
     admission.releaseGrant(grant, 0);
+    releaseReserve(request, nowMs);
     const waitMs = Admission.estimateFirstTokenMs(buildOutlook(request, nowMs));
     const { maxRetryAfterMs, minRetryAfterMs } = options.admission;
     const boundedMs = Math.min(Math.max(minRetryAfterMs, waitMs), maxRetryAfterMs);
@@ -235,6 +295,7 @@
     const choice = chooser.chooseServer(choiceRequest, nowMs, random).extract();
     if ('_tag' in choice) return undefined;
     chooser.recordDispatch(choiceRequest, choice, nowMs);
+    shares.recordService(formatShareKey(request), request.promptTokens * PROMPT_TOKEN_WORK);
     const isSaturated = queue.countRequests(pool) > 0;
     getRate(pool).recordDispatch(request.class.tier, costTokens, nowMs, isSaturated);
     running.set(request.requestId, {
@@ -256,13 +317,13 @@
       && queue.countRequests(pool) > 0
       && chooser.countFreeSlots(pool) > 0
     ) {
-      const { expired, reason, request: queued } = queue.dequeueRequest(pool, nowMs);
+      const lowestTier = findLowestTier(pool, nowMs);
+      const { expired, reason, request } = queue.dequeueRequest(pool, nowMs, lowestTier);
       refusals.push(...expired.map((shed) => refuseShed(shed, nowMs)));
-      if (queued !== undefined) {
-        const start = startQueued(queued, reason, nowMs);
-        if (start === undefined) blocked.push(queued);
-        else starts.push(start);
-      }
+      if (request === undefined) break;
+      const start = startQueued(request, reason, nowMs);
+      if (start === undefined) blocked.push(request);
+      else starts.push(start);
     }
     blocked.forEach(queue.returnRequest);
     return { refusals, starts };
@@ -274,6 +335,7 @@
     nowMs: Core.Millis,
   ): ScheduleStep => {
     const { request } = waiting;
+    if (isUrgent(request)) getReserve(request.pool).addRequest(request.class.tier, nowMs);
     const shed = queue.queueRequest({
       account: request.account,
       class: request.class,
@@ -336,7 +398,10 @@
   const correctCharge = (entry: Running, step: LengthEstimate.ChargeStep): void => {
     const current = entry;
     current.charge = step.charge;
-    if (step.deltaTokens !== 0) queue.recordTokens(entry.request, step.deltaTokens);
+    if (step.deltaTokens !== 0) {
+      const { account, class: { tier }, pool } = entry.request;
+      queue.recordTokens({ account, pool, tier }, step.deltaTokens);
+    }
   };
 
   const submitRequest: Scheduler['submitRequest'] = (request, nowMs) => {
@@ -375,6 +440,14 @@
     });
   };
 
+  const applyDigest = (digest: FleetShares.ServiceDigest): void => {
+    shares.applyDigest(digest).forEach(({ account: key, tokens }) => {
+      const [tier, account, pool] = key.split(' ');
+      if (account === undefined || pool === undefined) return;
+      queue.recordTokens({ account, pool, tier: Number(tier) }, tokens);
+    });
+  };
+
   return {
     advanceTime: (nowMs) => {
       const expired = queue.shedExpired(nowMs).map((shed) => refuseShed(shed, nowMs));
@@ -382,9 +455,13 @@
       const step = startAll(nowMs);
       return { refusals: [...expired, ...step.refusals], starts: step.starts };
     },
-    cancelRequest: (requestId) => {
+    applyDigest,
+    buildDigest: shares.buildDigest,
+    cancelRequest: (requestId, nowMs) => {
       const removed = queue.removeRequest(requestId);
-      if (removed !== undefined) admission.releaseGrant(removed.payload.grant, 0);
+      if (removed === undefined) return;
+      admission.releaseGrant(removed.payload.grant, 0);
+      releaseReserve(removed.payload.request, nowMs);
     },
     getOutliers: mergeOutliers,
     getQueueSnapshot: queue.getSnapshot,
@@ -395,6 +472,7 @@
       if (entry === undefined) return EMPTY_STEP;
       const { grant, request, serverId } = entry;
       running.delete(requestId);
+      releaseReserve(request, nowMs);
       chooser.recordEnd(serverId, requestId, nowMs);
       correctCharge(entry, LengthEstimate.closeTokenCharge(entry.charge));
       const { deliveredTokens } = entry.charge;
@@ -412,12 +490,15 @@
       chooser.recordFirstToken(entry.serverId, requestId, nowMs);
       const key = `${entry.request.pool} ${entry.request.class.classId}`;
       const observedMs = nowMs - entry.startedMs;
-      const known = serviceTimes.get(key) ?? { deviationMs: observedMs / 4, meanMs: observedMs };
+      const known = serviceTimes.get(key) ?? {
+        deviationMs: observedMs / 4, meanMs: observedMs,
+      };
       const errorMs = observedMs - known.meanMs;
       serviceTimes.set(key, {
         deviationMs: known.deviationMs
           + (Math.abs(errorMs) - known.deviationMs) * SERVICE_TIME_WEIGHT,
         meanMs: known.meanMs + errorMs * SERVICE_TIME_WEIGHT,
+        observedMs: nowMs,
       });
     },
     recordReport: chooser.recordReport,
@@ -428,6 +509,7 @@
         chooser.recordGap(entry.serverId, (nowMs - entry.lastTokenMs) / tokens);
       }
       entry.lastTokenMs = nowMs;
+      shares.recordService(formatShareKey(entry.request), tokens);
       correctCharge(entry, LengthEstimate.addDeliveredTokens(entry.charge, tokens));
     },
     resumeRequest: (request, nowMs) => RetryBudget.claimRetry(retries).caseOf<ScheduleStep>({
