Run the leases in the daemon and show them to operators

Change: DutiesPart with the port 'duties' (authority, listener, orders), the authority of 'reporting' for the usage part, a status section and a drain that releases the leases. A daemon without the interface of a duty does not claim.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,7 +1,9 @@
 /** A daemon as a whole: its context, its parts, its HTTP interfaces and its graceful shutdown. */
 import type * as Config from '@berylyoke/config';
 import * as Core from '@berylyoke/core';
+import * as Duties from '@berylyoke/duties';
 import * as Log from '@berylyoke/log';
+import * as Effect from 'effect/Effect';
 import * as ActiveRequests from './ActiveRequests.js';
 import * as ConfigPart from './ConfigPart.js';
 import type * as DaemonContext from './DaemonContext.js';
@@ -59,6 +61,12 @@
       buildHeartbeat: () => new Uint8Array(),
     },
     dispatch: DefaultDispatch.createDefaultDispatch(servers.getServers),
+    duties: {
+      getAuthority: () => undefined,
+      listOpenOrders: () => [],
+      registerListener: () => () => undefined,
+      sendOrder: () => Effect.fail(new Duties.OrderError({ orderId: '', reason: 'not-holder' })),
+    },
     incarnations: { isEnded: () => false },
     keyGuard: { check: () => undefined },
     once: {
--- /dev/null
+++ b/packages/daemon/src/DutiesPart.ts
@@ -0,0 +1,79 @@
+/**
+ * Part: runs the leases of the duties that one daemon at a time carries out, and sends fenced
+ * orders while this daemon holds the lease `ordering`.
+ */
+import * as Core from '@berylyoke/core';
+import * as Duties from '@berylyoke/duties';
+import * as Effect from 'effect/Effect';
+import type * as DaemonContext from './DaemonContext.js';
+
+type Leases = Readonly<Record<Duties.LeaseName, Duties.LeaseService>>;
+
+function createLeases(context: DaemonContext.DaemonContext, logger: Core.Logger): Leases {
+  const { platform, timing } = context.settings;
+  const create = (lease: Duties.LeaseName, isConfigured: boolean): Duties.LeaseService => (
+    Duties.createLeaseService({
+      clock: context.clock,
+      // A daemon without the interface of a duty would hold its lease in vain.
+      isCandidate: () => isConfigured && !context.isDraining(),
+      lease,
+      log: context.log,
+      logger,
+      timing: Duties.buildLeaseTiming(
+        timing.leaseTermMs,
+        timing.orderDeadlineMs,
+        timing.leaseMarginMs,
+      ),
+    })
+  );
+  return {
+    ordering: create('ordering', platform.orderingUrl !== undefined),
+    reporting: create('reporting', platform.usageUrl !== undefined),
+    snapshots: create('snapshots', true),
+  };
+}
+
+function createOrders(
+  context: DaemonContext.DaemonContext,
+  lease: Duties.LeaseService,
+  logger: Core.Logger,
+): Duties.OrderService | undefined {
+  const { platform, timing } = context.settings;
+  if (platform.orderingUrl === undefined) return undefined;
+  return Duties.createOrderService({
+    engines: Duties.createHttpEngineOrders(),
+    lease,
+    log: context.log,
+    logger,
+    orderDeadlineMs: timing.orderDeadlineMs,
+    ordering: Duties.createHttpOrdering(platform.orderingUrl),
+  });
+}
+
+/** Registers the leases and the orders. */
+export function registerDutiesPart(context: DaemonContext.DaemonContext): Core.Undo {
+  const logger = Core.getPartLogger(context.logger, 'duties');
+  const leases = createLeases(context, logger);
+  const orders = createOrders(context, leases.ordering, logger);
+  const services = Object.values(leases);
+  return Core.mergeUndos(
+    ...services.map((service) => service.close),
+    () => orders?.close(),
+    context.ports.register('duties', {
+      getAuthority: (lease) => leases[lease].getAuthority(),
+      listOpenOrders: () => orders?.listOpenOrders() ?? [],
+      registerListener: (lease, listener) => leases[lease].registerListener(listener),
+      sendOrder: (target) => orders?.sendOrder(target) ?? Effect.fail(new Duties.OrderError({
+        detail: 'no ordering interface is configured', orderId: '', reason: 'not-holder',
+      })),
+    }),
+    context.ports.register('reporting', { getAuthority: leases.reporting.getAuthority }),
+    context.registerStatus('duties', () => ({
+      leases: services.map((service) => service.getStatus()),
+      openOrders: orders?.listOpenOrders().length ?? 0,
+    })),
+    context.registerDrain('duties', async () => {
+      await Promise.all(services.map((service) => service.stop()));
+    }),
+  );
+}
--- a/packages/daemon/src/Parts.ts
+++ b/packages/daemon/src/Parts.ts
@@ -1,6 +1,7 @@
 /** All parts of a daemon, in the order in which they register. */
 import * as ConfigPart from './ConfigPart.js';
 import type * as DaemonContext from './DaemonContext.js';
+import * as DutiesPart from './DutiesPart.js';
 import * as OncePart from './OncePart.js';
 import * as MembershipPart from './MembershipPart.js';
 import * as ServersPart from './ServersPart.js';
@@ -13,4 +14,5 @@
   OncePart.registerOncePart,
   UsagePart.registerUsagePart,
   MembershipPart.registerMembershipPart,
+  DutiesPart.registerDutiesPart,
 ];
--- a/packages/daemon/src/PathPorts.ts
+++ b/packages/daemon/src/PathPorts.ts
@@ -3,6 +3,8 @@
  * and is replaced by a part that registers itself.
  */
 import type * as Core from '@berylyoke/core';
+import type * as Duties from '@berylyoke/duties';
+import type * as Effect from 'effect/Effect';
 import type * as PathTypes from './PathTypes.js';
 import type * as Refusal from './Refusal.js';
 
@@ -96,6 +98,20 @@
   | undefined;
 }
 
+/** Duties that one daemon at a time carries out. */
+export interface DutiesPort {
+  /** Undefined where this daemon does not hold the lease; reads the clock on each call. */
+  readonly getAuthority: (lease: Duties.LeaseName) => Duties.LeaseAuthority | undefined;
+  readonly registerListener: (
+    lease: Duties.LeaseName,
+    listener: Duties.LeaseListener,
+  ) => Core.Undo;
+  /** Sends a fenced order; fails with `not-holder` where this daemon may not order. */
+  readonly sendOrder: (target: Duties.OrderTarget) => Effect.Effect<string, Duties.OrderError>;
+  /** Orders whose outcome is not known yet; nothing is ordered before they are settled. */
+  readonly listOpenOrders: () => readonly Duties.OpenOrder[];
+}
+
 /** Budget of further attempts, as a share of requests. */
 export interface RetryPort {
   /** Counts a first attempt. */
@@ -111,6 +127,7 @@
 export interface PathPorts {
   readonly counters: CountersPort;
   readonly dispatch: DispatchPort;
+  readonly duties: DutiesPort;
   readonly incarnations: IncarnationPort;
   readonly keyGuard: KeyGuardPort;
   readonly once: OncePort;
--- a/packages/duties/src/LeaseService.ts
+++ b/packages/duties/src/LeaseService.ts
@@ -111,7 +111,9 @@
     if (gapMs <= timing.maxGapMs + tickMs) return;
     pauses += 1;
     contactFromMs = nowMs;
-    logger?.warn({ gapMs, lease }, 'the event loop paused, so the lease is dropped');
+    if (machine.belief !== undefined) {
+      logger?.warn({ gapMs, lease }, 'the event loop paused, so the lease is dropped');
+    }
     step({ kind: 'paused' });
   };
 
