Let an open order hold up its own receiver only

Cause: an order to an engine that is gone can never be settled by reading its state, and an open order held up every other order.

Change: an open order blocks the same receiver alone; states are read side by side; an engine's order is closed as unknown after 30 failed reads. An order to the ordering interface stays open until its state was read.

--- a/packages/duties/src/DutyRecords.ts
+++ b/packages/duties/src/DutyRecords.ts
@@ -71,8 +71,17 @@
 });
 export type OrderIntent = typeof OrderIntent.Type;
 
-/** How an order ended, as its sender or a later holder knows it. */
-export const OrderStatus = Schema.Literal('absent', 'accepted', 'not-sent', 'refused');
+/**
+ * How an order ended, as its sender or a later holder knows it. `unknown` closes an order to an
+ * engine that could not be asked for its state, for example because it is gone.
+ */
+export const OrderStatus = Schema.Literal(
+  'absent',
+  'accepted',
+  'not-sent',
+  'refused',
+  'unknown',
+);
 export type OrderStatus = typeof OrderStatus.Type;
 
 /** Closes an intent. */
--- a/packages/duties/src/OrderService.ts
+++ b/packages/duties/src/OrderService.ts
@@ -1,7 +1,7 @@
 /**
  * Fenced orders: an intent is written and read back before the order is sent, its outcome after.
- * An order without a known outcome is settled by reading the platform's actual state, before
- * anything else is sent.
+ * An order without a known outcome is settled by reading the actual state, before anything else is
+ * sent to the same receiver; an engine that is gone must not hold up the orders to others.
  */
 import * as Core from '@berylyoke/core';
 import * as Log from '@berylyoke/log';
@@ -14,6 +14,10 @@
 
 /** Sends of one order under the same id, each after the state showed it absent. */
 const MAX_SENDS = 2;
+/** Failed reads after which an engine's order is given up; an engine may be gone for good. */
+const MAX_ENGINE_READS = 30;
+/** Reads of the actual state at the same time, so that one silent engine delays no other. */
+const RECOVERY_CONCURRENCY = 16;
 /** Interval of the look for orders without an outcome, as a part of the order deadline. */
 const RECOVERY_PART = 1 / 4;
 
@@ -48,11 +52,16 @@
   readonly close: Core.Undo;
 }
 
+function getReceiver(target: DutyRecords.OrderTarget): string {
+  return target.to === 'engine' ? target.engineUrl : target.to;
+}
+
 /** Starts the service, which also settles what earlier holders left open. */
 export function createOrderService({
   engines, lease, log, logger, orderDeadlineMs, ordering,
 }: OrderServiceOptions): OrderService {
   const inProgress = new Set<string>();
+  const failedReads = new Map<string, number>();
   let state = Orders.INITIAL_ORDERS_STATE;
   let isRecovering = false;
 
@@ -128,14 +137,24 @@
     }));
   }
 
-  const recoverOrder = ({ fence, orderId, target }: Orders.OpenOrder): Effect.Effect<void> => (
-    hasOrder({ orderId, target }).pipe(
-      Effect.flatMap((isAccepted) => (
-        recordOutcome(orderId, fence, isAccepted ? 'accepted' : 'absent')
-      )),
-      Effect.catchAll((error) => Effect.sync(() => {
-        logger?.warn({ orderId, reason: error.reason }, 'the state of an order is not readable');
-      })),
+  const handleUnreadable = ({ fence, orderId, target }: Orders.OpenOrder): Effect.Effect<void> => {
+    const reads = (failedReads.get(orderId) ?? 0) + 1;
+    failedReads.set(orderId, reads);
+    if (reads === 1) logger?.warn({ orderId }, 'the state of an order is not readable');
+    if (target.to !== 'engine' || reads < MAX_ENGINE_READS) return Effect.void;
+    failedReads.delete(orderId);
+    return recordOutcome(orderId, fence, 'unknown');
+  };
+
+  const recoverOrder = (order: Orders.OpenOrder): Effect.Effect<void> => (
+    hasOrder(order).pipe(
+      Effect.matchEffect({
+        onFailure: () => handleUnreadable(order),
+        onSuccess: (isAccepted) => {
+          failedReads.delete(order.orderId);
+          return recordOutcome(order.orderId, order.fence, isAccepted ? 'accepted' : 'absent');
+        },
+      }),
     )
   );
 
@@ -143,11 +162,16 @@
     Object.values(state.open).filter(({ orderId }) => !inProgress.has(orderId))
   );
 
+  const isBlocked = (target: DutyRecords.OrderTarget): boolean => listAbandoned()
+    .some((order) => getReceiver(order.target) === getReceiver(target));
+
   const recover = (): void => {
     const abandoned = listAbandoned();
     if (isRecovering || abandoned.length === 0 || lease.getAuthority() === undefined) return;
     isRecovering = true;
-    Effect.runFork(Effect.forEach(abandoned, recoverOrder, { discard: true }).pipe(
+    Effect.runFork(Effect.forEach(abandoned, recoverOrder, {
+      concurrency: RECOVERY_CONCURRENCY, discard: true,
+    }).pipe(
       Effect.ensuring(Effect.sync(() => {
         isRecovering = false;
       })),
@@ -184,7 +208,7 @@
       if (authority === undefined) {
         return Effect.fail(new OrderError({ orderId, reason: 'not-holder' }));
       }
-      if (listAbandoned().length > 0) {
+      if (isBlocked(target)) {
         return Effect.fail(new OrderError({ orderId, reason: 'recovering' }));
       }
       inProgress.add(orderId);
--- a/packages/duties/src/__tests__/unit/OrderService.test.ts
+++ b/packages/duties/src/__tests__/unit/OrderService.test.ts
@@ -155,6 +155,36 @@
   });
 });
 
+describe('an order to an engine', () => {
+  test('that is left open holds up that engine alone', async () => {
+    const platform = await startPlatform();
+    const engine = await Testkit.startFakeOrdering();
+    closers.push(engine.close);
+    const daemon = openDaemon(platform, 'd1');
+    await waitForLease(daemon);
+    const target: Duties.OrderTarget = {
+      engineUrl: engine.url, order: { action: 'load-model', value: 'm1' }, to: 'engine',
+    };
+    engine.faults.set([
+      {
+        count: 1, delayMs: 0, kind: 'lost-answer', operation: 'order',
+      },
+      {
+        count: 1_000, delayMs: 0, kind: 'refusal', operation: 'state',
+      },
+    ]);
+    expect(await Effect.runPromise(Effect.flip(daemon.orders.sendOrder(target))))
+      .toMatchObject({ reason: 'unknown' });
+    expect(await Effect.runPromise(Effect.flip(daemon.orders.sendOrder(target))))
+      .toMatchObject({ reason: 'recovering' });
+    await Effect.runPromise(daemon.orders.sendOrder(TARGET));
+    engine.faults.set([]);
+    await waitFor(() => expect(daemon.orders.listOpenOrders()).toEqual([]));
+    await Effect.runPromise(daemon.orders.sendOrder(target));
+    expect(engine.listAccepted()).toHaveLength(2);
+  });
+});
+
 describe('a lease', () => {
   test('ends in a log outage and comes back after it', async () => {
     const platform = await startPlatform();
