Bound the bytes of an append and of the records in flight

Cause: 500 stored answers of some 64 KB each would make one append of 32 MB, and 10,000 records in flight bounded their number but not their memory.

--- a/packages/log/src/Appender.ts
+++ b/packages/log/src/Appender.ts
@@ -23,6 +23,7 @@
 }
 
 interface Pending extends PendingRecord {
+  readonly bytes: number;
   attempts: number;
   dueMs: Core.Millis;
   /** True once an append with the record may have taken effect. */
@@ -43,6 +44,7 @@
   readonly failedAppends: number;
   readonly repeatedRecords: number;
   readonly recordsInFlight: number;
+  readonly bytesInFlight: number;
 }
 
 /** Queues records and appends them in batches. */
@@ -65,11 +67,15 @@
   const fibers: Fiber.RuntimeFiber<never>[] = [];
   const limit = Backoff.createRateLimit(options.appendsPerSecond, options.appendBurst);
   const counts = {
-    appends: 0, failedAppends: 0, recordsInFlight: 0, repeatedRecords: 0,
+    appends: 0, bytesInFlight: 0, failedAppends: 0, recordsInFlight: 0, repeatedRecords: 0,
   };
 
   const drop = (lane: Lane, recordId: string): void => {
-    if (lane.pending.delete(recordId)) counts.recordsInFlight -= 1;
+    const pending = lane.pending.get(recordId);
+    if (pending === undefined) return;
+    lane.pending.delete(recordId);
+    counts.recordsInFlight -= 1;
+    counts.bytesInFlight -= pending.bytes;
   };
 
   const getWaitMs = (lane: Lane): Core.Millis => {
@@ -128,11 +134,18 @@
     });
   };
 
+  const chooseBatch = (due: readonly Pending[]): readonly Pending[] => {
+    let bytes = 0;
+    const end = due.findIndex((pending, index) => {
+      bytes += pending.bytes;
+      return index >= options.recordsPerAppend || (index > 0 && bytes > options.bytesPerAppend);
+    });
+    return end < 0 ? due : due.slice(0, end);
+  };
+
   const sendBatch = (lane: Lane): Effect.Effect<void> => Effect.suspend(() => {
     const nowMs = clock.readMonotonic();
-    const batch = [...lane.pending.values()]
-      .filter(({ dueMs }) => dueMs <= nowMs)
-      .slice(0, options.recordsPerAppend);
+    const batch = chooseBatch([...lane.pending.values()].filter(({ dueMs }) => dueMs <= nowMs));
     if (batch.length === 0) return Effect.void;
     const sentBefore = batch.map(({ sent }) => sent);
     counts.appends += 1;
@@ -180,10 +193,16 @@
     add: (stream, { onResult, record }) => {
       const lane = openLane(stream);
       if (lane.pending.has(record.recordId)) return true;
+      const bytes = JSON.stringify(record.body ?? null).length;
       if (counts.recordsInFlight >= options.recordsInFlight) return false;
+      if (counts.recordsInFlight > 0 && counts.bytesInFlight + bytes > options.bytesInFlight) {
+        return false;
+      }
       counts.recordsInFlight += 1;
+      counts.bytesInFlight += bytes;
       lane.pending.set(record.recordId, {
         attempts: 0,
+        bytes,
         dueMs: clock.readMonotonic(),
         record,
         sent: false,
--- a/packages/log/src/LogClientOptions.ts
+++ b/packages/log/src/LogClientOptions.ts
@@ -15,8 +15,12 @@
   readonly appendBurst: number;
   /** Records in one append. */
   readonly recordsPerAppend: number;
+  /** Bytes of record bodies in one append; a larger record goes alone. */
+  readonly bytesPerAppend: number;
   /** Records that are queued or not yet read back, over all streams. */
   readonly recordsInFlight: number;
+  /** Bytes of the bodies of those records, except that one record is always taken. */
+  readonly bytesInFlight: number;
   /** Time without an answer after which an append is taken for lost. */
   readonly appendTimeoutMs: Core.Millis;
   /** Wait after a failed append of a stream; grows with consecutive failures. */
@@ -48,6 +52,9 @@
   // The log takes several hundred appends a second from all daemons together.
   appendsPerSecond: 20,
   appendTimeoutMs: 3_000,
+  bytesInFlight: 32 * 1024 * 1024,
+  // Larger appends would hold up the small records of decisions behind stored answers.
+  bytesPerAppend: 1024 * 1024,
   emptyReadMs: 50,
   entriesPerRead: 500,
   onReaderError: () => undefined,
--- a/packages/log/src/__tests__/unit/LogClient.test.ts
+++ b/packages/log/src/__tests__/unit/LogClient.test.ts
@@ -120,6 +120,36 @@
   });
 });
 
+describe('large records', () => {
+  const large = Array.from({ length: 6 }, (_, index) => (
+    { ...Log.createRecord(writer, 'x', 'a'.repeat(400)), recordId: `large${index}` }
+  ));
+
+  test('are spread over several appends, so that none grows without bound', async () => {
+    const fake = await startLog();
+    const client = openClient(fake, { bytesPerAppend: 1_000 });
+    await appendAll(client, large);
+    const sizes = fake.listEntries('s').map(({ records }) => records.length);
+    expect(Math.max(...sizes)).toBe(2);
+    expect(client.getCounts()).toMatchObject({ bytesInFlight: 0, recordsInFlight: 0 });
+  });
+
+  test('are refused beyond the bound on bytes, though never the only one', async () => {
+    const fake = await startLog();
+    fake.faults.set([{
+      count: 1_000, delayMs: 0, kind: 'refusal', operation: 'append',
+    }]);
+    const client = openClient(fake, { bytesInFlight: 100 });
+    const [first, second] = large as [Log.LogRecord, Log.LogRecord];
+    const held = Effect.runPromise(client.appendAndReadBack('s', first));
+    await waitFor(() => expect(client.getCounts().recordsInFlight).toBe(1));
+    expect(await Effect.runPromise(Effect.flip(client.appendAndReadBack('s', second))))
+      .toMatchObject({ reason: 'busy', sent: false });
+    fake.faults.set([]);
+    await held;
+  });
+});
+
 describe('faults of the log', () => {
   interface FaultCase {
     readonly name: string;
