Count use in persistent maps

Ruled out: the wall clock and the schema, which this path does not touch.

Change: the totals are a HashMap, and a set names the accounts that were not read back, so listing them costs only what changed.

--- a/packages/usage/src/Figures.ts
+++ b/packages/usage/src/Figures.ts
@@ -64,6 +64,15 @@
   };
 }
 
+/** Takes the greater amount of each counter of one account. */
+export function joinAccountFigures(a: Figures, b: Figures): Figures {
+  return {
+    inputTokens: Math.max(a.inputTokens, b.inputTokens),
+    outputTokens: Math.max(a.outputTokens, b.outputTokens),
+    requests: Math.max(a.requests, b.requests),
+  };
+}
+
 /** Adds the use of two sets of accounts. */
 export function sumFigures(a: AccountFigures, b: AccountFigures): AccountFigures {
   return mergeFigures(a, b, (x, y) => x + y);
--- a/packages/usage/src/__tests__/unit/UsageMutants.ts
+++ b/packages/usage/src/__tests__/unit/UsageMutants.ts
@@ -106,7 +106,7 @@
         ...found,
         accounts: Figures.computeExcess(
           found.accounts,
-          book.windows.get(found.window)?.written ?? {},
+          Object.fromEntries(book.windows.get(found.window)?.written ?? []),
         ),
       })),
     },
