--- a/packages/usage/src/__tests__/unit/UsageWindows.test.ts
+++ b/packages/usage/src/__tests__/unit/UsageWindows.test.ts
@@ -144,6 +144,25 @@
     expect(sealed.last).toMatchObject({ recordId: 'r11' });
   });
 
+  test('lets no reporter that lags behind the newest seal begin a new chain', () => {
+    const sealed = reduceAll([buildSeal(0, 2_000, { base: '', window: 1_900 })]);
+    const lagging = buildSeal(1, 2_600, { base: '', plannedMs: 2_000, window: 2_500 });
+    const current = buildSeal(1, 2_600, { base: '', plannedMs: 2_001, window: 2_500 });
+    expect(reduceAll([lagging], sealed).last).toMatchObject({ recordId: 'r0' });
+    expect(reduceAll([current], sealed).last).toMatchObject({ recordId: 'r1' });
+  });
+
+  test('starts over where an unknown chain may have been broken by a new one', () => {
+    const gap = UsageWindows.reduceUsageGap(UsageWindows.createUsageState(limits), 9);
+    const state = reduceAll([
+      buildCounters(9, 2_000, 1_900, 1),
+      buildSeal(10, 2_100, { base: 'r7', window: 2_000 }),
+      buildSeal(11, 2_200, { base: '', plannedMs: 0, window: 2_100 }),
+      buildSeal(12, 2_200, { base: 'r10', plannedMs: 2_150, window: 2_100 }),
+    ], gap);
+    expect(state.last).toBeUndefined();
+  });
+
   test('counts and skips records that do not decode', () => {
     expect(reduceAll([buildEntry(0, 1, 'usage.counters', { window: 'x' })]).skipped).toBe(1);
   });
