Correct expected waits by observed ones

Admission let more requests into the queue than could start in time: it takes no account of reserved slots and of higher tiers that arrive meanwhile. They were held until their latest start and refused then, which the promise of immediate answers rules out.

--- a/packages/scheduling/src/Admission.ts
+++ b/packages/scheduling/src/Admission.ts
@@ -72,7 +72,7 @@
 export const defaultAdmissionOptions: AdmissionOptions = {
   maxRetryAfterMs: 60_000,
   minRetryAfterMs: 250,
-  plannedShare: 0.9,
+  plannedShare: 1,
 };
 
 /** Admission of one daemon. */
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -15,6 +15,7 @@
 import * as ServerChoice from './ServerChoice.js';
 import * as ServiceRate from './ServiceRate.js';
 import * as SlotReserve from './SlotReserve.js';
+import * as WaitCorrection from './WaitCorrection.js';
 
 /** A class as the scheduler needs it. */
 export interface ScheduledClass extends FairQueue.QueueClass {
@@ -143,12 +144,18 @@
 /** Requests that find no server although others might, before the rest has to wait for them. */
 const MAX_BLOCKED = 8;
 
+/** An expired request would have waited longer than it did; by how much is not known. */
+const EXPIRED_WAIT_FACTOR = 1.2;
+
 /** Tiers of the operators' lists. */
 const TIERS = [0, 1, 2, 3, 4];
 
 const EMPTY_STEP: ScheduleStep = { refusals: [], starts: [] };
 
 interface Waiting {
+  readonly queuedMs: Core.Millis;
+  /** Wait as expected without correction. */
+  readonly expectedWaitMs: Core.Millis;
   readonly request: ScheduledRequest;
   readonly grant: Admission.AdmissionGrant;
   readonly expectedTokens: number;
@@ -197,6 +204,7 @@
   const rates = new Map<string, ServiceRate.ServiceRate>();
   const running = new Map<string, Running>();
   const reserves = new Map<string, SlotReserve.SlotReserve>();
+  const corrections = new Map<string, WaitCorrection.WaitCorrection>();
   const serviceTimes = new Map<string, ServiceTime>();
   let retries = RetryBudget.createRetryBudget();
   /** Servers that are compared with each other: those that answer for the same models. */
@@ -259,13 +267,33 @@
     ...request.prefix === undefined ? {} : { prefix: request.prefix },
   });
 
+  const getCorrection = (
+    { class: { tier }, pool }: ScheduledRequest,
+  ): WaitCorrection.WaitCorrection => (
+    corrections.get(`${tier} ${pool}`) ?? WaitCorrection.initialWaitCorrection
+  );
+
+  const getWaitFactor = (request: ScheduledRequest): number => (
+    WaitCorrection.computeWaitFactor(getCorrection(request))
+  );
+
+  const observeWait = (waiting: Waiting, observedMs: Core.Millis): void => {
+    const { expectedWaitMs, request } = waiting;
+    const { class: { tier }, pool } = request;
+    corrections.set(
+      `${tier} ${pool}`,
+      WaitCorrection.observeWait(getCorrection(request), expectedWaitMs, observedMs),
+    );
+  };
+
   const buildOutlook = (request: ScheduledRequest, nowMs: number): Admission.AdmissionOutlook => {
     const rate = getRate(request.pool);
+    const factor = getWaitFactor(request);
     return {
       hasFreeSlot: chooser.countFreeSlots(request.pool) > 0,
       serviceMs: getServiceMs(request, nowMs),
-      tierTokensPerSecond: rate.getTierRate(request.class.tier, nowMs),
-      totalTokensPerSecond: rate.getTotalRate(nowMs),
+      tierTokensPerSecond: rate.getTierRate(request.class.tier, nowMs) / factor,
+      totalTokensPerSecond: rate.getTotalRate(nowMs) / factor,
       workAhead: queue.estimateWorkAhead(request),
     };
   };
@@ -274,7 +302,8 @@
     { reason, request: { payload } }: FairQueue.ShedRequest<Waiting>,
     nowMs: Core.Millis,
   ): ScheduledRefusal => {
-    const { grant, request } = payload;
+    const { grant, queuedMs, request } = payload;
+    if (reason._tag === 'Expired') observeWait(payload, (nowMs - queuedMs) * EXPIRED_WAIT_FACTOR);
     admission.releaseGrant(grant, 0);
     releaseReserve(request, nowMs);
     const waitMs = Admission.estimateFirstTokenMs(buildOutlook(request, nowMs));
@@ -295,6 +324,7 @@
     const choice = chooser.chooseServer(choiceRequest, nowMs, random).extract();
     if ('_tag' in choice) return undefined;
     chooser.recordDispatch(choiceRequest, choice, nowMs);
+    observeWait(waiting, nowMs - waiting.queuedMs);
     shares.recordService(formatShareKey(request), request.promptTokens * PROMPT_TOKEN_WORK);
     const isSaturated = queue.countRequests(pool) > 0;
     getRate(pool).recordDispatch(request.class.tier, costTokens, nowMs, isSaturated);
@@ -419,6 +449,7 @@
     }
     const { account, class: { classId }, maxAnswerTokens } = request;
     const length = lengths.estimateLength(classId, account, maxAnswerTokens);
+    const outlook = buildOutlook(request, nowMs);
     return admission.admitRequest({
       account: request.account,
       answerTokens: length.pessimisticTokens,
@@ -427,7 +458,7 @@
       maxQueueMs: request.class.maxQueueMs,
       promptTokens: request.promptTokens,
       targetMs: request.class.firstTokenMs,
-    }, buildOutlook(request, nowMs), nowMs, random()).caseOf<ScheduleStep>({
+    }, outlook, nowMs, random()).caseOf<ScheduleStep>({
       Left: ({ reason, retryAfterMs, status }) => ({
         refusals: [{
           reason, request, retryAfterMs, status,
@@ -435,7 +466,11 @@
         starts: [],
       }),
       Right: (grant) => queueWaiting({
-        expectedTokens: length.medianTokens, grant, request,
+        expectedTokens: length.medianTokens,
+        expectedWaitMs: (grant.expectedFirstTokenMs - outlook.serviceMs) / getWaitFactor(request),
+        grant,
+        queuedMs: nowMs,
+        request,
       }, grant.latestStartMs, nowMs),
     });
   };
@@ -526,7 +561,9 @@
         // Its admission stands: the caller has been promised an answer and may hold part of it.
         return queueWaiting({
           expectedTokens: lengths.estimateLength(classId, account, maxAnswerTokens).medianTokens,
+          expectedWaitMs: 0,
           grant: admission.renewGrant(account, latestStartMs),
+          queuedMs: nowMs,
           request,
         }, latestStartMs, nowMs);
       },
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -19,3 +19,4 @@
 export * from './ServerChoice.js';
 export * from './ServiceRate.js';
 export * from './SlotReserve.js';
+export * from './WaitCorrection.js';
