--- a/packages/scheduling/src/Outliers.ts
+++ b/packages/scheduling/src/Outliers.ts
@@ -32,6 +32,8 @@
   readonly maxEjectionMs: Core.Millis;
   /** Ratio to the median of the pool above which a server counts as slow. */
   readonly slowRatio: number;
+  /** Slowdown up to which no server counts as slow, however fast the others are. */
+  readonly minSlowdown: number;
 }
 
 /**
@@ -65,6 +67,7 @@
   failuresToEject: 3,
   maxEjectedShare: 0.34,
   maxEjectionMs: 60_000,
+  minSlowdown: 1.5,
   slowRatio: 3,
   successesToReturn: 3,
 };
@@ -178,7 +181,8 @@
     const sorted = [...slowdowns.values()].sort((a, b) => a - b);
     const median = sorted[Math.floor((sorted.length - 1) / 2)] as number;
     return [...slowdowns].reduce<OutlierStep>((step, [serverId, slowdown]) => {
-      if (slowdown <= median * options.slowRatio) return step;
+      const bound = Math.max(median * options.slowRatio, options.minSlowdown);
+      if (slowdown <= bound) return step;
       const server = step.state.servers.get(serverId) ?? HEALTHY;
       const reason = { _tag: 'Slow' as const, median, slowdown };
       const next = ejectServer(step.state, serverId, server, reason, nowMs, options);
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -91,8 +91,13 @@
 /** Scheduler of one daemon. */
 export interface Scheduler {
   readonly submitRequest: (request: ScheduledRequest, nowMs: Core.Millis) => ScheduleStep;
-  /** Queues a request again after its server failed, if the retry budget allows it. */
-  readonly resumeRequest: (request: ScheduledRequest, nowMs: Core.Millis) => ScheduleStep;
+  /**
+   * Queues a request again after its server failed, if the retry budget allows it. `isBudgeted`
+   * tells that the caller keeps a budget of its own, which has allowed it already.
+   */
+  readonly resumeRequest: (
+    request: ScheduledRequest, nowMs: Core.Millis, isBudgeted?: boolean,
+  ) => ScheduleStep;
   /** Removes a waiting request whose caller has gone. */
   readonly cancelRequest: (requestId: string, nowMs: Core.Millis) => void;
   readonly recordFirstToken: (requestId: string, nowMs: Core.Millis) => void;
@@ -419,7 +424,8 @@
       applyToGroup(group, { _tag: 'Tick' }, nowMs);
       const members = used.filter(({ serverId }) => groupNames.get(serverId) === group);
       const slowdowns = new Map(members.map((one) => [one.serverId, one.slowdown]));
-      const gaps = new Map(members.map((one) => [one.serverId, one.betweenTokensMs]));
+      const { betweenTokensMs: priorMs } = options.choice;
+      const gaps = new Map(members.map((one) => [one.serverId, one.betweenTokensMs / priorMs]));
       applyToGroup(group, { _tag: 'Observed', slowdowns }, nowMs);
       applyToGroup(group, { _tag: 'Observed', slowdowns: gaps }, nowMs);
     });
@@ -475,6 +481,19 @@
     });
   };
 
+  const queueResumed = (request: ScheduledRequest, nowMs: Core.Millis): ScheduleStep => {
+    const { account, class: { classId }, maxAnswerTokens } = request;
+    const latestStartMs = nowMs + RESUME_WAIT_MS;
+    // Its admission stands: the caller has been promised an answer and may hold part of it.
+    return queueWaiting({
+      expectedTokens: lengths.estimateLength(classId, account, maxAnswerTokens).medianTokens,
+      expectedWaitMs: 0,
+      grant: admission.renewGrant(account, latestStartMs),
+      queuedMs: nowMs,
+      request,
+    }, latestStartMs, nowMs);
+  };
+
   const applyDigest = (digest: FleetShares.ServiceDigest): void => {
     shares.applyDigest(digest).forEach(({ account: key, tokens }) => {
       const [tier, account, pool] = key.split(' ');
@@ -547,27 +566,21 @@
       shares.recordService(formatShareKey(entry.request), tokens);
       correctCharge(entry, LengthEstimate.addDeliveredTokens(entry.charge, tokens));
     },
-    resumeRequest: (request, nowMs) => RetryBudget.claimRetry(retries).caseOf<ScheduleStep>({
-      Left: ({ reason }) => ({
-        refusals: [{
-          reason, request, retryAfterMs: NO_SERVER_RETRY_MS, status: 503,
-        }],
-        starts: [],
-      }),
-      Right: ({ budget }) => {
-        retries = budget;
-        const { account, class: { classId }, maxAnswerTokens } = request;
-        const latestStartMs = nowMs + RESUME_WAIT_MS;
-        // Its admission stands: the caller has been promised an answer and may hold part of it.
-        return queueWaiting({
-          expectedTokens: lengths.estimateLength(classId, account, maxAnswerTokens).medianTokens,
-          expectedWaitMs: 0,
-          grant: admission.renewGrant(account, latestStartMs),
-          queuedMs: nowMs,
-          request,
-        }, latestStartMs, nowMs);
-      },
-    }),
+    resumeRequest: (request, nowMs, isBudgeted = false) => {
+      if (isBudgeted) return queueResumed(request, nowMs);
+      return RetryBudget.claimRetry(retries).caseOf<ScheduleStep>({
+        Left: ({ reason }) => ({
+          refusals: [{
+            reason, request, retryAfterMs: NO_SERVER_RETRY_MS, status: 503,
+          }],
+          starts: [],
+        }),
+        Right: ({ budget }) => {
+          retries = budget;
+          return queueResumed(request, nowMs);
+        },
+      });
+    },
     setServers: (views, daemonCount, nowMs) => {
       chooser.setServers(views, Math.min(1, options.slotHeadroom / Math.max(1, daemonCount)));
       groupNames.clear();
--- a/packages/scheduling/src/ServerChoice.ts
+++ b/packages/scheduling/src/ServerChoice.ts
@@ -133,6 +133,12 @@
 /** Bound of one observation, so that a single stall does not mark a server for minutes. */
 const MAX_SLOWDOWN = 20;
 
+/** Candidates up to which all are compared instead of two that are drawn. */
+const COMPARED_AT_ONCE = 4;
+
+/** Bound of one observed gap, in units of the prior. */
+const MAX_GAP_RATIO = 10;
+
 /** Changes of the own requests in flight that are kept to interpret late reports. */
 const MAX_HISTORY = 64;
 
@@ -254,7 +260,11 @@
     return Math.min(MAX_SLOWDOWN, (nowMs - oldest.startedMs) / Math.max(1, oldest.expectedMs));
   };
 
-  const compareServer = (server: Server, request: ChoiceRequest, nowMs: Core.Millis): Compared => {
+  const compareServer = (
+    server: Server,
+    request: ChoiceRequest,
+    nowMs: Core.Millis,
+  ): Compared => {
     const { prefix, promptTokens } = request;
     const cachedTokens = prefix === undefined
       ? 0
@@ -307,7 +317,9 @@
         : { _tag: 'AllBusy', candidates: candidates.length };
       return Purify.Left({ _tag: 'ChoiceRefusal', reason });
     }
-    const drawn = [0, 1].map(() => open[Math.floor(random() * open.length)] as Server);
+    const drawn = open.length <= COMPARED_AT_ONCE
+      ? open
+      : [0, 1].map(() => open[Math.floor(random() * open.length)] as Server);
     const holders = request.prefix === undefined ? [] : cache.listHolders(request.prefix.hash);
     const affine = request.prefix === undefined
       ? undefined
@@ -316,8 +328,8 @@
       const server = servers.get(serverId);
       return server !== undefined && isOpen(server) && candidates.includes(server) ? [server] : [];
     });
-    const compared = [...affine === undefined ? [] : [affine], ...holding, ...drawn]
-      .map((server) => compareServer(server, request, nowMs));
+    const chosen = [...affine === undefined ? [] : [affine], ...holding, ...drawn];
+    const compared = chosen.map((server) => compareServer(server, request, nowMs));
     const best = compared.reduce((a, b) => (b.costMs < a.costMs ? b : a));
     const { cachedTokens, expectedMs, server } = best;
     const other = compared.find((candidate) => candidate.server !== server);
@@ -381,13 +393,17 @@
       // The expectation held the slowdown already, so the ratio is taken against one without it.
       const plainMs = Math.max(1, pending.expectedMs / current);
       const ratio = Math.min(MAX_SLOWDOWN, observedMs / plainMs);
-      server.slowdown = Math.max(0.1, current + (ratio - current) * OBSERVATION_WEIGHT);
+      // A server faster than expected is no better than one as expected: differences of a few
+      // milliseconds would otherwise outweigh load, and one server would get every request.
+      server.slowdown = Math.max(1, current + (ratio - current) * OBSERVATION_WEIGHT);
       server.slowdownAtMs = nowMs;
     },
     recordGap: (serverId, gapMs) => {
       const server = servers.get(serverId);
       if (server === undefined) return;
-      server.betweenTokensMs += (gapMs - server.betweenTokensMs) * 0.02;
+      // A caller that reads slowly stalls its stream, which says nothing about the server.
+      const boundedMs = Math.min(gapMs, options.betweenTokensMs * MAX_GAP_RATIO);
+      server.betweenTokensMs += (boundedMs - server.betweenTokensMs) * 0.02;
     },
     recordReport: ({ inFlight, serverId, takenMs }) => {
       const server = servers.get(serverId);
