Report usage in the demo system and test a killed reporter over processes

Change: the demo system starts the fake of the report interface. The test sends orders to two daemons, kills the reporter and sends more.

--- a/packages/daemon/src/__tests__/unit/UsageDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/UsageDaemons.test.ts
@@ -2,11 +2,44 @@
 import * as Usage from '@berylyoke/usage';
 import * as Vitest from 'vitest';
 
-const { describe, expect, test } = Vitest;
+const {
+  describe, expect, test, vi,
+} = Vitest;
 
 const REQUESTS = 7;
 
 describe('usage of two daemons', () => {
+  test('is reported once, also after the reporter was killed', async () => {
+    const system = await Testkit.startDemoSystem({
+      engineCount: 1,
+      port: 0,
+      settings: { timing: { heartbeat_ms: 200, usage_window_ms: 1_000 } },
+    });
+    const { entries, key, orderPath } = system.description;
+    const sendOrders = async (entry: number): Promise<void> => {
+      await Promise.all(Array.from({ length: REQUESTS }, (_, index) => (
+        Testkit.requestText(`${entries[entry]}${orderPath}`, {
+          body: JSON.stringify({ orderId: `o${entry}${index}` }),
+          headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+          method: 'POST',
+        })
+      )));
+    };
+    const countReported = (): number => [
+      ...new Map(system.usageReports.listReports().map((found) => [found.window, found])).values(),
+    ].flatMap(({ figures }) => Object.values(figures))
+      .reduce((sum, { requests }) => sum + requests, 0);
+    const wait = { interval: 50, timeout: 50_000 };
+    await Promise.all([sendOrders(0), sendOrders(1)]);
+    await vi.waitUntil(() => countReported() === 2 * REQUESTS, wait);
+    const holder = system.usageReports.listReports().at(-1)?.reporter === 'entry-1' ? 0 : 1;
+    system.daemons[holder]?.kill('SIGKILL');
+    await sendOrders(1 - holder);
+    await vi.waitUntil(() => countReported() === 3 * REQUESTS, wait);
+    expect(system.usageReports.listConflicts()).toEqual([]);
+    await system.stop();
+  }, 120_000);
+
   test('is in the log, with the last request, when a daemon has stopped gracefully', async () => {
     const system = await Testkit.startDemoSystem({ engineCount: 1, port: 0 });
     const { entries, key, orderPath } = system.description;
--- a/packages/testkit/src/DemoSystem.ts
+++ b/packages/testkit/src/DemoSystem.ts
@@ -12,6 +12,7 @@
 import * as FakeEngine from './FakeEngine.js';
 import * as FakeLog from './FakeLog.js';
 import * as FakePlainService from './FakePlainService.js';
+import * as FakeUsageReports from './FakeUsageReports.js';
 import * as FakeVmList from './FakeVmList.js';
 import * as HttpText from './HttpText.js';
 
@@ -63,6 +64,7 @@
   readonly operators: readonly string[];
   readonly plainService: FakePlainService.FakePlainService;
   readonly stop: () => Promise<void>;
+  readonly usageReports: FakeUsageReports.FakeUsageReports;
   readonly vmList: FakeVmList.FakeVmList;
 }
 
@@ -127,10 +129,11 @@
   const { model, orderPath, service } = DemoLists.DEMO_NAMES;
   const directory = await fs.mkdtemp(path.join(os.tmpdir(), 'berylyoke-demo-'));
   const ports = await findDaemonPorts(port);
-  const [log, vmList, plainService, engines] = await Promise.all([
+  const [log, vmList, plainService, usageReports, engines] = await Promise.all([
     FakeLog.startFakeLog(),
     FakeVmList.startFakeVmList(),
     FakePlainService.startFakePlainService(),
+    FakeUsageReports.startFakeUsageReports(),
     Promise.all(Array.from({ length: engineCount }, () => (
       FakeEngine.startFakeEngine({ models: [model], ...engine })
     ))),
@@ -184,7 +187,9 @@
       operators,
       peer: { port: own.peer },
       peers: ports.filter((other) => other !== own).map(({ peer }) => addressOf(peer)),
-      platform: { log_url: log.url, vm_list_url: vmList.url },
+      platform: {
+        log_url: log.url, usage_url: usageReports.url, vm_list_url: vmList.url,
+      },
       region: REGION,
       ...addedSettings,
     }));
@@ -197,7 +202,8 @@
   const daemons = settingsFiles.map((file) => DemoProcess.startDaemonProcess(file, daemonNodeArgs));
   const stop = async (): Promise<void> => {
     await Promise.all(daemons.map((daemon) => daemon.stop()));
-    await Promise.all([log, vmList, plainService, ...engines].map((fake) => fake.close()));
+    const fakes = [log, vmList, plainService, usageReports, ...engines];
+    await Promise.all(fakes.map((fake) => fake.close()));
     await fs.rm(directory, { force: true, recursive: true });
   };
 
@@ -229,7 +235,15 @@
     const description = await Promise.race([bringUp(), ...failures]);
     failures.forEach((failure) => failure.catch(() => undefined));
     return {
-      daemons, description, engines, log, operators, plainService, stop, vmList,
+      daemons,
+      description,
+      engines,
+      log,
+      operators,
+      plainService,
+      stop,
+      usageReports,
+      vmList,
     };
   } catch (error) {
     failures.forEach((failure) => failure.catch(() => undefined));
