Serve keyed requests while the log itself says that it is out

Cause: every daemon refused every keyed request isolation_ms after the start of a log outage, although the platform's log has long outages and no withdrawal can be made in one. Ruled out: serving on whenever peers are heard and none hears the log, since a region that is cut from a working log looks the same and would serve withdrawn keys for an hour.

Change: when the log answers 503 to a read, the tail appends an empty entry; when that is answered 503 too, a contact that has not lapsed is extended. A silent log is no contact, as before.

--- a/packages/config/src/ConfigTail.ts
+++ b/packages/config/src/ConfigTail.ts
@@ -73,6 +73,22 @@
     return true;
   };
 
+  /**
+   * Extends a contact that has not lapsed when the log itself refuses both to read and to append:
+   * no withdrawal can be made then, so keyed requests go on through an outage. A log that is merely
+   * silent proves nothing. The empty append tells an outage from reads that fail alone.
+   */
+  const confirmOutage = (error: Log.LogUnavailableError, askedMs: Core.Millis) => {
+    if (error.refused !== true) return Effect.void;
+    return port.append(Log.STREAMS.config, []).pipe(
+      Effect.catchAll((failure) => Effect.sync(() => {
+        const isCurrent = store.checkIsolation()._tag === 'Connected'
+          && !ConfigReader.isInGap(store.getReader());
+        if (failure.refused === true && isCurrent) store.recordContact(askedMs);
+      })),
+    );
+  };
+
   const waitAfterPage = (
     page: Log.LogPage,
     askedMs: Core.Millis,
@@ -105,7 +121,7 @@
       }),
       Effect.catchTag('LogUnavailableError', (error) => {
         onFailure?.(error);
-        return waitAfterFailure();
+        return Effect.zipRight(confirmOutage(error, askedMs), waitAfterFailure());
       }),
     );
   });
--- a/packages/log/src/HttpLog.ts
+++ b/packages/log/src/HttpLog.ts
@@ -11,6 +11,7 @@
 
 const HTTP_GONE = 410;
 const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
 
 const decodePage = Schema.decodeUnknown(LogRecord.LogPage);
 const decodeAppended = Schema.decodeUnknown(Schema.Struct({ offset: Schema.Int }));
@@ -23,7 +24,9 @@
 }
 
 function describeStatus(stream: string, status: number): LogPort.LogUnavailableError {
-  return new LogPort.LogUnavailableError({ detail: `status ${status}`, sent: true, stream });
+  return new LogPort.LogUnavailableError({
+    detail: `status ${status}`, refused: status === HTTP_UNAVAILABLE, sent: true, stream,
+  });
 }
 
 type ReadFailure = LogPort.LogOffsetExpiredError | LogPort.LogUnavailableError;
--- a/packages/log/src/LogPort.ts
+++ b/packages/log/src/LogPort.ts
@@ -9,6 +9,8 @@
   readonly stream: string;
   readonly sent: boolean;
   readonly detail: string;
+  /** True where the log itself answered that it is out. */
+  readonly refused?: boolean;
 }> {
   get message(): string {
     return `log stream ${this.stream} is unavailable: ${this.detail}`;
