Run the scheduler in the daemon and forget unobserved slowdowns sooner

Cause: the daemon still dispatched to the server with the fewest attempts, without tiers, fair shares or targets. The scheduler had not been wired in, because an engine that a burst had slowed was left alone for minutes: its estimate of up to 13 fell to a third only every 30 s, and without a request nothing corrects it.

Change: SchedulingPart is registered; an unobserved slowdown falls to a third in 10 s. Ruled out: a faster decay of the first-token estimate, which the slow engine cases need.

--- a/packages/daemon/src/Parts.ts
+++ b/packages/daemon/src/Parts.ts
@@ -4,6 +4,7 @@
 import * as DutiesPart from './DutiesPart.js';
 import * as OncePart from './OncePart.js';
 import * as MembershipPart from './MembershipPart.js';
+import * as SchedulingPart from './SchedulingPart.js';
 import * as ServersPart from './ServersPart.js';
 import * as UsagePart from './UsagePart.js';
 
@@ -11,6 +12,7 @@
 export const PARTS: readonly DaemonContext.RegisterPart[] = [
   ConfigPart.registerConfigPart,
   ServersPart.registerServersPart,
+  SchedulingPart.registerSchedulingPart,
   OncePart.registerOncePart,
   UsagePart.registerUsagePart,
   MembershipPart.registerMembershipPart,
--- a/packages/scheduling/src/ServerChoice.ts
+++ b/packages/scheduling/src/ServerChoice.ts
@@ -128,7 +128,7 @@
 const OBSERVATION_WEIGHT = 0.2;
 
 /** Time in which a slowdown that is not observed any more falls to a third. */
-const SLOWDOWN_DECAY_MS = 30_000;
+const SLOWDOWN_DECAY_MS = 10_000;
 
 /** Bound of one observation, so that a single stall does not mark a server for minutes. */
 const MAX_SLOWDOWN = 20;
