--- a/packages/daemon/src/__tests__/unit/RollingReplacement.test.ts
+++ b/packages/daemon/src/__tests__/unit/RollingReplacement.test.ts
@@ -57,7 +57,8 @@
     attempt = 0,
   ): Promise<Testkit.TextAnswer> => {
     const { entries } = system.description;
-    const answer = await ask(entries[attempt % entries.length] as string).catch((error: NodeJS.ErrnoException) => {
+    const entry = entries[attempt % entries.length] as string;
+    const answer = await ask(entry).catch((error: NodeJS.ErrnoException) => {
       // Anything but a refused connection is an answer that was cut off.
       if (error.code === 'ECONNREFUSED') return undefined;
       return { headers: {}, status: 0, text: String(error.code) };
