--- a/packages/membership/src/ConnectPeers.ts
+++ b/packages/membership/src/ConnectPeers.ts
@@ -118,13 +118,40 @@
   }).catch(onEnd);
 }
 
+type TransportOptions = Parameters<typeof connectNode.createConnectTransport>[0];
+type SessionManager = NonNullable<
+  Extract<TransportOptions, { readonly httpVersion: '2' }>['sessionManager']
+>;
+
+interface PeerSession extends SessionManager {
+  readonly destroy: () => void;
+}
+
+/**
+ * Opens one HTTP/2 connection. The session manager of connect-node removes its error listener when
+ * a session closes; a server of another protocol at the address then ended the whole process with
+ * an unhandled protocol error. The listener here stays.
+ */
+function openSession(authority: string): PeerSession {
+  const session = http2.connect(authority);
+  session.on('error', () => session.destroy());
+  return {
+    authority,
+    destroy: () => session.destroy(),
+    notifyResponseByteRead: () => undefined,
+    request: async (method, path, headers, options) => (
+      session.request({ ...headers, ':method': method, ':path': path }, options)
+    ),
+  };
+}
+
 /** Creates the carrier that opens streams. */
 export function createConnectTransport(): PeerLink.PeerTransport {
   return {
     open: (address, handlers) => {
       const baseUrl = `http://${address}`;
       // Each stream has a connection of its own, so that closing it leaves nothing silent behind.
-      const sessionManager = new connectNode.Http2SessionManager(baseUrl);
+      const sessionManager = openSession(baseUrl);
       const abort = new AbortController();
       const outgoing = createOutgoing();
       const client = connect.createClient(Peer.PeerService, connectNode.createConnectTransport({
@@ -136,7 +163,7 @@
         closed = true;
         outgoing.end();
         abort.abort();
-        sessionManager.abort();
+        sessionManager.destroy();
         handlers.onClose();
       };
       const incoming = client.exchange(outgoing, { signal: abort.signal });
--- a/packages/membership/src/VmList.ts
+++ b/packages/membership/src/VmList.ts
@@ -36,8 +36,12 @@
 const HTTP_OK = 200;
 const decodeVms = Schema.decodeUnknown(Schema.Array(Vm));
 
-/** Creates the adapter over HTTP. `baseUrl` has no trailing slash. */
+/**
+ * Creates the adapter over HTTP. `baseUrl` has no trailing slash. The list is read every second and
+ * changes every half minute at the target size, so an unchanged answer is not checked again.
+ */
 export function createHttpVmList(baseUrl: string, timeoutMs: Core.Millis): VmListPort {
+  let known: { readonly text: string; readonly vms: readonly Vm[] } | undefined;
   return {
     read: () => Core.requestJson({ method: 'GET', timeoutMs, url: `${baseUrl}/vms` }).pipe(
       Effect.mapError((error) => (
@@ -47,9 +51,16 @@
         if (status !== HTTP_OK) {
           return Effect.fail(new VmListError({ detail: `status ${status}`, reason: 'status' }));
         }
-        return decodeVms(body).pipe(Effect.mapError(({ message }) => (
-          new VmListError({ detail: message, reason: 'invalid' })
-        )));
+        const text = JSON.stringify(body);
+        if (known !== undefined && known.text === text) return Effect.succeed(known.vms);
+        return decodeVms(body).pipe(
+          Effect.tap((vms) => Effect.sync(() => {
+            known = { text, vms };
+          })),
+          Effect.mapError(({ message }) => (
+            new VmListError({ detail: message, reason: 'invalid' })
+          )),
+        );
       }),
     ),
   };
--- a/packages/membership/src/__tests__/unit/ConnectPeers.test.ts
+++ b/packages/membership/src/__tests__/unit/ConnectPeers.test.ts
@@ -101,4 +101,32 @@
       silent.close(() => resolve());
     });
   });
+
+  // Guards against a daemon that ends by an unhandled error when an address that was a peer's is
+  // taken over by a server of another protocol.
+  test.each([
+    ['answers HTTP/1', 'HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n', false],
+    ['answers HTTP/1 and closes', 'HTTP/1.1 400 Bad Request\r\n\r\n', true],
+    ['closes at once', '', true],
+  ])('goes on when a server at the address %s', async (_, text, isClosing) => {
+    const accepted: net.Socket[] = [];
+    const foreign = net.createServer((socket) => {
+      accepted.push(socket);
+      socket.on('error', () => undefined);
+      socket.write(text);
+      if (isClosing) socket.end();
+    });
+    await new Promise<void>((resolve) => {
+      foreign.listen(0, LISTEN.host, resolve);
+    });
+    const { port } = foreign.address() as net.AddressInfo;
+    const peer = await startPeer('a', [`${LISTEN.host}:${port}`]);
+    await vi.waitUntil(() => accepted.length >= 5, 30_000);
+    await peer.stop();
+    expect(peer.membership.getCounts().openedStreams).toBe(0);
+    accepted.forEach((socket) => socket.destroy());
+    await new Promise<void>((resolve) => {
+      foreign.close(() => resolve());
+    });
+  });
 });
