End a daemon whose start failed, and handle signals from its first moment

The signal handlers were registered after the start, and a daemon whose entry port was taken lived on without handlers behind its operator interface.

Change: handlers are registered before the start; a failed start ends the process with status 1. Checked by hand: with the entry port taken the daemon ends with 1 and names the port.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -26,20 +26,26 @@
     process.exitCode = EXIT_BAD_INPUT;
     return;
   }
-  const daemon = await Daemon.startDaemon(settings.right);
+  let starting: Promise<Daemon.Daemon> | undefined;
   let stopping = false;
   const handleSignal = (): void => {
     if (stopping) return;
     stopping = true;
-    daemon.stop().catch(() => {
+    starting?.then((daemon) => daemon.stop()).catch(() => {
       process.exitCode = EXIT_FAILURE;
     });
   };
+  // Before the start: a signal that came between the first answer of a daemon and the end of its
+  // start ended the process without a drain.
   process.on('SIGINT', handleSignal);
   process.on('SIGTERM', handleSignal);
+  starting = Daemon.startDaemon(settings.right);
+  await starting;
 }
 
 runMain().catch((error: unknown) => {
   process.stderr.write(`berylyoked: ${error instanceof Error ? error.message : 'failed'}\n`);
-  process.exitCode = EXIT_FAILURE;
+  // A daemon that could not open its entry would otherwise live on behind its operator interface.
+  // eslint-disable-next-line n/no-process-exit
+  process.exit(EXIT_FAILURE);
 });
