--- a/packages/testkit/src/DemoProcess.ts
+++ b/packages/testkit/src/DemoProcess.ts
@@ -72,17 +72,34 @@
   return { error: error.join(''), out: out.join(''), status };
 }
 
-/** Finds loopback ports that were free a moment ago, each different. */
+/**
+ * Range of ports to listen on, below the range from which the system takes the ports of outgoing
+ * connections: a port of that range that is free now can be taken before its daemon listens.
+ */
+const FIRST_PORT = 10_000;
+const PORTS_PER_PROCESS = 100;
+const PROCESS_RANGES = 200;
+
+let portsUsed = 0;
+
+function isPortFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+async function findFreePort(): Promise<number> {
+  const range = FIRST_PORT + (process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS;
+  const port = range + (portsUsed % PORTS_PER_PROCESS);
+  portsUsed += 1;
+  return await isPortFree(port) ? port : findFreePort();
+}
+
+/** Finds loopback ports that are free, each different; other test processes use other ranges. */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => (
-    new Promise<net.Server>((resolve) => {
-      const server = net.createServer();
-      server.listen(0, '127.0.0.1', () => resolve(server));
-    })
-  )));
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => {
-    server.close(resolve);
-  })));
-  return ports;
+  return Array.from({ length: count }).reduce<Promise<readonly number[]>>(async (before) => (
+    [...await before, await findFreePort()]
+  ), Promise.resolve([]));
 }
