--- a/packages/bench/src/CapacityCase.ts
+++ b/packages/bench/src/CapacityCase.ts
@@ -12,8 +12,6 @@
   readonly measure: (size: number) => Promise<number>;
 }
 
-const MICROSECONDS_PER_MS = 1_000;
-
 /** Measures processor time of this process, in microseconds, for each of `count` repetitions. */
 export async function measureProcessorMicros(
   count: number,
@@ -43,8 +41,3 @@
   // Keeps the value reachable until after the second reading.
   return held === undefined ? Number.NaN : bytes;
 }
-
-/** Converts milliseconds to microseconds. */
-export function toMicros(valueMs: number): number {
-  return valueMs * MICROSECONDS_PER_MS;
-}
--- a/packages/once/src/ClaimService.ts
+++ b/packages/once/src/ClaimService.ts
@@ -391,14 +391,13 @@
       undo();
       pending.forEach((fiber) => Effect.runFork(Fiber.interrupt(fiber)));
     },
-    drain: (timeoutMs) => Effect.suspend(() => (
-      pending.size === 0 ? Effect.succeed(true) : Effect.fail('pending' as const)
-    )).pipe(
-      Effect.retry(Schedule.spaced(Duration.millis(DRAIN_POLL_MS))),
+    drain: (timeoutMs) => Effect.sync(() => pending.size === 0).pipe(
+      Effect.repeat({
+        schedule: Schedule.spaced(Duration.millis(DRAIN_POLL_MS)), until: (isEmpty) => isEmpty,
+      }),
       Effect.timeoutTo({
         duration: Duration.millis(timeoutMs), onSuccess: () => true, onTimeout: () => false,
       }),
-      Effect.orElseSucceed(() => false),
     ),
     getCounts: () => ({
       droppedRecords: dropped,
