--- a/packages/bench/src/CapacityBench.ts
+++ b/packages/bench/src/CapacityBench.ts
@@ -6,11 +6,13 @@
 import type * as CapacityCase from './CapacityCase.js';
 import * as ConfigCapacity from './ConfigCapacity.js';
 import * as OnceCapacity from './OnceCapacity.js';
+import * as OpenRequestCapacity from './OpenRequestCapacity.js';
 import * as Slope from './Slope.js';
 
 const CASES: readonly CapacityCase.CapacityCase[] = [
   ...ConfigCapacity.CONFIG_CASES,
   ...OnceCapacity.ONCE_CASES,
+  ...OpenRequestCapacity.OPEN_REQUEST_CASES,
 ];
 
 /** A measured case as the table shows it. */
--- a/packages/bench/src/FleetBench.ts
+++ b/packages/bench/src/FleetBench.ts
@@ -189,8 +189,11 @@
 
 async function isRelay(operator: string): Promise<boolean> {
   const { text } = await Testkit.requestText(`${operator}/operator/status`);
-  const status = JSON.parse(text) as { readonly membership?: { readonly isRelay?: boolean } };
-  return status.membership?.isRelay === true;
+  const { daemonId, membership } = JSON.parse(text) as {
+    readonly daemonId: string;
+    readonly membership?: { readonly relays?: readonly string[] };
+  };
+  return membership?.relays?.includes(daemonId) === true;
 }
 
 async function measureFleet(daemons: number, servers: number, seconds: number): Promise<void> {
