--- a/packages/bench/src/FleetBench.ts
+++ b/packages/bench/src/FleetBench.ts
@@ -81,6 +81,7 @@
     peer: { port: peer },
     platform: { log_url: platform.logUrl, vm_list_url: platform.vmListUrl },
     region: 'region-0',
+    timing: { drain_notice_ms: 100 },
   }));
   return file;
 }
--- a/packages/config/src/Settings.ts
+++ b/packages/config/src/Settings.ts
@@ -45,6 +45,11 @@
   /** Shortest time between two snapshots of a configuration that changes. */
   snapshotMs: Schema.optionalWith(PositiveInt, { default: () => 300_000 }),
   vmListMs: Schema.optionalWith(PositiveInt, { default: () => 1_000 }),
+  /**
+   * Time between the start of a planned stop, when `/readyz` turns to 503, and the close of the
+   * listener: longer than the balancer takes to notice.
+   */
+  drainNoticeMs: Schema.optionalWith(PositiveInt, { default: () => 5_000 }),
   withdrawnGraceMs: Schema.optionalWith(PositiveInt, { default: () => 2_000 }),
 });
 export type Timing = typeof Timing.Type;
--- a/packages/daemon/src/AcquireDispatch.ts
+++ b/packages/daemon/src/AcquireDispatch.ts
@@ -53,5 +53,11 @@
   span?.end('dispatched');
   request.onDispatched?.();
   context.explain(requestId, 'choose', 'dispatched', { excluded, server: result.server.id });
-  return result;
+  return {
+    ...result,
+    settle: (outcome) => {
+      context.observeServer(result.server.id, outcome.result);
+      result.settle(outcome);
+    },
+  };
 }
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -150,7 +150,12 @@
       draining = true;
       logger.info({ requests: active.count() }, 'draining');
       const { drainMs } = settings.limits;
-      // The listener closes first: under steady traffic the last request would never end.
+      // The balancer has to see first that this daemon is not ready. In this time every answer
+      // closes its connection: an idle one that is closed while its caller reuses it is reset.
+      await new Promise((resolve) => {
+        setTimeout(resolve, settings.timing.drainNoticeMs);
+      });
+      // The listener closes before the wait: under steady traffic the last request would never end.
       const closed = entry.close(drainMs);
       await Promise.all(drains.list().map(([, drain]) => drain()));
       const deadline = new Promise((resolve) => {
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -34,6 +34,14 @@
   response.end(Refusal.buildRefusalBody(refusal));
 }
 
+/** What the end of an attempt says of its backend server. */
+const SERVER_SIGNALS: Readonly<Record<
+  PathTypes.AttemptOutcome['result'],
+  'failed' | 'succeeded' | undefined
+>> = {
+  busy: undefined, cancelled: undefined, failed: 'failed', ok: 'succeeded', silent: 'failed',
+};
+
 /** Starts the interface towards callers. */
 export async function startEntryServer(
   context: DaemonContext.DaemonContext,
@@ -49,6 +57,10 @@
       atMs: context.clock.readWall(), decision, filter, ...detail === undefined ? {} : { detail },
     }),
     metrics: context.metrics,
+    observeServer: (id, result) => {
+      const tag = SERVER_SIGNALS[result];
+      if (tag !== undefined) context.servers.directory.applyEvent({ _tag: tag, id });
+    },
     ports: context.ports,
     silentStreamMs: limits.silentStreamMs,
   };
--- a/packages/daemon/src/PathTypes.ts
+++ b/packages/daemon/src/PathTypes.ts
@@ -80,7 +80,8 @@
 
 /** What became of an attempt on a backend server. */
 export interface AttemptOutcome {
-  readonly result: 'cancelled' | 'failed' | 'ok' | 'silent';
+  /** `busy` when the server answered that it has no room, which is no failure of the server. */
+  readonly result: 'busy' | 'cancelled' | 'failed' | 'ok' | 'silent';
   readonly firstTokenMs: Core.Millis | undefined;
   readonly durationMs: Core.Millis;
   readonly outputTokens: number;
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -40,6 +40,11 @@
   readonly metrics: PathMetrics.PathMetrics;
   readonly silentStreamMs: Core.Millis;
   readonly connectTimeoutMs: Core.Millis;
+  /** Tells the directory of backend servers how an attempt ended. */
+  readonly observeServer: (
+    serverId: string,
+    result: PathTypes.AttemptOutcome['result'],
+  ) => void;
   readonly explain: (
     requestId: string,
     filter: string,
@@ -237,7 +242,7 @@
 
 const OUTCOMES: Readonly<Record<AttemptResult, PathTypes.AttemptOutcome['result']>> = {
   aborted: 'cancelled',
-  busy: 'failed',
+  busy: 'busy',
   done: 'ok',
   failed: 'failed',
   rejected: 'ok',
--- a/packages/daemon/src/SchedulingPart.ts
+++ b/packages/daemon/src/SchedulingPart.ts
@@ -31,6 +31,14 @@
 });
 const decodeLoad = Schema.decodeUnknown(LoadAnswer);
 
+/** How the scheduler sees the end of an attempt. */
+const ENDS: Readonly<Record<
+  PathTypes.AttemptOutcome['result'],
+  Parameters<Scheduling.Scheduler['recordEnd']>[1]
+>> = {
+  busy: 'cancelled', cancelled: 'cancelled', failed: 'failed', ok: 'ok', silent: 'failed',
+};
+
 type Settle = (result: PathTypes.Dispatch | Refusal.Refusal) => void;
 
 const REFUSALS: Readonly<Record<
@@ -145,8 +153,7 @@
       settle: ({ outputTokens, result }) => {
         // An answer that was not streamed is known only when it is whole.
         if (result === 'ok' && !hasToken) observeTokens(Math.max(1, outputTokens));
-        const end = result === 'silent' ? 'failed' : result;
-        applyStep(scheduler.recordEnd(requestId, end, clock.readMonotonic()));
+        applyStep(scheduler.recordEnd(requestId, ENDS[result], clock.readMonotonic()));
       },
     };
   };
--- a/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
+++ b/packages/daemon/src/__tests__/unit/IsolatedDaemons.test.ts
@@ -145,6 +145,7 @@
 peer.port = ${ports[4 + index]}
 platform.log_url = "${logUrl}"
 platform.vm_list_url = "${vmList.url}"
+timing.drain_notice_ms = 100
 timing.heartbeat_ms = 100
 timing.suspect_ms = 1000
 timing.isolation_ms = ${ISOLATION_MS}
--- a/packages/testkit/src/DemoSystem.ts
+++ b/packages/testkit/src/DemoSystem.ts
@@ -23,6 +23,9 @@
 const REGION = 'gulf-texas';
 const HTTP_OK = 200;
 
+/** Time in which callers of the demo notice that a daemon stops, in milliseconds. */
+const DRAIN_NOTICE_MS = 500;
+
 /** The system did not come up. */
 export class DemoError extends Data.TaggedError('DemoError')<{ readonly message: string }> {}
 
@@ -192,6 +195,7 @@
       },
       region: REGION,
       ...addedSettings,
+      timing: { drain_notice_ms: DRAIN_NOTICE_MS, ...addedSettings.timing as object | undefined },
     }));
     return file;
   }));
