--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['**/gen/**', '**/dist/**', '**/coverage/**'] },
+  { ignores: ['**/gen/**', '**/dist/**', '**/coverage/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/core/src/HttpJson.ts
+++ b/packages/core/src/HttpJson.ts
@@ -1,6 +1,6 @@
 /**
- * JSON requests over Node's `http`, for the small interfaces of the platform and the operator
- * interface. Not for the request path, which streams.
+ * Requests over Node's `http` whose whole answer is read, as JSON or as bytes, for the small
+ * interfaces of the platform and the operator interface. Not for the request path, which streams.
  */
 import * as http from 'node:http';
 import * as Data from 'effect/Data';
@@ -21,6 +21,18 @@
   readonly agent?: http.Agent;
 }
 
+/** A request whose payload is bytes of a stated type. */
+export interface BytesRequest extends Omit<JsonRequest, 'body'> {
+  readonly payload?: Buffer;
+  readonly contentType?: string;
+}
+
+/** Whole answer to a request, not decoded. */
+export interface BytesAnswer {
+  readonly status: number;
+  readonly bytes: Buffer;
+}
+
 /** Answer to a JSON request; `body` is undefined when it was empty. */
 export interface JsonAnswer {
   readonly status: number;
@@ -42,35 +54,29 @@
   }
 }
 
-function parseBody(text: string): unknown {
-  return text === '' ? undefined : JSON.parse(text);
-}
-
 /**
- * Sends a JSON request and reads the whole answer; interruption closes the connection.
+ * Sends a request and reads the whole answer; interruption closes the connection.
  *
  * @returns the answer whatever its status, or HttpRequestError when none came within `timeoutMs`
  */
-export function requestJson(
+export function requestBytes(
   {
-    agent, body, headers, method, timeoutMs, url,
-  }: JsonRequest,
-): Effect.Effect<JsonAnswer, HttpRequestError> {
-  return Effect.async<JsonAnswer, HttpRequestError>((resume) => {
+    agent, contentType, headers, method, payload, timeoutMs, url,
+  }: BytesRequest,
+): Effect.Effect<BytesAnswer, HttpRequestError> {
+  return Effect.async<BytesAnswer, HttpRequestError>((resume) => {
     let sent = false;
     let settled = false;
-    const payload = body === undefined ? undefined : JSON.stringify(body);
     const request = http.request(url, {
       agent: agent ?? false,
       headers: {
-        ...payload === undefined
-          ? {}
-          : { 'content-length': Buffer.byteLength(payload), 'content-type': 'application/json' },
+        ...payload === undefined ? {} : { 'content-length': payload.length },
+        ...contentType === undefined ? {} : { 'content-type': contentType },
         ...headers,
       },
       method,
     });
-    const settle = (result: Effect.Effect<JsonAnswer, HttpRequestError>): void => {
+    const settle = (result: Effect.Effect<BytesAnswer, HttpRequestError>): void => {
       if (settled) return;
       settled = true;
       resume(result);
@@ -101,15 +107,33 @@
       });
       response.on('error', (error) => fail('connection', error));
       response.on('end', () => {
-        try {
-          const answer = parseBody(Buffer.concat(chunks).toString('utf8'));
-          settle(Effect.succeed({ body: answer, status: response.statusCode ?? 0 }));
-        } catch (error) {
-          fail('invalid-json', error);
-        }
+        settle(Effect.succeed({ bytes: Buffer.concat(chunks), status: response.statusCode ?? 0 }));
       });
     });
     request.end(payload);
     return Effect.sync(() => request.destroy());
   });
 }
+
+function parseBody(bytes: Buffer): unknown {
+  return bytes.length === 0 ? undefined : JSON.parse(bytes.toString('utf8'));
+}
+
+/**
+ * Sends a JSON request and reads the whole answer; interruption closes the connection.
+ *
+ * @returns the answer whatever its status, or HttpRequestError when none came within `timeoutMs`
+ */
+export function requestJson(
+  { body, ...request }: JsonRequest,
+): Effect.Effect<JsonAnswer, HttpRequestError> {
+  const json = body === undefined
+    ? {}
+    : { contentType: 'application/json', payload: Buffer.from(JSON.stringify(body)) };
+  return Effect.flatMap(requestBytes({ ...request, ...json }), ({ bytes, status }) => Effect.try({
+    catch: (cause) => new HttpRequestError({
+      cause, reason: 'invalid-json', sent: true, url: request.url,
+    }),
+    try: () => ({ body: parseBody(bytes), status }),
+  }));
+}
--- /dev/null
+++ b/packages/routing/src/AttemptRules.ts
@@ -0,0 +1,74 @@
+/**
+ * What follows a failed attempt. A request that may have run goes to another server only where it
+ * may be repeated; one that did not run only within the attempts of its route. Both draw on the
+ * budget of repeats that all daemons share, unless nothing reached a server.
+ */
+import type * as Core from '@berylyoke/core';
+import type * as Refusals from './Refusals.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+
+/**
+ * How an attempt ended without a usable answer. `not-sent`: no byte left; `misdirected`: another
+ * server has the address; `not-run`: the server said that it did not run the request; `broken`,
+ * `silent`: it may have run; `failed`: the server answered with an error of its own.
+ */
+export type AttemptEnd = 'broken' | 'failed' | 'misdirected' | 'not-run' | 'not-sent' | 'silent';
+
+/** A request after an attempt. */
+export interface AttemptState {
+  readonly route: RoutingConfig.Route;
+  /** Attempts that reached a server of the service. */
+  readonly sends: number;
+  /** Attempts that reached no server of the service. */
+  readonly misses: number;
+  /** Whether the request may have run in any attempt. */
+  readonly mayHaveRun: boolean;
+  /** Whether the head of an answer went to the caller. */
+  readonly isAnswering: boolean;
+  readonly leftMs: Core.Millis;
+}
+
+/** Next step of a request. */
+export type NextStep = { readonly _tag: 'Cut' }
+  | { readonly _tag: 'Refuse'; readonly code: Refusals.RefusalCode }
+  | { readonly _tag: 'Retry'; readonly isRepeat: boolean };
+
+/** Attempts that may reach nobody, since entries of crashed servers live for seconds. */
+const MAX_MISSES = 4;
+
+/** Least time in which another attempt can still succeed. */
+const MIN_LEFT_MS = 30;
+
+/** Checks whether a request may run more than once. */
+export function isRepeatable({ isResumable, kind }: RoutingConfig.Route): boolean {
+  return kind === 'repeatable' || (kind === 'stream' && isResumable);
+}
+
+/** Checks whether an attempt with this end may be followed by another one. */
+export function canTryAgain(end: AttemptEnd, state: AttemptState): boolean {
+  if (state.leftMs < MIN_LEFT_MS) return false;
+  if (end === 'not-sent' || end === 'misdirected') return state.misses < MAX_MISSES;
+  if (state.sends >= state.route.maxAttempts) return false;
+  return end === 'not-run' || isRepeatable(state.route);
+}
+
+/** Chooses the final answer of a request whose last attempt failed. */
+export function chooseRefusal(end: AttemptEnd | undefined, state: AttemptState): NextStep {
+  if (state.isAnswering) return { _tag: 'Cut' };
+  if (state.mayHaveRun) {
+    return { _tag: 'Refuse', code: end === 'silent' ? 'timed_out' : 'outcome_unknown' };
+  }
+  return { _tag: 'Refuse', code: end === 'not-run' ? 'not_run' : 'no_server' };
+}
+
+/** Chooses what follows an attempt; `claimRepeat` is asked only where a repeat is possible. */
+export function chooseNextStep(
+  end: AttemptEnd,
+  state: AttemptState,
+  claimRepeat: () => boolean,
+): NextStep {
+  if (!canTryAgain(end, state)) return chooseRefusal(end, state);
+  const isRepeat = end !== 'not-sent';
+  if (isRepeat && !claimRepeat()) return chooseRefusal(end, state);
+  return { _tag: 'Retry', isRepeat };
+}
--- /dev/null
+++ b/packages/routing/src/DutyHolder.ts
@@ -0,0 +1,401 @@
+/**
+ * Takes part in the lease of the duties and carries them out while it is held: sealing and reporting
+ * usage windows, ordering servers. Every daemon runs this; one holds the lease at a time.
+ */
+import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import * as Either from 'effect/Either';
+import * as Schema from 'effect/Schema';
+import * as DutyLease from './DutyLease.js';
+import * as KeyProof from './KeyProof.js';
+import * as OrderPlan from './OrderPlan.js';
+import type * as Ports from './Ports.js';
+import type * as TrueTime from './TrueTime.js';
+import * as UsageCounts from './UsageCounts.js';
+
+/** How often a process looks at what is due. */
+const STEP_MS = 300;
+
+/** How often a process without the lease reads the duties log. */
+const POLL_MS = 1_700;
+
+/** How often the holder renews: three tries fit into a term. */
+const RENEW_MS = 1_300;
+
+/** Random delay of a claim, so that daemons that see a lease end together do not all claim. */
+const CLAIM_SPREAD_MS = 700;
+
+/** Time after the end of a window in which daemons hand over their counts. */
+const HAND_OVER_MS = 1_500;
+
+/** Age up to which a window is still sealed and reported. */
+const MAX_WINDOW_AGE_MS = 28_000;
+
+/** Time limit of a call; the lease has to outlast it. */
+export const DUTY_CALL_TIMEOUT_MS = 800;
+
+/** Terms of a lease in multiples of the interval in which holders may not alternate. */
+const TERM_FACTOR = 1.25;
+
+/** What the duties work with. */
+export interface DutyContext {
+  readonly daemonId: string;
+  readonly clock: Core.Clock;
+  readonly logger: Core.Logger;
+  readonly trueTime: TrueTime.TrueTime;
+  readonly leaseMs: Core.Millis;
+  readonly windowMs: Core.Millis;
+  readonly dutyLog: Ports.SharedLog;
+  readonly countsLog: Ports.SharedLog;
+  readonly calls: Ports.DutyCalls;
+  readonly book: UsageCounts.UsageBook;
+  readonly listWantedOrders: () => readonly Ports.ServerOrder[];
+  readonly random: () => number;
+}
+
+/** Participation of this process. */
+export interface DutyHolder {
+  readonly countDaemons: () => number | undefined;
+  readonly getHolder: () => string | undefined;
+  /** Gives the lease back and claims it no more; counts are still handed over. */
+  readonly resign: () => Promise<void>;
+  /** Hands over what was counted and ends the participation. */
+  readonly stop: () => Promise<void>;
+}
+
+const CountsRecord = Schema.Struct({
+  counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
+  daemonId: Schema.String,
+  incarnation: Schema.String,
+  window: Schema.Number,
+  writtenMs: Schema.Number,
+});
+
+const decodeDuty = Schema.decodeUnknownOption(DutyLease.DutyRecord);
+const decodeCounts = Schema.decodeUnknownOption(CountsRecord);
+
+/** Participation in the lease and the work of its holder. */
+class DutyProcess implements DutyHolder {
+  readonly #context: DutyContext;
+
+  readonly #incarnation: string;
+
+  #state = DutyLease.INITIAL_DUTY_STATE;
+
+  #authority: DutyLease.Authority | undefined;
+
+  /** Clocks before each append whose outcome is not known, by nonce. */
+  readonly #pending = new Map<string, KeyProof.ClockReading>();
+
+  /** Fencing tokens that the platform refused; they are never used again. */
+  readonly #refusedFences = new Set<number>();
+
+  #lastPollMs = -Infinity;
+
+  #lastRenewMs = -Infinity;
+
+  #claimAtMs: Core.Millis | undefined;
+
+  #countsFrom = 0;
+
+  readonly #collection = UsageCounts.createUsageCollection();
+
+  readonly #reported = new Set<number>();
+
+  #orders = OrderPlan.createOrderBook();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #running: Promise<void> = Promise.resolve();
+
+  #hasResigned = false;
+
+  #isStopped = false;
+
+  constructor(context: DutyContext) {
+    this.#context = context;
+    this.#incarnation = Core.createIncarnation(context.clock);
+    this.#schedule();
+  }
+
+  countDaemons = (): number | undefined => this.#state.daemonCount;
+
+  getHolder = (): string | undefined => this.#state.holder;
+
+  resign = async (): Promise<void> => {
+    this.#hasResigned = true;
+    await this.#running;
+    const authority = this.#authority;
+    if (authority === undefined || this.#computeRemaining() <= 0) return;
+    await this.#append({ fence: authority.fence, kind: 'release' });
+    this.#authority = undefined;
+  };
+
+  stop = async (): Promise<void> => {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    await this.#running;
+    await this.#handOverCounts(Infinity);
+  };
+
+  #schedule(): void {
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => {
+      this.#running = this.#step().catch((error: unknown) => {
+        this.#context.logger.error({ error: String(error) }, 'step of the duties failed');
+      }).finally(() => this.#schedule());
+    }, STEP_MS);
+  }
+
+  #readClocks(): KeyProof.ClockReading {
+    return KeyProof.readClocks(this.#context.clock);
+  }
+
+  #computeRemaining(): Core.Millis {
+    return DutyLease.computeRemaining(this.#authority, this.#readClocks());
+  }
+
+  async #step(): Promise<void> {
+    await this.#handOverCounts(HAND_OVER_MS);
+    if (this.#hasResigned) return;
+    if (this.#authority !== undefined && this.#computeRemaining() <= 0) {
+      this.#loseAuthority('term over');
+    }
+    if (this.#authority === undefined) await this.#followLease();
+    else await this.#actAsHolder();
+  }
+
+  #loseAuthority(reason: string): void {
+    this.#context.logger.warn({ fence: this.#authority?.fence, reason }, 'duties lost');
+    this.#authority = undefined;
+    this.#claimAtMs = undefined;
+  }
+
+  async #followLease(): Promise<void> {
+    const nowMs = this.#context.clock.readMonotonic();
+    const canClaim = DutyLease.canClaim(this.#state, this.#readClocks());
+    if (nowMs - this.#lastPollMs >= POLL_MS || canClaim) {
+      const isRead = await this.#readDutyLog();
+      if (!isRead) return;
+    }
+    if (!DutyLease.canClaim(this.#state, this.#readClocks())) {
+      this.#claimAtMs = undefined;
+      return;
+    }
+    this.#claimAtMs ??= nowMs + this.#context.random() * CLAIM_SPREAD_MS;
+    if (nowMs < this.#claimAtMs) return;
+    this.#claimAtMs = undefined;
+    await this.#append({ kind: 'claim' });
+  }
+
+  async #readDutyLog(): Promise<boolean> {
+    this.#lastPollMs = this.#context.clock.readMonotonic();
+    const result = await Effect.runPromise(
+      Effect.either(this.#context.dutyLog.read(this.#state.end)),
+    );
+    const readAt = this.#readClocks();
+    if (Either.isLeft(result)) {
+      if (result.left._tag === 'HistoryLost') {
+        this.#state = DutyLease.applyDutyGap(this.#state, result.left.first, readAt);
+      } else this.#context.logger.warn({ detail: result.left.message }, 'duties log not read');
+      return false;
+    }
+    result.right.records.forEach(({ offset, value }) => this.#applyRecord(offset, value, readAt));
+    this.#state = { ...this.#state, end: result.right.next };
+    return true;
+  }
+
+  #applyRecord(offset: number, value: unknown, readAt: KeyProof.ClockReading): void {
+    const decoded = decodeDuty(value);
+    if (decoded._tag === 'None') return;
+    const record = decoded.value;
+    const previous = this.#state.holder;
+    this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
+    if (record.holder !== this.#context.daemonId) this.#context.trueTime.observeRemote(record.writtenMs);
+    const sentAt = this.#pending.get(record.nonce);
+    if (sentAt !== undefined) this.#takeAuthority(sentAt);
+    else if (this.#authority !== undefined && this.#state.fence !== this.#authority.fence) {
+      this.#loseAuthority('another daemon holds the lease');
+    }
+    if (previous !== this.#state.holder) {
+      this.#context.logger.info(
+        { fence: this.#state.fence, holder: this.#state.holder, offset },
+        'holder of the duties changed',
+      );
+    }
+  }
+
+  /** An append of this process took effect, and was sent when the clocks showed `sentAt`. */
+  #takeAuthority(sentAt: KeyProof.ClockReading): void {
+    this.#pending.clear();
+    const { fence, holder, termMs } = this.#state;
+    if (fence === undefined || holder !== this.#context.daemonId) return;
+    if (this.#refusedFences.has(fence)) return;
+    if (this.#authority?.fence !== fence) {
+      this.#orders = OrderPlan.createOrderBook();
+      this.#reported.clear();
+      this.#countsFrom = 0;
+    }
+    this.#authority = { fence, sentAt, termMs };
+  }
+
+  async #append(
+    part: Pick<DutyLease.DutyRecord, 'daemonCount' | 'fence' | 'kind' | 'seal'>,
+  ): Promise<boolean> {
+    const sentAt = this.#readClocks();
+    const record: DutyLease.DutyRecord = {
+      ...part,
+      holder: this.#context.daemonId,
+      nonce: Core.createId(),
+      termMs: Math.round(this.#context.leaseMs * TERM_FACTOR),
+      writtenMs: Math.round(this.#context.trueTime.read()),
+    };
+    this.#pending.set(record.nonce, sentAt);
+    const result = await Effect.runPromise(
+      Effect.either(this.#context.dutyLog.append([record], this.#state.end)),
+    );
+    if (Either.isRight(result)) {
+      this.#applyRecord(result.right, record, this.#readClocks());
+      return true;
+    }
+    const error = result.left;
+    if (error._tag === 'StoreUnavailable') {
+      this.#context.logger.warn({ detail: error.message, kind: part.kind }, 'append failed');
+    }
+    // The append may have taken effect without an answer, or somebody else's came first.
+    await this.#readDutyLog();
+    return false;
+  }
+
+  async #actAsHolder(): Promise<void> {
+    const window = this.#findDueWindow();
+    const nowMs = this.#context.clock.readMonotonic();
+    if (window !== undefined) await this.#sealWindow(window);
+    else if (nowMs - this.#lastRenewMs >= RENEW_MS) {
+      this.#lastRenewMs = nowMs;
+      await this.#append({
+        daemonCount: this.#state.daemonCount, fence: this.#authority?.fence, kind: 'renewal',
+      });
+    }
+    await this.#sendReports();
+    await this.#sendOrders();
+  }
+
+  #computeCurrentWindow(): number {
+    return Math.floor(this.#context.trueTime.read() / this.#context.windowMs);
+  }
+
+  #listRecentWindows(): readonly number[] {
+    const current = this.#computeCurrentWindow();
+    const count = Math.ceil(MAX_WINDOW_AGE_MS / this.#context.windowMs);
+    return Array.from({ length: count }, (_, index) => current - count + index);
+  }
+
+  #findDueWindow(): number | undefined {
+    const nowMs = this.#context.trueTime.read();
+    return this.#listRecentWindows().find((window) => (
+      !this.#state.seals.has(window)
+      && nowMs >= (window + 1) * this.#context.windowMs + HAND_OVER_MS
+    ));
+  }
+
+  async #sealWindow(window: number): Promise<void> {
+    if (!await this.#readCounts()) return;
+    this.#lastRenewMs = this.#context.clock.readMonotonic();
+    await this.#append({
+      daemonCount: this.#collection.countDaemons(window) || this.#state.daemonCount,
+      fence: this.#authority?.fence,
+      kind: 'seal',
+      seal: { counts: this.#collection.sumWindow(window), window },
+    });
+  }
+
+  async #readCounts(): Promise<boolean> {
+    const result = await Effect.runPromise(
+      Effect.either(this.#context.countsLog.read(this.#countsFrom)),
+    );
+    if (Either.isLeft(result)) {
+      if (result.left._tag === 'HistoryLost') {
+        this.#countsFrom = result.left.first;
+        return this.#readCounts();
+      }
+      this.#context.logger.warn({ detail: result.left.message }, 'usage counts not read');
+      return false;
+    }
+    result.right.records.forEach(({ value }) => {
+      const decoded = decodeCounts(value);
+      if (decoded._tag === 'Some') this.#collection.apply(decoded.value);
+    });
+    this.#countsFrom = result.right.next;
+    return true;
+  }
+
+  async #sendReports(): Promise<void> {
+    const due = this.#listRecentWindows().find((window) => (
+      this.#state.seals.has(window) && !this.#reported.has(window)
+    ));
+    const seal = due === undefined ? undefined : this.#state.seals.get(due);
+    const authority = this.#authority;
+    if (seal === undefined || authority === undefined) return;
+    if (Object.keys(seal.counts).length === 0) {
+      this.#reported.add(seal.window);
+      return;
+    }
+    if (this.#computeRemaining() <= DUTY_CALL_TIMEOUT_MS) return;
+    const answer = await Effect.runPromise(
+      this.#context.calls.sendUsage(seal.window, seal.counts, authority.fence),
+    );
+    this.#context.logger.info(
+      { answer, counts: seal.counts, fence: authority.fence, window: seal.window },
+      'usage reported',
+    );
+    if (answer === 'fenced') this.#refuseFence(authority.fence);
+    else if (answer !== 'unknown') this.#reported.add(seal.window);
+  }
+
+  #refuseFence(fence: number): void {
+    this.#refusedFences.add(fence);
+    this.#loseAuthority('the platform refused the fencing token');
+  }
+
+  async #sendOrders(): Promise<void> {
+    const nowMs = this.#context.clock.readMonotonic();
+    const [order] = this.#orders.selectDue(this.#context.listWantedOrders(), nowMs);
+    const authority = this.#authority;
+    if (order === undefined || authority === undefined) return;
+    if (this.#computeRemaining() <= DUTY_CALL_TIMEOUT_MS) return;
+    const answer = await Effect.runPromise(
+      this.#context.calls.orderServers(order, authority.fence),
+    );
+    this.#context.logger.info({ answer, fence: authority.fence, ...order }, 'servers ordered');
+    if (answer === 'fenced') this.#refuseFence(authority.fence);
+    else this.#orders.recordAnswer(order, answer, nowMs);
+    // Orders of different places wait for each other, but not for the next step.
+    if (answer === 'accepted') await this.#sendOrders();
+  }
+
+  /** Hands over the counts of windows that ended, at most `afterMs` ago or a multiple of it. */
+  async #handOverCounts(afterMs: Core.Millis): Promise<void> {
+    const current = this.#computeCurrentWindow();
+    const due = this.#context.book.listChanged().filter(({ window }) => (
+      window < current || afterMs === Infinity
+    ));
+    if (due.length === 0) return;
+    const records = due.map(({ counts, window }): typeof CountsRecord.Type => ({
+      counts,
+      daemonId: this.#context.daemonId,
+      incarnation: this.#incarnation,
+      window,
+      writtenMs: Math.round(this.#context.trueTime.read()),
+    }));
+    const result = await Effect.runPromise(Effect.either(this.#context.countsLog.append(records)));
+    if (Either.isRight(result)) {
+      due.forEach(({ counts, window }) => this.#context.book.setHandedOver(window, counts));
+    } else this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
+  }
+}
+
+/** Starts taking part in the duties. */
+export function startDuties(context: DutyContext): DutyHolder {
+  return new DutyProcess(context);
+}
--- /dev/null
+++ b/packages/routing/src/DutyLease.ts
@@ -0,0 +1,143 @@
+/**
+ * Lease of the duties over a log whose appends take a condition: an append that names the end of
+ * the log takes effect only where nobody else appended since. The offset of a claim is its fencing
+ * token. A holder counts its term from before it sent the append, an observer from when it read the
+ * record, so a holder's belief ends before anyone else may claim. Sealed figures of usage windows
+ * are records of the same log; the first seal of a window is the only one that is ever reported.
+ */
+import type * as Core from '@berylyoke/core';
+import * as Schema from 'effect/Schema';
+import type * as KeyProof from './KeyProof.js';
+import * as Proof from './KeyProof.js';
+
+/** Record of the duties log. `nonce` identifies the process and the append. */
+export const DutyRecord = Schema.Struct({
+  /** Daemons that handed over counts lately, as the holder saw it. */
+  daemonCount: Schema.optional(Schema.Number),
+  /** Absent in a claim: its offset becomes the fencing token. */
+  fence: Schema.optional(Schema.Number),
+  holder: Schema.String,
+  kind: Schema.Literal('claim', 'release', 'renewal', 'seal'),
+  nonce: Schema.String,
+  seal: Schema.optional(Schema.Struct({
+    counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
+    window: Schema.Number,
+  })),
+  termMs: Schema.Number,
+  /** Writer's estimate of the true time, in Unix milliseconds. */
+  writtenMs: Schema.Number,
+});
+
+/** Record of the duties log. */
+export type DutyRecord = typeof DutyRecord.Type;
+
+/** Sealed figures of a usage window. */
+export type Seal = NonNullable<DutyRecord['seal']>;
+
+/** What a process knows of the duties log. */
+export interface DutyState {
+  /** Offset of the next record. */
+  readonly end: number;
+  readonly holder: string | undefined;
+  readonly fence: number | undefined;
+  readonly termMs: Core.Millis;
+  /** Nonce of the newest claim, renewal or seal of the holder. */
+  readonly nonce: string | undefined;
+  readonly observedAt: KeyProof.ClockReading | undefined;
+  readonly daemonCount: number | undefined;
+  readonly seals: ReadonlyMap<number, Seal>;
+}
+
+/** State before the first record. */
+export const INITIAL_DUTY_STATE: DutyState = {
+  daemonCount: undefined,
+  end: 0,
+  fence: undefined,
+  holder: undefined,
+  nonce: undefined,
+  observedAt: undefined,
+  seals: new Map(),
+  termMs: 0,
+};
+
+/** Seals that are remembered; older windows are too late for a report. */
+const MAX_SEALS = 24;
+
+/** Time by which an observer waits longer than the term, for clocks of different speed. */
+export const LEASE_MARGIN_MS = 300;
+
+function addSeal(seals: DutyState['seals'], seal: Seal): DutyState['seals'] {
+  if (seals.has(seal.window)) return seals;
+  const kept = [...seals].sort(([a], [b]) => a - b).slice(1 - MAX_SEALS);
+  return new Map([...kept, [seal.window, seal]]);
+}
+
+/** Applies one record, in log order. A record of a former holder has no effect. */
+export function applyDutyRecord(
+  state: DutyState,
+  offset: number,
+  record: DutyRecord,
+  readAt: KeyProof.ClockReading,
+): DutyState {
+  const next = { ...state, end: offset + 1 };
+  if (record.kind === 'claim') {
+    return {
+      ...next,
+      fence: offset,
+      holder: record.holder,
+      nonce: record.nonce,
+      observedAt: readAt,
+      termMs: record.termMs,
+    };
+  }
+  // After a gap the first renewal tells who holds the lease.
+  if (state.fence !== undefined && record.fence !== state.fence) return next;
+  if (record.kind === 'release') return { ...next, fence: record.fence, holder: undefined };
+  return {
+    ...next,
+    daemonCount: record.daemonCount ?? state.daemonCount,
+    fence: record.fence,
+    holder: record.holder,
+    nonce: record.nonce,
+    observedAt: readAt,
+    seals: record.seal === undefined ? state.seals : addSeal(state.seals, record.seal),
+    termMs: record.termMs,
+  };
+}
+
+/** Applies a gap in the log: what was read before it says nothing about the holder of now. */
+export function applyDutyGap(
+  state: DutyState,
+  first: number,
+  readAt: KeyProof.ClockReading,
+): DutyState {
+  return {
+    ...state, end: first, fence: undefined, holder: undefined, observedAt: readAt,
+  };
+}
+
+/** Checks whether a process may claim the lease now. */
+export function canClaim(state: DutyState, now: KeyProof.ClockReading): boolean {
+  if (state.observedAt === undefined) return true;
+  if (state.holder === undefined && state.fence !== undefined) return true;
+  const passedMs = now.monotonicMs - state.observedAt.monotonicMs;
+  return passedMs > state.termMs + LEASE_MARGIN_MS;
+}
+
+/** Right of this process to act, from an append that took effect. */
+export interface Authority {
+  readonly fence: number;
+  /** Clocks before the append was sent. */
+  readonly sentAt: KeyProof.ClockReading;
+  readonly termMs: Core.Millis;
+}
+
+/** Computes the time for which the authority still holds; 0 after a suspension. */
+export function computeRemaining(
+  authority: Authority | undefined,
+  now: KeyProof.ClockReading,
+): Core.Millis {
+  if (authority === undefined || Proof.hasDrifted(authority.sentAt, now)) return 0;
+  const passedMs = now.monotonicMs - authority.sentAt.monotonicMs;
+  return Math.max(0, authority.termMs - LEASE_MARGIN_MS - passedMs);
+}
--- /dev/null
+++ b/packages/routing/src/EntryListener.ts
@@ -0,0 +1,115 @@
+/**
+ * Listeners of a daemon: callers, readiness, metrics. A planned stop first turns readiness off
+ * while requests still come, then closes the entry, and ends when every answer in progress is out.
+ */
+import type * as Core from '@berylyoke/core';
+import * as http from 'node:http';
+import type * as RoutingConfig from './RoutingConfig.js';
+
+/** Time for the load balancer to notice that the daemon is not ready: two questions, 1 s apart. */
+const NOTICE_MS = 2_600;
+
+/** How often idle connections are closed while answers are finished. */
+const IDLE_CHECK_MS = 100;
+
+/** Largest header block; the limit of the configuration is checked on top of it. */
+const MAX_HEADER_BYTES = 64 * 1024;
+
+/** Time added to the idle limit so that a connection is not closed just as a caller uses it. */
+const IDLE_MARGIN_MS = 500;
+
+/** Handler of one request. */
+export type RequestHandler = (
+  request: http.IncomingMessage, response: http.ServerResponse,
+) => void;
+
+/** Listener for callers. */
+export interface EntryListener {
+  /** Applies the limits of a configuration to connections from now on. */
+  readonly setLimits: (limits: RoutingConfig.CallerLimits) => void;
+  /**
+   * Stops: waits for the load balancer, closes the listener, waits for answers in progress.
+   *
+   * @param onNoticeOver called when the listener closes
+   * @param limitMs time after which the remaining connections are cut
+   */
+  readonly stop: (onNoticeOver: () => void, limitMs: Core.Millis) => Promise<void>;
+}
+
+/** Splits `IP:PORT`. */
+export function splitAddress(address: string): { readonly host: string; readonly port: number } {
+  const index = address.lastIndexOf(':');
+  return { host: address.slice(0, index), port: Number(address.slice(index + 1)) };
+}
+
+async function listen(server: http.Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ backlog: 1_024, host, port }, resolve);
+  });
+}
+
+function waitFor(timeMs: Core.Millis): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, timeMs);
+  });
+}
+
+/** Starts the listener for callers. */
+export async function startEntryListener(
+  address: string,
+  handleRequest: RequestHandler,
+): Promise<EntryListener> {
+  const server = http.createServer({
+    connectionsCheckingInterval: 1_000,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    noDelay: true,
+    requestTimeout: 0,
+  }, (request, response) => {
+    response.sendDate = false;
+    handleRequest(request, response);
+  });
+  server.on('clientError', (error, socket) => {
+    // Broken input of a caller: the answer of Node.js without a body is enough.
+    if (socket.writable && !socket.destroyed) socket.end('HTTP/1.1 400 Bad Request\r\n\r\n');
+    else socket.destroy(error);
+  });
+  await listen(server, address);
+  return {
+    setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
+      server.headersTimeout = headerTimeoutMs;
+      server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    },
+    stop: async (onNoticeOver, limitMs) => {
+      await waitFor(NOTICE_MS);
+      onNoticeOver();
+      const closed = new Promise((resolve) => {
+        server.close(resolve);
+      });
+      const idle = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS);
+      const cut = setTimeout(() => server.closeAllConnections(), limitMs - NOTICE_MS);
+      await closed;
+      clearInterval(idle);
+      clearTimeout(cut);
+    },
+  };
+}
+
+/** Starts a listener that answers a GET with a status, and optionally a text. */
+export async function startStatusListener(
+  address: string,
+  answer: () => Promise<{ readonly status: number; readonly text: string }>,
+): Promise<() => void> {
+  const server = http.createServer((request, response) => {
+    answer().then(({ status, text }) => {
+      response.writeHead(status, { 'content-type': 'text/plain' });
+      response.end(text);
+    }, () => response.destroy());
+  });
+  await listen(server, address);
+  return () => {
+    server.close();
+    server.closeAllConnections();
+  };
+}
--- /dev/null
+++ b/packages/routing/src/OrderPlan.ts
@@ -0,0 +1,90 @@
+/**
+ * What each data centre should have of each kind of server. Lasting servers carry what must not be
+ * lost at short notice, reclaimable ones the rest at a fraction of the price. The platform may take
+ * all reclaimable servers of one data centre at once, so they are spread evenly.
+ */
+import type * as Core from '@berylyoke/core';
+import type * as Ports from './Ports.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+import type * as ServerTable from './ServerTable.js';
+
+/** Lasting servers in each data centre: one survives any reclaim. */
+const LASTING_SERVERS = 1;
+
+/** Reclaimable servers in each data centre. */
+const RECLAIMABLE_SERVERS = 2;
+
+/** Time after which an order that was refused for lack of stock is tried again. */
+export const STOCK_RETRY_MS = 2_000;
+
+/** Situation of one service. */
+export interface OrderSituation {
+  readonly service: RoutingConfig.Service;
+  readonly servers: readonly ServerTable.BackendServer[];
+}
+
+/** Plans the orders of a service; empty where its pool has a fixed size. */
+export function planOrders(
+  { servers, service }: OrderSituation,
+): readonly Ports.ServerOrder[] {
+  const { purchase } = service;
+  if (purchase === undefined) return [];
+  const clamp = (count: number): number => (
+    Math.max(0, Math.min(purchase.maxServers, count))
+  );
+  return [...purchase.prices.keys()].flatMap((dataCentre) => {
+    const there = servers.filter((server) => (
+      server.service === service.name && server.dataCentre === dataCentre
+      && server.state === 'ready'
+    ));
+    const reclaimable = there.filter(({ isReclaimable }) => isReclaimable).length;
+    const lastingNow = there.length - reclaimable;
+    const lastingWanted = clamp(Math.max(purchase.minServers, LASTING_SERVERS));
+    // A lasting server is given up only once the cheaper ones that replace it are ready.
+    const isReplaced = reclaimable >= RECLAIMABLE_SERVERS;
+    const lasting = isReplaced ? lastingWanted : Math.max(lastingWanted, lastingNow);
+    const spare = purchase.maxServers - lasting;
+    return [
+      {
+        count: Math.min(spare, RECLAIMABLE_SERVERS),
+        dataCentre,
+        isReclaimable: true,
+        service: service.name,
+      },
+      {
+        count: lasting, dataCentre, isReclaimable: false, service: service.name,
+      },
+    ];
+  });
+}
+
+/** Orders that were sent, and what came of them. */
+export interface OrderBook {
+  /** Selects the orders that have to be sent now. */
+  readonly selectDue: (
+    wanted: readonly Ports.ServerOrder[], nowMs: Core.Millis,
+  ) => readonly Ports.ServerOrder[];
+  readonly recordAnswer: (
+    order: Ports.ServerOrder, answer: Ports.DutyAnswer, nowMs: Core.Millis,
+  ) => void;
+}
+
+/** Creates the book of one holder of the duty; a new holder sends every order anew. */
+export function createOrderBook(): OrderBook {
+  const accepted = new Map<string, number>();
+  const retryAt = new Map<string, Core.Millis>();
+  const getName = ({ dataCentre, isReclaimable, service }: Ports.ServerOrder): string => (
+    `${service}/${dataCentre}/${isReclaimable ? 'reclaimable' : 'lasting'}`
+  );
+  return {
+    recordAnswer: (order, answer, nowMs) => {
+      const name = getName(order);
+      if (answer === 'accepted') accepted.set(name, order.count);
+      else retryAt.set(name, nowMs + STOCK_RETRY_MS);
+    },
+    selectDue: (wanted, nowMs) => wanted.filter((order) => {
+      const name = getName(order);
+      return accepted.get(name) !== order.count && (retryAt.get(name) ?? -Infinity) <= nowMs;
+    }),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/PathContext.ts
@@ -0,0 +1,46 @@
+/** What the request path of a daemon works with. */
+import type * as Core from '@berylyoke/core';
+import type * as Scheduling from '@berylyoke/scheduling';
+import type * as HeaderRules from './HeaderRules.js';
+import type * as RouteTable from './RouteTable.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+import type * as RoutingMetrics from './RoutingMetrics.js';
+import type * as ServerHealth from './ServerHealth.js';
+import type * as ServerPool from './ServerPool.js';
+import type * as ServerTable from './ServerTable.js';
+
+/** A version of the configuration with its route table. */
+export interface ActiveConfig {
+  readonly config: RoutingConfig.RoutingConfig;
+  readonly routes: RouteTable.RouteTable;
+}
+
+/** Life of the daemon as the request path sees it. */
+export type Phase = 'draining' | 'refusing' | 'running';
+
+/** Shared by all requests of a daemon. */
+export interface PathContext {
+  readonly names: HeaderRules.HeaderNames;
+  readonly clock: Core.Clock;
+  readonly logger: Core.Logger;
+  readonly metrics: RoutingMetrics.RoutingMetrics;
+  readonly dataCentre: string;
+  readonly getActiveConfig: () => ActiveConfig | undefined;
+  /** Version of the configuration is fixed per request; the phase is read at each use. */
+  readonly getPhase: () => Phase;
+  readonly countDaemons: () => number;
+  /** Whether the list of keys is known to be current enough. */
+  readonly areKeysCurrent: () => boolean;
+  /** Tries to make it so; resolves with whether it is. */
+  readonly renewKeys: () => Promise<boolean>;
+  readonly servers: ServerTable.ServerTable;
+  readonly pool: ServerPool.ServerPool;
+  readonly health: ServerHealth.ServerHealth;
+  readonly cache: Scheduling.CacheIndex;
+  /** Takes a repeat at a service from the budget that all daemons share. */
+  readonly claimRepeat: (service: string) => boolean;
+  readonly countRequest: (service: string) => void;
+  /** Counts a request that began to run for a client account. */
+  readonly countStart: (account: string) => void;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/packages/routing/src/RequestHead.ts
@@ -0,0 +1,70 @@
+/** Reads what a request's headers say, once, into typed fields. */
+import type * as Core from '@berylyoke/core';
+import type * as http from 'node:http';
+import type * as HeaderRules from './HeaderRules.js';
+import type * as ServerPick from './ServerPick.js';
+
+/** Head of a caller's request. */
+export interface RequestHead {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path with its query, as sent. */
+  readonly path: string;
+  readonly host: string;
+  readonly rawHeaders: readonly string[];
+  /** Time that the caller will wait; undefined where it does not say. */
+  readonly callerTimeMs: Core.Millis | undefined;
+  readonly bearerKey: string | undefined;
+  readonly prompt: ServerPick.Prompt | undefined;
+  /** Last event that the caller has, when it resumes a stream. */
+  readonly lastEventId: number | undefined;
+}
+
+const BEARER = /^bearer +(\S+) *$/i;
+
+function parseNumber(text: string | undefined): number | undefined {
+  const value = Number(text);
+  return text === undefined || text.trim() === '' || !Number.isFinite(value) ? undefined : value;
+}
+
+function getHeader(headers: http.IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Parses the headers that describe a prompt; undefined where the request has none. */
+export function parsePrompt(
+  partsText: string | undefined,
+  countsText: string | undefined,
+): ServerPick.Prompt | undefined {
+  const [inputText, outputText] = countsText?.split(',') ?? [];
+  const inputTokens = parseNumber(inputText);
+  if (inputTokens === undefined) return undefined;
+  const parts = (partsText ?? '').split(',').flatMap((part) => {
+    const [id = '', tokens] = part.trim().split(':');
+    return id === '' ? [] : [{ id, tokens: parseNumber(tokens) ?? 0 }];
+  });
+  return { inputTokens, maxOutputTokens: parseNumber(outputText) ?? 0, parts };
+}
+
+/** Reads the head of a request. */
+export function readRequestHead(
+  request: http.IncomingMessage,
+  names: HeaderRules.HeaderNames,
+): RequestHead {
+  const { headers } = request;
+  return {
+    bearerKey: BEARER.exec(headers.authorization ?? '')?.[1],
+    callerTimeMs: parseNumber(getHeader(headers, names.timeLeft)),
+    host: headers.host ?? '',
+    lastEventId: parseNumber(getHeader(headers, names.lastEventId)),
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    prompt: parsePrompt(
+      getHeader(headers, names.promptParts),
+      getHeader(headers, names.tokenCounts),
+    ),
+    rawHeaders: request.rawHeaders,
+    requestId: getHeader(headers, names.requestId) ?? '',
+  };
+}
--- /dev/null
+++ b/packages/routing/src/RoutedRequest.ts
@@ -0,0 +1,574 @@
+/**
+ * One request from its head to the end of its answer: identify, classify, choose, forward, relay,
+ * account. Plain callbacks: an `effect` fiber for each event of a stream would cost more than the
+ * relay itself (docs/decisions/house-style.md).
+ */
+import type * as Core from '@berylyoke/core';
+import type * as http from 'node:http';
+import * as AttemptRules from './AttemptRules.js';
+import * as BackendExchange from './BackendExchange.js';
+import * as EventFramer from './EventFramer.js';
+import * as HeaderRules from './HeaderRules.js';
+import type * as PathContext from './PathContext.js';
+import * as Refusals from './Refusals.js';
+import * as RequestHead from './RequestHead.js';
+import * as RouteTable from './RouteTable.js';
+import * as RoutingConfig from './RoutingConfig.js';
+import * as ServerChoiceFilter from './ServerChoiceFilter.js';
+import * as ServerPick from './ServerPick.js';
+import * as ServerPool from './ServerPool.js';
+
+/** Time limit of a request whose caller names none and whose route is not known yet. */
+const DEFAULT_LIMIT_MS = 30_000;
+
+/** Share of the remaining time after which a silent server of a repeatable request is given up. */
+const SILENT_SHARE = 0.45;
+
+/** Pause of a resumable stream, in pause targets, after which its server is given up. */
+const SILENT_PAUSES = 4;
+
+/** Least silence that is taken for a failure of the server. */
+const MIN_SILENT_MS = 900;
+
+const STATUS_MISDIRECTED = 421;
+const STATUS_FIRST_ERROR = 500;
+const PRIORITY_LOWEST = 9;
+
+/** The attempt in progress. */
+interface Attempt {
+  readonly chosen: ServerChoiceFilter.ChosenServer;
+  readonly exchange: BackendExchange.Exchange;
+  readonly startedMs: Core.Millis;
+  readonly waitingTokens: number;
+  head: BackendExchange.AnswerHead | undefined;
+  framer: EventFramer.EventFramer | undefined;
+  chunks: Buffer[];
+  hasStarted: boolean;
+}
+
+/** A request in progress. */
+export class RoutedRequest {
+  readonly #context: PathContext.PathContext;
+
+  readonly #request: http.IncomingMessage;
+
+  readonly #response: http.ServerResponse;
+
+  readonly #head: RequestHead.RequestHead;
+
+  readonly #receivedMs: Core.Millis;
+
+  readonly #onOver: () => void;
+
+  readonly #tried = new Set<string>();
+
+  #route: RoutingConfig.Route | undefined;
+
+  #service = '';
+
+  #configVersion: number | undefined;
+
+  #account: RoutingConfig.ClientAccount | undefined;
+
+  #limitMs = DEFAULT_LIMIT_MS;
+
+  #body: Buffer = Buffer.alloc(0);
+
+  #attempt: Attempt | undefined;
+
+  #sends = 0;
+
+  #misses = 0;
+
+  #mayHaveRun = false;
+
+  #isAnswering = false;
+
+  #isCounted = false;
+
+  #isOver = false;
+
+  #lastEventId: number | undefined;
+
+  #firstMs: Core.Millis | undefined;
+
+  #limitTimer: NodeJS.Timeout | undefined;
+
+  #silenceTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    context: PathContext.PathContext,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    onOver: () => void,
+  ) {
+    this.#context = context;
+    this.#request = request;
+    this.#response = response;
+    this.#onOver = onOver;
+    this.#receivedMs = context.clock.readMonotonic();
+    this.#head = RequestHead.readRequestHead(request, context.names);
+    this.#lastEventId = this.#head.lastEventId;
+  }
+
+  /** Takes the request through the path. */
+  start(): void {
+    this.#response.on('close', () => {
+      if (!this.#isOver) this.#end('caller_left', undefined);
+    });
+    this.#request.on('error', () => {
+      // The connection broke; `close` of the response ends the request.
+    });
+    if (this.#context.getPhase() === 'refusing') {
+      this.#refuse('stopping');
+      return;
+    }
+    const active = this.#context.getActiveConfig();
+    if (active === undefined) {
+      this.#refuse('no_configuration');
+      return;
+    }
+    this.#configVersion = active.config.version;
+    this.#classify(active);
+  }
+
+  #classify({ config, routes }: PathContext.ActiveConfig): void {
+    const route = RouteTable.findRoute(routes, this.#head.host, this.#head.path);
+    if (route === undefined) {
+      this.#refuse('no_route');
+      return;
+    }
+    this.#route = route;
+    this.#service = RouteTable.chooseService(route, this.#head.requestId) ?? '';
+    this.#limitMs = Math.min(this.#head.callerTimeMs ?? Infinity, route.timeoutMs);
+    this.#limitTimer = setTimeout(() => this.#handleLimit(), this.#limitMs);
+    this.#readBody(config.limits.maxBodyBytes, () => this.#identify(route, config));
+  }
+
+  #readBody(maxBytes: number, onBody: () => void): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    this.#request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) this.#refuse('body_too_large');
+      else chunks.push(chunk);
+    });
+    this.#request.on('end', () => {
+      if (this.#isOver) return;
+      this.#body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks);
+      onBody();
+    });
+  }
+
+  #identify(route: RoutingConfig.Route, config: RoutingConfig.RoutingConfig): void {
+    const accounts = config.accountsByKeyDigest;
+    if (route.isOpen || accounts === undefined) {
+      this.#dispatch();
+      return;
+    }
+    if (!this.#context.areKeysCurrent()) {
+      this.#renewKeys(route);
+      return;
+    }
+    const key = this.#head.bearerKey;
+    this.#account = key === undefined ? undefined : accounts.get(RoutingConfig.hashKey(key));
+    if (this.#account === undefined) this.#refuse('invalid_key');
+    else this.#dispatch();
+  }
+
+  /** A key is trusted by the newest list, which may be newer than the version of the route. */
+  #renewKeys(route: RoutingConfig.Route): void {
+    this.#context.renewKeys().then((isCurrent) => {
+      if (this.#isOver) return;
+      const active = this.#context.getActiveConfig();
+      if (!isCurrent || active === undefined) this.#refuse('keys_not_current');
+      else this.#identify(route, active.config);
+    });
+  }
+
+  #dispatch(): void {
+    if (this.#isOver || this.#route === undefined) return;
+    if (this.#sends === 0 && this.#misses === 0) this.#context.countRequest(this.#service);
+    const chosen = ServerChoiceFilter.chooseServer(
+      this.#context,
+      this.#service,
+      this.#head.prompt,
+      this.#tried,
+    );
+    if (chosen === undefined) this.#follow(AttemptRules.chooseRefusal(undefined, this.#getState()));
+    else this.#forward(chosen, this.#route);
+  }
+
+  #forward(chosen: ServerChoiceFilter.ChosenServer, route: RoutingConfig.Route): void {
+    const { names } = this.#context;
+    const { server } = chosen.pooled;
+    this.#tried.add(server.id);
+    this.#sends += 1;
+    const waitingTokens = this.#head.prompt === undefined ? 0 : this.#noteDispatch(chosen);
+    const { pooled } = chosen;
+    pooled.inFlight += 1;
+    pooled.waitingTokens += waitingTokens;
+    const exchange = BackendExchange.startExchange({
+      agent: pooled.agent,
+      body: this.#body,
+      headers: this.#buildHeaders(server.id, route),
+      host: server.host,
+      idHeader: names.requestId,
+      method: this.#head.method,
+      path: this.#head.path,
+      port: server.port,
+      requestId: this.#head.requestId,
+    }, {
+      onData: (bytes) => this.#handleData(bytes),
+      onEnd: () => this.#handleEnd(),
+      onFailure: (failure) => this.#handleFailure(failure),
+      onHead: (head) => this.#handleHead(head),
+    });
+    this.#attempt = {
+      chosen,
+      chunks: [],
+      exchange,
+      framer: undefined,
+      hasStarted: false,
+      head: undefined,
+      startedMs: this.#context.clock.readMonotonic(),
+      waitingTokens,
+    };
+    this.#watchSilence(this.#computeFirstSilence(route));
+  }
+
+  /** Remembers the prompt's shared parts at the server; returns the tokens it has to read. */
+  #noteDispatch({ pooled }: ServerChoiceFilter.ChosenServer): number {
+    const prompt = this.#head.prompt as ServerPick.Prompt;
+    const hash = ServerChoiceFilter.hashSharedParts(prompt);
+    if (hash === undefined) return prompt.inputTokens;
+    const { cache, clock } = this.#context;
+    const nowMs = clock.readMonotonic();
+    const cached = cache.estimateCachedTokens(pooled.server.id, hash, nowMs);
+    cache.recordDispatch(pooled.server.id, hash, ServerPick.countSharedTokens(prompt), nowMs);
+    return Math.max(0, prompt.inputTokens - cached);
+  }
+
+  #buildHeaders(serverId: string, route: RoutingConfig.Route): string[] {
+    const { names } = this.#context;
+    const headers = HeaderRules.selectRequestHeaders(this.#head.rawHeaders, names);
+    const isResumed = this.#lastEventId !== this.#head.lastEventId;
+    const kept = isResumed
+      ? headers.filter((_, index) => (
+        (headers[index - (index % 2)] as string).toLowerCase() !== names.lastEventId
+      ))
+      : headers;
+    const priority = this.#account?.priority ?? route.priority;
+    kept.push(names.timeLeft, String(Math.max(1, Math.floor(this.#computeLeft()))));
+    kept.push(names.expectedServer, serverId);
+    kept.push(names.priority, String(Math.min(PRIORITY_LOWEST, Math.max(0, priority))));
+    if (this.#account !== undefined) kept.push(names.account, this.#account.name);
+    if (isResumed) kept.push(names.lastEventId, String(this.#lastEventId));
+    if (this.#body.length > 0) kept.push('Content-Length', String(this.#body.length));
+    return kept;
+  }
+
+  #computeLeft(): Core.Millis {
+    return this.#receivedMs + this.#limitMs - this.#context.clock.readMonotonic();
+  }
+
+  #getState(): AttemptRules.AttemptState {
+    return {
+      isAnswering: this.#isAnswering,
+      leftMs: this.#computeLeft(),
+      mayHaveRun: this.#mayHaveRun,
+      misses: this.#misses,
+      route: this.#route as RoutingConfig.Route,
+      sends: this.#sends,
+    };
+  }
+
+  #computeFirstSilence(route: RoutingConfig.Route): Core.Millis | undefined {
+    if (!AttemptRules.isRepeatable(route) || this.#sends >= route.maxAttempts) return undefined;
+    if (route.kind !== 'stream') return this.#computeLeft() * SILENT_SHARE;
+    return Math.max(MIN_SILENT_MS, Math.min(route.targetMs * 2, this.#computeLeft() * SILENT_SHARE));
+  }
+
+  #watchSilence(silenceMs: Core.Millis | undefined): void {
+    clearTimeout(this.#silenceTimer);
+    if (silenceMs === undefined) return;
+    this.#silenceTimer = setTimeout(() => {
+      this.#attempt?.exchange.cancel();
+      this.#handleAttemptEnd('silent', 'silent');
+    }, silenceMs);
+  }
+
+  #handleHead(head: BackendExchange.AnswerHead): void {
+    const attempt = this.#attempt as Attempt;
+    const { names } = this.#context;
+    attempt.head = head;
+    if (head.status === STATUS_MISDIRECTED || head.headers[names.notRun] !== undefined) {
+      // Without the id, an answer on a used connection may be a late one to an earlier request.
+      const isOwn = head.hasRequestId || !head.isReusedConnection;
+      attempt.exchange.cancel();
+      if (!isOwn) this.#handleAttemptEnd('broken', 'unidentified-refusal');
+      else if (head.status === STATUS_MISDIRECTED) {
+        this.#handleAttemptEnd('misdirected', 'misdirected');
+      } else this.#handleAttemptEnd('not-run', `not-run-${head.status}`);
+      return;
+    }
+    const isSuccess = head.status >= 200 && head.status < 300;
+    const isSound = head.hasRequestId && head.headers['content-encoding'] === undefined
+      && (!isSuccess || head.headers[names.serverSignature] !== undefined);
+    if (!isSound) {
+      attempt.exchange.cancel();
+      this.#handleAttemptEnd('broken', 'unsigned-answer');
+      return;
+    }
+    this.#mayHaveRun = true;
+    if (isSuccess && this.#route?.kind === 'stream') {
+      attempt.framer = EventFramer.createEventFramer();
+    } else this.#noteStart(attempt);
+  }
+
+  /** Counts the beginning of the run, once for a request however often it is resumed. */
+  #noteStart(attempt: Attempt): void {
+    if (attempt.hasStarted) return;
+    const nowMs = this.#context.clock.readMonotonic();
+    const { pooled, costMs } = attempt.chosen;
+    // eslint-disable-next-line no-param-reassign
+    attempt.hasStarted = true;
+    pooled.waitingTokens -= attempt.waitingTokens;
+    const elapsedMs = nowMs - attempt.startedMs;
+    ServerPool.observeTime(
+      pooled,
+      this.#head.prompt === undefined ? elapsedMs : elapsedMs / Math.max(1, costMs),
+    );
+    this.#firstMs ??= nowMs;
+    this.#countStart();
+  }
+
+  #countStart(): void {
+    if (this.#isCounted || this.#account === undefined) return;
+    this.#isCounted = true;
+    this.#context.countStart(this.#account.name);
+  }
+
+  #handleData(bytes: Buffer): void {
+    const attempt = this.#attempt as Attempt;
+    if (attempt.framer === undefined) {
+      attempt.chunks.push(bytes);
+      return;
+    }
+    const events = attempt.framer.push(bytes).filter(({ id }) => (
+      id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
+    ));
+    if (events.length === 0) return;
+    this.#noteStart(attempt);
+    this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
+    this.#relay(events.length === 1
+      ? (events[0] as EventFramer.StreamEvent).bytes
+      : Buffer.concat(events.map((event) => event.bytes)));
+    const route = this.#route as RoutingConfig.Route;
+    const canResume = AttemptRules.isRepeatable(route) && this.#sends < route.maxAttempts;
+    this.#watchSilence(canResume
+      ? Math.max(MIN_SILENT_MS, route.pauseTargetMs * SILENT_PAUSES)
+      : undefined);
+  }
+
+  #relay(bytes: Buffer): void {
+    const attempt = this.#attempt as Attempt;
+    if (!this.#isAnswering) this.#writeHead(attempt.head as BackendExchange.AnswerHead, undefined);
+    if (this.#response.write(bytes)) return;
+    attempt.exchange.pause();
+    this.#response.once('drain', () => this.#attempt?.exchange.resume());
+  }
+
+  #writeHead(head: BackendExchange.AnswerHead, length: number | undefined): void {
+    this.#isAnswering = true;
+    const headers = HeaderRules.selectAnswerHeaders(head.rawHeaders);
+    if (length !== undefined) headers.push('Content-Length', String(length));
+    this.#addConnectionHeader(headers);
+    this.#response.writeHead(head.status, head.statusMessage, headers);
+  }
+
+  #addConnectionHeader(headers: string[]): void {
+    if (this.#context.getPhase() !== 'running') headers.push('Connection', 'close');
+  }
+
+  #handleEnd(): void {
+    const attempt = this.#attempt as Attempt;
+    const { head } = attempt;
+    if (head === undefined) {
+      this.#handleAttemptEnd('broken', 'no-head');
+      return;
+    }
+    if (attempt.framer === undefined) {
+      this.#handleWholeAnswer(attempt, head);
+      return;
+    }
+    const rest = attempt.framer.getRest();
+    if (!this.#isAnswering && rest.length === 0) {
+      this.#handleAttemptEnd('broken', 'empty-stream');
+      return;
+    }
+    if (rest.length > 0) this.#relay(rest);
+    this.#observeSuccess(attempt);
+    this.#response.end();
+    this.#end('answered', head.status);
+  }
+
+  #handleWholeAnswer(attempt: Attempt, head: BackendExchange.AnswerHead): void {
+    if (head.status >= STATUS_FIRST_ERROR) {
+      const state = this.#getState();
+      const step = AttemptRules.chooseNextStep('failed', state, () => this.#claimRepeat());
+      if (step._tag === 'Retry') {
+        this.#closeAttempt('failed', `status-${head.status}`);
+        this.#dispatch();
+        return;
+      }
+      this.#observeFailure(attempt);
+    } else this.#observeSuccess(attempt);
+    const body = Buffer.concat(attempt.chunks);
+    this.#writeHead(head, body.length);
+    this.#response.end(body);
+    this.#end(head.status >= STATUS_FIRST_ERROR ? 'server_failed' : 'answered', head.status);
+  }
+
+  #handleFailure(failure: BackendExchange.ExchangeFailure): void {
+    this.#handleAttemptEnd(failure._tag === 'NotSent' ? 'not-sent' : 'broken', failure.reason);
+  }
+
+  #handleAttemptEnd(end: AttemptRules.AttemptEnd, reason: string): void {
+    if (this.#isOver) return;
+    this.#closeAttempt(end, reason);
+    const state = this.#getState();
+    this.#follow(AttemptRules.chooseNextStep(end, state, () => this.#claimRepeat()));
+  }
+
+  /** Settles the accounts of a failed attempt. */
+  #closeAttempt(end: AttemptRules.AttemptEnd, reason: string): void {
+    const attempt = this.#attempt as Attempt;
+    const { server } = attempt.chosen.pooled;
+    clearTimeout(this.#silenceTimer);
+    if (end === 'not-sent' || end === 'misdirected') {
+      this.#sends -= 1;
+      this.#misses += 1;
+    }
+    if (end === 'broken' || end === 'silent' || end === 'failed') {
+      this.#mayHaveRun = true;
+      // A plain request that reached a server most likely began at once.
+      if (this.#head.prompt === undefined) this.#countStart();
+    }
+    this.#observeFailure(attempt);
+    this.#releaseAttempt(attempt);
+    this.#context.metrics.addAttemptFailure(this.#service, end);
+    this.#context.logger.info({
+      elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
+      end,
+      lastEventId: this.#lastEventId,
+      reason,
+      requestId: this.#head.requestId,
+      sends: this.#sends,
+      server: server.id,
+      service: this.#service,
+    }, 'attempt failed');
+  }
+
+  #releaseAttempt(attempt: Attempt): void {
+    const { pooled } = attempt.chosen;
+    pooled.inFlight -= 1;
+    if (!attempt.hasStarted) pooled.waitingTokens -= attempt.waitingTokens;
+    this.#attempt = undefined;
+  }
+
+  #observeFailure({ chosen }: Attempt): void {
+    this.#context.health.observeFailure(this.#service, chosen.pooled.server.id);
+  }
+
+  #observeSuccess({ chosen }: Attempt): void {
+    this.#context.health.observeSuccess(this.#service, chosen.pooled.server.id);
+  }
+
+  #claimRepeat(): boolean {
+    return this.#context.claimRepeat(this.#service);
+  }
+
+  #follow(step: AttemptRules.NextStep): void {
+    const handlers = {
+      Cut: () => {
+        this.#response.destroy();
+        this.#end('stream_cut', undefined);
+      },
+      Refuse: ({ code }: { readonly code: Refusals.RefusalCode }) => this.#refuse(code),
+      Retry: () => this.#dispatch(),
+    };
+    (handlers[step._tag] as (step: AttemptRules.NextStep) => void)(step);
+  }
+
+  #handleLimit(): void {
+    if (this.#isOver) return;
+    if (this.#attempt !== undefined) {
+      this.#mayHaveRun = true;
+      this.#attempt.exchange.cancel();
+      if (this.#head.prompt === undefined) this.#countStart();
+    }
+    if (this.#isAnswering) {
+      this.#response.destroy();
+      this.#end('stream_timed_out', undefined);
+    } else this.#refuse(this.#mayHaveRun ? 'timed_out' : 'timed_out_not_run');
+  }
+
+  #refuse(code: Refusals.RefusalCode): void {
+    const refusal: Refusals.Refusal = Refusals.REFUSALS[code];
+    const body = Refusals.buildRefusalBody(code);
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+    if (refusal.retryAfterMs !== undefined) {
+      const afterMs = Refusals.computeRetryAfter(
+        refusal.retryAfterMs,
+        this.#computeLeft(),
+        this.#context.random,
+      );
+      headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
+    }
+    if (this.#head.requestId !== '') headers.push(this.#context.names.requestId, this.#head.requestId);
+    this.#addConnectionHeader(headers);
+    this.#response.writeHead(refusal.status, headers);
+    this.#response.end(body);
+    this.#end(code, refusal.status);
+  }
+
+  #end(outcome: string, status: number | undefined): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    clearTimeout(this.#limitTimer);
+    clearTimeout(this.#silenceTimer);
+    const server = this.#attempt?.chosen.pooled.server.id;
+    if (this.#attempt !== undefined) {
+      const attempt = this.#attempt;
+      if (outcome !== 'answered' && outcome !== 'server_failed') attempt.exchange.cancel();
+      this.#releaseAttempt(attempt);
+    }
+    const nowMs = this.#context.clock.readMonotonic();
+    const { metrics } = this.#context;
+    metrics.addRequest(this.#service, outcome);
+    metrics.observe('answer', this.#service, nowMs - this.#receivedMs);
+    if (this.#firstMs !== undefined) {
+      metrics.observe('first', this.#service, this.#firstMs - this.#receivedMs);
+    }
+    this.#context.logger[outcome === 'answered' ? 'debug' : 'info']({
+      account: this.#account?.name,
+      configVersion: this.#configVersion,
+      elapsedMs: Math.round(nowMs - this.#receivedMs),
+      firstMs: this.#firstMs === undefined
+        ? undefined
+        : Math.round(this.#firstMs - this.#receivedMs),
+      lastEventId: this.#lastEventId,
+      limitMs: Number.isFinite(this.#limitMs) ? this.#limitMs : undefined,
+      mayHaveRun: this.#mayHaveRun,
+      outcome,
+      requestId: this.#head.requestId,
+      route: this.#route?.name,
+      sends: this.#sends,
+      server,
+      service: this.#service,
+      status,
+    }, 'request ended');
+    this.#onOver();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -0,0 +1,301 @@
+/**
+ * The routing daemon: follows configuration and server entries, serves callers, takes part in the
+ * duties, and stops gracefully.
+ */
+import * as Core from '@berylyoke/core';
+import * as Scheduling from '@berylyoke/scheduling';
+import * as DutyHolder from './DutyHolder.js';
+import * as EntryListener from './EntryListener.js';
+import * as FeedLoop from './FeedLoop.js';
+import type * as HeaderRules from './HeaderRules.js';
+import * as KeyProof from './KeyProof.js';
+import * as OrderPlan from './OrderPlan.js';
+import type * as PathContext from './PathContext.js';
+import type * as Ports from './Ports.js';
+import * as RouteTable from './RouteTable.js';
+import * as RoutedRequest from './RoutedRequest.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+import * as RoutingMetrics from './RoutingMetrics.js';
+import type * as RoutingSettings from './RoutingSettings.js';
+import * as ServerHealth from './ServerHealth.js';
+import * as ServerPool from './ServerPool.js';
+import * as ServerTable from './ServerTable.js';
+import * as TrueTime from './TrueTime.js';
+import * as UsageCounts from './UsageCounts.js';
+
+/** Time for which the store holds a read of the configuration. */
+const CONFIG_WAIT_MS = 1_500;
+
+/** Pause between reads of the server entries, which change many times a second. */
+const SERVERS_PAUSE_MS = 800;
+
+/** Pause after a failed read. */
+const RETRY_MS = 400;
+
+/** Part of the bound on withdrawn keys that is kept for requests on their way. */
+const KEY_MARGIN_MS = 500;
+
+/** Time that a request waits for a proof that its key is current. */
+const KEY_RENEWAL_MS = 300;
+
+/** Daemons assumed before the duties log tells. */
+const INITIAL_DAEMON_COUNT = 8;
+
+/** Part of a bound over all daemons that they share out, because the count of daemons lags. */
+const SHARED_BOUND_SHARE = 0.7;
+
+/** Part of the time before SIGKILL that is kept for the end of the process. */
+const EXIT_MARGIN_MS = 900;
+
+const POOL_CHECK_MS = 2_000;
+const MS_PER_S = 1_000;
+
+/** What a daemon needs from its adapter. */
+export interface DaemonOptions {
+  readonly settings: RoutingSettings.RoutingSettings;
+  readonly names: HeaderRules.HeaderNames;
+  readonly clock: Core.Clock;
+  readonly log: Core.BufferedLogger;
+  readonly configFeed: Ports.KeyedFeed<RoutingConfig.RoutingConfig>;
+  readonly serverFeed: Ports.KeyedFeed<ServerTable.BackendServer>;
+  readonly dutyLog: Ports.SharedLog;
+  readonly countsLog: Ports.SharedLog;
+  readonly calls: Ports.DutyCalls;
+}
+
+/** A running daemon. */
+export interface RoutingDaemon {
+  /** Stops gracefully: every answer in progress is finished within the grace time. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Budget of repeats at each service; this daemon's part of what all may make together. */
+function createRepeatBudgets(
+  settings: RoutingSettings.RoutingSettings,
+  countDaemons: () => number,
+): Pick<PathContext.PathContext, 'claimRepeat' | 'countRequest'> {
+  const budgets = new Map<string, Scheduling.RetryBudget>();
+  const { share, slack } = settings.repeats;
+  const getBudget = (service: string): Scheduling.RetryBudget => {
+    const maxCredit = (slack * SHARED_BOUND_SHARE) / countDaemons();
+    const known = budgets.get(service);
+    if (known !== undefined) {
+      return { ...known, credit: Math.min(known.credit, maxCredit), maxCredit };
+    }
+    return Scheduling.createRetryBudget(share * SHARED_BOUND_SHARE, maxCredit, maxCredit);
+  };
+  return {
+    claimRepeat: (service) => Scheduling.claimRetry(getBudget(service)).caseOf({
+      Left: () => false,
+      Right: ({ budget }) => {
+        budgets.set(service, budget);
+        return true;
+      },
+    }),
+    countRequest: (service) => {
+      budgets.set(service, Scheduling.addRequest(getBudget(service)));
+    },
+  };
+}
+
+/** Starts a daemon; resolves when it listens. */
+export async function startRoutingDaemon(options: DaemonOptions): Promise<RoutingDaemon> {
+  const {
+    calls, clock, configFeed, countsLog, dutyLog, log, names, serverFeed, settings,
+  } = options;
+  const logger = Core.getPartLogger(log.logger, 'routing');
+  const readClocks = (): KeyProof.ClockReading => KeyProof.readClocks(clock);
+  const trueTime = TrueTime.createTrueTime(readClocks);
+  const servers = ServerTable.createServerTable();
+  const book = UsageCounts.createUsageBook(settings.bounds.usageWindowS * MS_PER_S);
+  let active: PathContext.ActiveConfig | undefined;
+  let hasServers = false;
+  let keyProof: KeyProof.ClockReading | undefined;
+  let phase: PathContext.Phase = 'running';
+  let activeRequests = 0;
+  let entry: EntryListener.EntryListener | undefined;
+  let duties: DutyHolder.DutyHolder | undefined;
+
+  const metrics = RoutingMetrics.createRoutingMetrics({
+    countActive: () => activeRequests, countDroppedLogs: log.countDropped,
+  });
+  const countDaemons = (): number => Math.max(1, duties?.countDaemons() ?? INITIAL_DAEMON_COUNT);
+  const areKeysCurrent = (): boolean => KeyProof.isProofValid(
+    keyProof,
+    readClocks(),
+    settings.bounds.keyWithdrawalMs - KEY_MARGIN_MS,
+  );
+
+  const applyConfig = (changes: readonly Ports.KeyedChange<RoutingConfig.RoutingConfig>[]): void => {
+    changes.forEach(({ value }) => {
+      if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
+        return;
+      }
+      active = { config: value, routes: RouteTable.buildRouteTable(value.routes) };
+      entry?.setLimits(value.limits);
+      logger.info({
+        accounts: value.accountsByKeyDigest?.size,
+        routes: value.routes.length,
+        version: value.version,
+      }, 'configuration in force');
+    });
+  };
+  const reportContact = (dependency: string): {
+    readonly onContact: () => void;
+    readonly onFailure: (error: Ports.StoreUnavailable) => void;
+  } => {
+    let isLost = false;
+    return {
+      onContact: () => {
+        if (isLost) logger.info({ dependency }, 'dependency regained');
+        isLost = false;
+        metrics.addDependency(dependency, 'ok');
+      },
+      onFailure: (error) => {
+        if (!isLost) logger.warn({ dependency, detail: error.message }, 'dependency lost');
+        isLost = true;
+        metrics.addDependency(dependency, 'failed');
+      },
+    };
+  };
+  const configContact = reportContact('configuration');
+  const configLoop = FeedLoop.startFeed({
+    feed: configFeed,
+    onChanges: applyConfig,
+    onContact: (sentAt) => {
+      keyProof = sentAt;
+      configContact.onContact();
+    },
+    onFailure: configContact.onFailure,
+    onSnapshot: applyConfig,
+    pauseMs: 0,
+    readClocks,
+    retryMs: RETRY_MS,
+    waitMs: CONFIG_WAIT_MS,
+  });
+  const serverContact = reportContact('servers');
+  const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
+    logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
+  };
+  const serverLoop = FeedLoop.startFeed({
+    feed: serverFeed,
+    onChanges: (changes) => changes.forEach(({ key, value }) => {
+      logEntry(key, value);
+      servers.applyEntry(key, value, clock.readMonotonic());
+    }),
+    onContact: () => {
+      hasServers = true;
+      servers.observeContact(clock.readMonotonic());
+      serverContact.onContact();
+    },
+    onFailure: serverContact.onFailure,
+    onSnapshot: (changes) => servers.applySnapshot(
+      changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
+      clock.readMonotonic(),
+    ),
+    pauseMs: SERVERS_PAUSE_MS,
+    readClocks,
+    retryMs: RETRY_MS,
+    waitMs: 0,
+  });
+  const renewKeys = async (): Promise<boolean> => {
+    const limit = new Promise<void>((resolve) => {
+      setTimeout(resolve, KEY_RENEWAL_MS);
+    });
+    await Promise.race([configLoop.refresh(), limit]);
+    return areKeysCurrent();
+  };
+
+  const pool = ServerPool.createServerPool((service) => {
+    const max = active?.config.services.get(service)?.maxConnections ?? Infinity;
+    return Math.max(1, Math.floor((max * SHARED_BOUND_SHARE) / countDaemons()));
+  });
+  const poolCheck = setInterval(() => pool.closeUnlisted(servers.listAll()), POOL_CHECK_MS);
+  const context: PathContext.PathContext = {
+    ...createRepeatBudgets(settings, countDaemons),
+    areKeysCurrent,
+    cache: Scheduling.createCacheIndex(),
+    clock,
+    countDaemons,
+    countStart: (account) => book.addStart(account, trueTime.read()),
+    dataCentre: settings.dataCentre,
+    getActiveConfig: () => active,
+    getPhase: () => phase,
+    health: ServerHealth.createServerHealth(clock, (service, { reason, serverId }) => {
+      logger.info({ reason, server: serverId, service }, 'health of a server changed');
+    }),
+    logger,
+    metrics,
+    names,
+    pool,
+    random: Math.random,
+    renewKeys,
+    servers,
+  };
+
+  entry = await EntryListener.startEntryListener(settings.listen.entry, (request, response) => {
+    activeRequests += 1;
+    new RoutedRequest.RoutedRequest(context, request, response, () => {
+      activeRequests -= 1;
+    }).start();
+  });
+  if (active !== undefined) entry.setLimits((active as PathContext.ActiveConfig).config.limits);
+  const isReady = (): boolean => (
+    phase === 'running' && active !== undefined && hasServers && areKeysCurrent()
+  );
+  const closeReadiness = await EntryListener.startStatusListener(
+    settings.listen.readiness,
+    async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
+  );
+  const closeMetrics = settings.listen.metrics === undefined
+    ? undefined
+    : await EntryListener.startStatusListener(
+      settings.listen.metrics,
+      async () => ({ status: 200, text: await metrics.render() }),
+    );
+  duties = DutyHolder.startDuties({
+    book,
+    calls,
+    clock,
+    countsLog,
+    daemonId: settings.daemonId,
+    dutyLog,
+    leaseMs: settings.bounds.leaseMs,
+    listWantedOrders: () => [...active?.config.services.values() ?? []].flatMap((service) => (
+      OrderPlan.planOrders({ servers: servers.listAll(), service })
+    )),
+    logger: Core.getPartLogger(log.logger, 'duties'),
+    random: Math.random,
+    trueTime,
+    windowMs: settings.bounds.usageWindowS * MS_PER_S,
+  });
+  logger.info({ dataCentre: settings.dataCentre, listen: settings.listen }, 'started');
+
+  let stopping: Promise<void> | undefined;
+  const stop = async (): Promise<void> => {
+    phase = 'draining';
+    logger.info({ activeRequests }, 'stopping');
+    const listener = entry as EntryListener.EntryListener;
+    const { resign, stop: stopDuties } = duties as DutyHolder.DutyHolder;
+    const resigned = resign();
+    await listener.stop(() => {
+      phase = 'refusing';
+    }, settings.bounds.graceS * MS_PER_S - EXIT_MARGIN_MS);
+    await resigned;
+    await stopDuties();
+    configLoop.stop();
+    serverLoop.stop();
+    clearInterval(poolCheck);
+    pool.close();
+    closeReadiness();
+    closeMetrics?.();
+    logger.info({ activeRequests }, 'stopped');
+    log.flush();
+  };
+  return {
+    stop: () => {
+      stopping ??= stop();
+      return stopping;
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -0,0 +1,110 @@
+/** Counters and latency histograms of the routing daemon, as Prometheus text. */
+import type * as Core from '@berylyoke/core';
+import * as Hdr from 'hdr-histogram-js';
+import * as PromClient from 'prom-client';
+
+const PERCENTILES = [50, 90, 95, 99] as const;
+const MICROS_PER_MS = 1_000;
+/** Ten minutes; longer times are recorded as this. */
+const HIGHEST_MICROS = 600_000_000;
+
+/** Latencies that are observed for each service. */
+export const LATENCIES = {
+  answer: 'time from the head of a request to the end of its answer',
+  first: 'time from the head of a request to the first byte of its answer',
+} as const;
+
+/** Name of a latency. */
+export type Latency = keyof typeof LATENCIES;
+
+/** Metrics of one daemon. */
+export interface RoutingMetrics {
+  readonly addRequest: (service: string, outcome: string) => void;
+  readonly addAttemptFailure: (service: string, reason: string) => void;
+  readonly addDependency: (dependency: string, outcome: string) => void;
+  readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
+  readonly render: () => Promise<string>;
+}
+
+/** Reads figures of the process when the metrics are asked for. */
+export interface MetricSources {
+  readonly countActive: () => number;
+  readonly countDroppedLogs: () => number;
+}
+
+/** Creates the metrics of a daemon. */
+export function createRoutingMetrics(sources: MetricSources): RoutingMetrics {
+  const registry = new PromClient.Registry();
+  const registers = [registry];
+  const requests = new PromClient.Counter({
+    help: 'Requests by service and outcome',
+    labelNames: ['service', 'outcome'],
+    name: 'berylyoke_requests_total',
+    registers,
+  });
+  const failures = new PromClient.Counter({
+    help: 'Attempts at backend servers that failed, by reason',
+    labelNames: ['service', 'reason'],
+    name: 'berylyoke_attempt_failures_total',
+    registers,
+  });
+  const dependencies = new PromClient.Counter({
+    help: 'Calls to the platform by dependency and outcome',
+    labelNames: ['dependency', 'outcome'],
+    name: 'berylyoke_dependency_calls_total',
+    registers,
+  });
+  const registerGauge = (name: string, help: string, read: () => number): void => {
+    registry.registerMetric(new PromClient.Gauge({
+      collect() {
+        this.set(read());
+      },
+      help,
+      name,
+      registers: [],
+    }));
+  };
+  registerGauge('berylyoke_active_requests', 'Requests in progress', sources.countActive);
+  registerGauge(
+    'berylyoke_dropped_log_records',
+    'Log records dropped because their reader was too slow',
+    sources.countDroppedLogs,
+  );
+  const histograms = new Map<string, Hdr.Histogram>();
+  const getHistogram = (key: string): Hdr.Histogram => {
+    const known = histograms.get(key);
+    if (known !== undefined) return known;
+    const added = Hdr.build({
+      bitBucketSize: 32, highestTrackableValue: HIGHEST_MICROS, numberOfSignificantValueDigits: 2,
+    });
+    histograms.set(key, added);
+    return added;
+  };
+  const latencies = new PromClient.Gauge({
+    collect() {
+      histograms.forEach((histogram, key) => {
+        const [latency = '', service = ''] = key.split(' ');
+        PERCENTILES.forEach((percentile) => this.set(
+          { latency, quantile: String(percentile / 100), service },
+          histogram.getValueAtPercentile(percentile) / MICROS_PER_MS,
+        ));
+      });
+    },
+    help: 'Quantiles of request latencies in milliseconds since the start',
+    labelNames: ['latency', 'service', 'quantile'],
+    name: 'berylyoke_latency_ms',
+    registers: [],
+  });
+  registry.registerMetric(latencies);
+  return {
+    addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
+    addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
+    addRequest: (service, outcome) => requests.inc({ outcome, service }),
+    observe: (latency, service, valueMs) => {
+      const micros = Math.round(valueMs * MICROS_PER_MS);
+      getHistogram(`${latency} ${service}`)
+        .recordValue(Math.min(HIGHEST_MICROS, Math.max(1, micros)));
+    },
+    render: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/RoutingSettings.ts
@@ -0,0 +1,46 @@
+/**
+ * Settings of a routing daemon. Keys are snake case in the file. Every bound comes from the
+ * deployment; the daemon's own margins are constants beside the code that uses them.
+ */
+import * as Schema from 'effect/Schema';
+
+const Positive = Schema.Number.pipe(Schema.positive());
+const NonNegative = Schema.Number.pipe(Schema.nonNegative());
+/** `IP:PORT`. */
+const Address = Schema.String.pipe(Schema.pattern(/^[\d.]+:\d+$/));
+
+/** Settings of a routing daemon. */
+export const RoutingSettings = Schema.Struct({
+  daemonId: Schema.NonEmptyString,
+  dataCentre: Schema.NonEmptyString,
+  logLevel: Schema.optionalWith(
+    Schema.Literal('debug', 'error', 'info', 'warn'),
+    { default: () => 'info' as const },
+  ),
+  listen: Schema.Struct({
+    /** Where callers connect. */
+    entry: Address,
+    /** Where the load balancer asks whether the daemon is ready. */
+    readiness: Address,
+    metrics: Schema.optional(Address),
+  }),
+  bounds: Schema.Struct({
+    /** Time from the withdrawal of a key to its last use. */
+    keyWithdrawalMs: Positive,
+    /** Time between SIGTERM and SIGKILL. */
+    graceS: Positive,
+    leaseMs: Positive,
+    usageWindowS: Positive,
+    /** Time after the end of a usage window at which its report is due. */
+    usageDueS: Positive,
+  }),
+  repeats: Schema.Struct({
+    /** Repeats at a service as a share of its requests, over all daemons. */
+    share: NonNegative,
+    /** Repeats beyond that share in one window, over all daemons. */
+    slack: NonNegative,
+  }),
+});
+
+/** Settings of a routing daemon. */
+export type RoutingSettings = typeof RoutingSettings.Type;
--- /dev/null
+++ b/packages/routing/src/ServerHealth.ts
@@ -0,0 +1,60 @@
+/**
+ * Health of backend servers as this daemon's own requests show it. A server that fails several
+ * times in a row takes no requests for a while, then some on probation; status checks are not used
+ * because they may be false either way.
+ */
+import type * as Core from '@berylyoke/core';
+import * as Scheduling from '@berylyoke/scheduling';
+
+/** Bounds for servers whose entries disappear a few seconds after a crash anyway. */
+export const HEALTH_OPTIONS: Scheduling.OutlierOptions = {
+  ...Scheduling.defaultOutlierOptions,
+  baseEjectionMs: 1_500,
+  failuresToEject: 2,
+  maxEjectedShare: 0.5,
+  maxEjectionMs: 8_000,
+  successesToReturn: 2,
+};
+
+/** Health of all servers. */
+export interface ServerHealth {
+  readonly observeMembers: (service: string, serverIds: readonly string[]) => void;
+  readonly observeSuccess: (service: string, serverId: string) => void;
+  readonly observeFailure: (service: string, serverId: string) => void;
+  readonly isSuspect: (service: string, serverId: string) => boolean;
+}
+
+/** Creates a view in which every server is healthy; `onChange` is told of each change. */
+export function createServerHealth(
+  clock: Core.Clock,
+  onChange: (service: string, change: Scheduling.OutlierChange) => void,
+): ServerHealth {
+  const pools = new Map<string, Scheduling.OutlierState>();
+  const step = (service: string, event: Scheduling.OutlierEvent): Scheduling.OutlierState => {
+    const { changes, state } = Scheduling.reduceOutliers(
+      pools.get(service) ?? Scheduling.initialOutlierState,
+      event,
+      clock.readMonotonic(),
+      HEALTH_OPTIONS,
+    );
+    pools.set(service, state);
+    changes.forEach((change) => onChange(service, change));
+    return state;
+  };
+  return {
+    isSuspect: (service, serverId) => {
+      const state = step(service, { _tag: 'Tick' });
+      return Scheduling.getOutlierStatus(state, serverId) === 'ejected';
+    },
+    observeFailure: (service, serverId) => {
+      step(service, { _tag: 'Failure', serverId });
+    },
+    observeMembers: (service, serverIds) => {
+      if (pools.get(service)?.memberCount === serverIds.length) return;
+      step(service, { _tag: 'Members', serverIds });
+    },
+    observeSuccess: (service, serverId) => {
+      step(service, { _tag: 'Success', serverId });
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/ServerPool.ts
@@ -0,0 +1,103 @@
+/**
+ * Connections to backend servers and what this daemon observes there: requests in progress, prompt
+ * tokens that wait for their first token, observed times.
+ */
+import type * as Core from '@berylyoke/core';
+import * as http from 'node:http';
+import type * as stream from 'node:stream';
+import type * as ServerTable from './ServerTable.js';
+
+/** Weight of the newest observation in the mean time of a server. */
+const NEWEST_WEIGHT = 0.2;
+
+/** Time after which an unused connection is not used again, well below usual idle timeouts. */
+const MAX_IDLE_MS = 4_000;
+
+/**
+ * Agent of one server. Bytes that arrive on an idle connection belong to no request, so the
+ * connection is closed before they can be taken for the next answer.
+ */
+class BackendAgent extends http.Agent {
+  readonly #closeOnData = new WeakMap<stream.Duplex, () => void>();
+
+  override keepSocketAlive(socket: stream.Duplex): boolean {
+    const close = (): void => {
+      socket.destroy();
+    };
+    this.#closeOnData.set(socket, close);
+    socket.on('data', close);
+    // The declared type lacks the result, by which the agent decides whether to keep the socket.
+    return super.keepSocketAlive(socket) as unknown as boolean;
+  }
+
+  override reuseSocket(socket: stream.Duplex, request: http.ClientRequest): void {
+    const close = this.#closeOnData.get(socket);
+    if (close !== undefined) socket.removeListener('data', close);
+    super.reuseSocket(socket, request);
+  }
+}
+
+/** A backend server in use. */
+export interface PooledServer {
+  readonly server: ServerTable.BackendServer;
+  readonly agent: http.Agent;
+  inFlight: number;
+  /** Prompt tokens sent there whose first token has not come. */
+  waitingTokens: number;
+  /** Mean of observed times, or of observed over expected times for engines. */
+  meanTime: number | undefined;
+}
+
+/** All backend servers in use. */
+export interface ServerPool {
+  readonly get: (server: ServerTable.BackendServer) => PooledServer;
+  /** Closes the connections of servers that are gone once nothing is in progress there. */
+  readonly closeUnlisted: (servers: readonly ServerTable.BackendServer[]) => void;
+  readonly close: () => void;
+}
+
+function getName({ bornMs, id }: ServerTable.BackendServer): string {
+  return `${id}@${bornMs}`;
+}
+
+/** Creates an empty pool; `getMaxConnections` bounds the connections to one server of a service. */
+export function createServerPool(getMaxConnections: (service: string) => number): ServerPool {
+  const pooled = new Map<string, PooledServer>();
+  return {
+    close: () => pooled.forEach(({ agent }) => agent.destroy()),
+    closeUnlisted: (servers) => {
+      const listed = new Set(servers.map(getName));
+      pooled.forEach(({ agent, inFlight }, name) => {
+        if (listed.has(name) || inFlight > 0) return;
+        agent.destroy();
+        pooled.delete(name);
+      });
+    },
+    get: (server) => {
+      const name = getName(server);
+      const known = pooled.get(name);
+      if (known !== undefined) return known;
+      const added: PooledServer = {
+        agent: new BackendAgent({
+          keepAlive: true,
+          maxSockets: getMaxConnections(server.service),
+          scheduling: 'lifo',
+          timeout: MAX_IDLE_MS,
+        }),
+        inFlight: 0,
+        meanTime: undefined,
+        server,
+        waitingTokens: 0,
+      };
+      pooled.set(name, added);
+      return added;
+    },
+  };
+}
+
+/** Adds an observed time of a server to its mean. */
+export function observeTime(pooled: PooledServer, time: Core.Millis): void {
+  const mean = pooled.meanTime ?? time;
+  // eslint-disable-next-line no-param-reassign
+  pooled.meanTime = mean + NEWEST_WEIGHT * (time - mean);
+}
--- a/vitest.config.mjs
+++ b/vitest.config.mjs
@@ -8,13 +8,13 @@
 
 export default defineConfig({
   resolve: {
-    alias: packages.map((name) => ({
-      find: `@berylyoke/${name}`,
-      replacement: path.join(root, 'packages', name, 'src', 'index.ts'),
+    alias: [...packages.map((name) => `packages/${name}`), 'platform'].map((folder) => ({
+      find: `@berylyoke/${path.basename(folder)}`,
+      replacement: path.join(root, folder, 'src', 'index.ts'),
     })),
   },
   test: {
-    include: ['packages/*/src/__tests__/**/*.test.ts'],
+    include: ['packages/*/src/__tests__/**/*.test.ts', 'platform/src/__tests__/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
