--- a/packages/routing/src/OrderPlan.ts
+++ b/packages/routing/src/OrderPlan.ts
@@ -8,11 +8,14 @@
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as ServerTable from './ServerTable.js';
 
-/** Lasting servers in each data centre: one survives any reclaim. */
-const LASTING_SERVERS = 1;
+/** Share of the data centres, the cheapest ones, that keep a lasting server. */
+const LASTING_SHARE = 0.5;
 
-/** Reclaimable servers in each data centre. */
-const RECLAIMABLE_SERVERS = 2;
+/**
+ * Reclaimable servers in each data centre. At about a fifth of the price of a lasting one, spare
+ * servers cost less than the late answers of a burst.
+ */
+const RECLAIMABLE_SERVERS = 4;
 
 /** Time after which an order that was refused for lack of stock is tried again. */
 export const STOCK_RETRY_MS = 2_000;
@@ -23,37 +26,38 @@
   readonly servers: readonly ServerTable.BackendServer[];
 }
 
+function listCheapest(prices: ReadonlyMap<string, number>): ReadonlySet<string> {
+  const sorted = [...prices].sort(([, a], [, b]) => a - b).map(([dataCentre]) => dataCentre);
+  return new Set(sorted.slice(0, Math.ceil(sorted.length * LASTING_SHARE)));
+}
+
 /** Plans the orders of a service; empty where its pool has a fixed size. */
 export function planOrders(
   { servers, service }: OrderSituation,
 ): readonly Ports.ServerOrder[] {
   const { purchase } = service;
   if (purchase === undefined) return [];
-  const clamp = (count: number): number => (
-    Math.max(0, Math.min(purchase.maxServers, count))
-  );
-  return [...purchase.prices.keys()].flatMap((dataCentre) => {
+  const { maxServers, minServers, prices } = purchase;
+  const lastingPlaces = listCheapest(prices);
+  return [...prices.keys()].flatMap((dataCentre) => {
     const there = servers.filter((server) => (
       server.service === service.name && server.dataCentre === dataCentre
       && server.state === 'ready'
     ));
-    const reclaimable = there.filter(({ isReclaimable }) => isReclaimable).length;
-    const lastingNow = there.length - reclaimable;
-    const lastingWanted = clamp(Math.max(purchase.minServers, LASTING_SERVERS));
+    const reclaimableNow = there.filter(({ isReclaimable }) => isReclaimable).length;
+    const lastingNow = there.length - reclaimableNow;
+    const lastingWanted = lastingPlaces.has(dataCentre) ? Math.min(1, maxServers) : 0;
+    const reclaimable = Math.min(
+      maxServers - lastingWanted,
+      Math.max(RECLAIMABLE_SERVERS, minServers - lastingWanted),
+    );
     // A lasting server is given up only once the cheaper ones that replace it are ready.
-    const isReplaced = reclaimable >= RECLAIMABLE_SERVERS;
+    const isReplaced = reclaimableNow >= Math.min(reclaimable, maxServers - lastingNow);
     const lasting = isReplaced ? lastingWanted : Math.max(lastingWanted, lastingNow);
-    const spare = purchase.maxServers - lasting;
+    const order = { dataCentre, service: service.name };
     return [
-      {
-        count: Math.min(spare, RECLAIMABLE_SERVERS),
-        dataCentre,
-        isReclaimable: true,
-        service: service.name,
-      },
-      {
-        count: lasting, dataCentre, isReclaimable: false, service: service.name,
-      },
+      { ...order, count: Math.min(reclaimable, maxServers - lasting), isReclaimable: true },
+      { ...order, count: lasting, isReclaimable: false },
     ];
   });
 }
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/DutyLease.test.ts
@@ -0,0 +1,115 @@
+import * as fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+const TERM_MS = 3_750;
+const at = (ms: number, wallMs = ms): Routing.ClockReading => ({ monotonicMs: ms, wallMs });
+
+function createRecord(
+  kind: Routing.DutyRecord['kind'],
+  holder: string,
+  extra: Partial<Routing.DutyRecord> = {},
+): Routing.DutyRecord {
+  return {
+    holder, kind, nonce: `${holder}-${kind}`, termMs: TERM_MS, writtenMs: 0, ...extra,
+  };
+}
+
+describe('lease of the duties', () => {
+  test('the offset of a claim is its fencing token', () => {
+    const state = Routing.applyDutyRecord(
+      Routing.INITIAL_DUTY_STATE,
+      7,
+      createRecord('claim', 'a'),
+      at(0),
+    );
+    expect(state).toMatchObject({ end: 8, fence: 7, holder: 'a' });
+  });
+
+  test('a holder stops believing before an observer may claim', () => {
+    fc.assert(fc.property(
+      fc.nat(2_000),
+      fc.nat(2_000),
+      fc.nat(10_000),
+      (storeDelay, readDelay, passed) => {
+        const authority = { fence: 1, sentAt: at(0), termMs: TERM_MS };
+        const state = Routing.applyDutyRecord(
+          Routing.INITIAL_DUTY_STATE,
+          1,
+          createRecord('claim', 'a'),
+          at(storeDelay + readDelay),
+        );
+        const now = at(storeDelay + readDelay + passed);
+        if (Routing.canClaim(state, now)) {
+          expect(Routing.computeRemaining(authority, now)).toBe(0);
+        }
+      },
+    ));
+  });
+
+  test('a suspended holder loses its authority, although its steady clock stood still', () => {
+    const authority = { fence: 1, sentAt: at(0), termMs: TERM_MS };
+    expect(Routing.computeRemaining(authority, at(500))).toBeGreaterThan(0);
+    expect(Routing.computeRemaining(authority, at(500, 5_500))).toBe(0);
+  });
+
+  test('the first seal of a window stays, whoever seals it again', () => {
+    const seal = (requests: number, fence: number): Routing.DutyRecord => createRecord('seal', 'a', {
+      fence, seal: { counts: { shop: requests }, window: 5 },
+    });
+    const claimed = Routing.applyDutyRecord(
+      Routing.INITIAL_DUTY_STATE,
+      0,
+      createRecord('claim', 'a'),
+      at(0),
+    );
+    const sealed = Routing.applyDutyRecord(claimed, 1, seal(10, 0), at(1));
+    const again = Routing.applyDutyRecord(sealed, 2, seal(12, 0), at(2));
+    expect(again.seals.get(5)?.counts).toEqual({ shop: 10 });
+  });
+
+  test('a record of a former holder has no effect', () => {
+    const first = Routing.applyDutyRecord(
+      Routing.INITIAL_DUTY_STATE,
+      0,
+      createRecord('claim', 'a'),
+      at(0),
+    );
+    const second = Routing.applyDutyRecord(first, 1, createRecord('claim', 'b'), at(9_000));
+    const late = Routing.applyDutyRecord(
+      second,
+      2,
+      createRecord('renewal', 'a', { fence: 0 }),
+      at(9_100),
+    );
+    expect(late).toMatchObject({ end: 3, fence: 1, holder: 'b' });
+  });
+
+  test('after a gap nobody claims before a term has passed without a renewal', () => {
+    const state = Routing.applyDutyGap(Routing.INITIAL_DUTY_STATE, 40, at(1_000));
+    const renewed = Routing.applyDutyRecord(
+      state,
+      40,
+      createRecord('renewal', 'a', { fence: 12 }),
+      at(1_000),
+    );
+    expect(renewed.holder).toBe('a');
+    expect(Routing.canClaim(renewed, at(1_000 + TERM_MS))).toBe(false);
+  });
+
+  test('a released lease can be claimed at once', () => {
+    const held = Routing.applyDutyRecord(
+      Routing.INITIAL_DUTY_STATE,
+      0,
+      createRecord('claim', 'a'),
+      at(0),
+    );
+    const released = Routing.applyDutyRecord(
+      held,
+      1,
+      createRecord('release', 'a', { fence: 0 }),
+      at(10),
+    );
+    expect(Routing.canClaim(released, at(11))).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/OrderPlan.test.ts
@@ -0,0 +1,93 @@
+import { describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+const SERVICE: Routing.Service = {
+  isEngine: true,
+  maxConnections: 370,
+  name: 'chat',
+  purchase: {
+    bootMs: 4_000,
+    maxServers: 7,
+    minServers: 1,
+    prices: new Map([['a', 1], ['b', 0.8], ['c', 1.25], ['d', 0.9]]),
+    reclaimablePriceShare: 0.22,
+  },
+};
+
+function createServers(
+  dataCentre: string,
+  lasting: number,
+  reclaimable: number,
+): Routing.BackendServer[] {
+  return Array.from({ length: lasting + reclaimable }, (_, index) => ({
+    bornMs: 0,
+    dataCentre,
+    host: '10.0.0.1',
+    id: `${dataCentre}-${index}`,
+    isReclaimable: index >= lasting,
+    port: 80,
+    service: 'chat',
+    slots: 64,
+    state: 'ready' as const,
+    version: 'v1',
+  }));
+}
+
+function findOrder(
+  servers: readonly Routing.BackendServer[],
+  dataCentre: string,
+  isReclaimable: boolean,
+): number | undefined {
+  return Routing.planOrders({ servers, service: SERVICE }).find((order) => (
+    order.dataCentre === dataCentre && order.isReclaimable === isReclaimable
+  ))?.count;
+}
+
+describe('plan of servers', () => {
+  test('start of the day: lasting servers stay until the cheap ones are ready', () => {
+    const servers = createServers('a', 5, 0);
+    expect(findOrder(servers, 'a', false)).toBe(5);
+    expect(findOrder(servers, 'a', true)).toBe(2);
+  });
+
+  test('a full data centre is replaced in steps and does not wait for room for ever', () => {
+    expect(findOrder(createServers('a', 5, 2), 'a', false)).toBe(0);
+    expect(findOrder(createServers('b', 5, 2), 'b', false)).toBe(1);
+    expect(findOrder(createServers('b', 1, 2), 'b', true)).toBe(4);
+  });
+
+  test('a reclaimed data centre keeps its order and its lasting server', () => {
+    const servers = createServers('b', 1, 0);
+    expect(findOrder(servers, 'b', true)).toBe(4);
+    expect(findOrder(servers, 'b', false)).toBe(1);
+  });
+
+  test('no order exceeds what the data centre may hold, both kinds together', () => {
+    [0, 1, 3, 7].forEach((lasting) => ['a', 'b', 'c', 'd'].forEach((dataCentre) => {
+      const servers = createServers(dataCentre, lasting, 0);
+      const sum = (findOrder(servers, dataCentre, true) ?? 0)
+        + (findOrder(servers, dataCentre, false) ?? 0);
+      expect(sum).toBeLessThanOrEqual(7);
+    }));
+  });
+
+  test('a pool of fixed size gets no orders', () => {
+    const service = { ...SERVICE, purchase: undefined };
+    expect(Routing.planOrders({ servers: [], service })).toEqual([]);
+  });
+});
+
+describe('orders that were sent', () => {
+  test('an accepted order is not sent again, one without stock only after a pause', () => {
+    const book = Routing.createOrderBook();
+    const order = {
+      count: 4, dataCentre: 'a', isReclaimable: true, service: 'chat',
+    };
+    book.recordAnswer(order, 'unavailable', 0);
+    expect(book.selectDue([order], 100)).toEqual([]);
+    expect(book.selectDue([order], Routing.STOCK_RETRY_MS)).toEqual([order]);
+    book.recordAnswer(order, 'accepted', 3_000);
+    expect(book.selectDue([order], 10_000)).toEqual([]);
+    expect(book.selectDue([{ ...order, count: 3 }], 10_000)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/Path.test.ts
@@ -0,0 +1,148 @@
+import { describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+function createRoute(extra: Partial<Routing.Route> = {}): Routing.Route {
+  return {
+    host: 'shop.example',
+    isOpen: false,
+    isResumable: false,
+    kind: 'once',
+    maxAttempts: 2,
+    name: 'r',
+    pathPrefix: '/a/',
+    pauseTargetMs: 300,
+    priority: 1,
+    shares: [{ service: 's', weight: 1 }],
+    targetMs: 500,
+    timeoutMs: 5_000,
+    ...extra,
+  };
+}
+
+describe('route of a request', () => {
+  const table = Routing.buildRouteTable([
+    createRoute({ name: 'short' }), createRoute({ name: 'long', pathPrefix: '/a/b/' }),
+  ]);
+
+  test('the longest prefix wins; host case, port and query do not count', () => {
+    expect(Routing.findRoute(table, 'Shop.example:80', '/a/b/c?x=/a/')?.name).toBe('long');
+    expect(Routing.findRoute(table, 'shop.example', '/a/c')?.name).toBe('short');
+  });
+
+  test('another host or a path beside the prefix has no route', () => {
+    expect(Routing.findRoute(table, 'other.example', '/a/c')).toBeUndefined();
+    expect(Routing.findRoute(table, 'shop.example', '/ab')).toBeUndefined();
+  });
+
+  test('a split follows the weights and is stable for a request', () => {
+    const route = createRoute({
+      shares: [{ service: 'old', weight: 90 }, { service: 'new', weight: 10 }],
+    });
+    const chosen = Array.from({ length: 2_000 }, (_, id) => (
+      Routing.chooseService(route, `request-${id}`)
+    ));
+    expect(chosen.filter((name) => name === 'new').length).toBeGreaterThan(100);
+    expect(chosen.filter((name) => name === 'new').length).toBeLessThan(300);
+    expect(Routing.chooseService(route, 'request-1')).toBe(chosen[1]);
+    const moved = createRoute({
+      shares: [{ service: 'old', weight: 0 }, { service: 'new', weight: 10 }],
+    });
+    expect(Routing.chooseService(moved, 'request-1')).toBe('new');
+  });
+});
+
+describe('rules of attempts', () => {
+  const createState = (
+    route: Routing.Route,
+    extra: Partial<Routing.AttemptState> = {},
+  ): Routing.AttemptState => ({
+    isAnswering: false, leftMs: 1_000, mayHaveRun: false, misses: 0, route, sends: 1, ...extra,
+  });
+  const choose = (
+    end: Routing.AttemptEnd,
+    state: Routing.AttemptState,
+    hasBudget = true,
+  ): Routing.NextStep => Routing.chooseNextStep(end, state, () => hasBudget);
+
+  test('a request that may run once is never sent again after it may have run', () => {
+    const state = createState(createRoute(), { mayHaveRun: true });
+    expect(choose('broken', state)).toEqual({ _tag: 'Refuse', code: 'outcome_unknown' });
+    expect(choose('failed', state)._tag).toBe('Refuse');
+  });
+
+  test('"not run" is said only where no attempt may have run', () => {
+    const route = createRoute({ maxAttempts: 1 });
+    expect(choose('not-run', createState(route))).toEqual({ _tag: 'Refuse', code: 'not_run' });
+    expect(choose('not-run', createState(route, { mayHaveRun: true })))
+      .toEqual({ _tag: 'Refuse', code: 'outcome_unknown' });
+  });
+
+  test('a request that did not run goes on within the attempts of its route', () => {
+    expect(choose('not-run', createState(createRoute()))._tag).toBe('Retry');
+    expect(choose('not-run', createState(createRoute(), { sends: 2 }))._tag).toBe('Refuse');
+  });
+
+  test('a repeat needs the shared budget, an attempt that reached nobody does not', () => {
+    const route = createRoute({ kind: 'repeatable' });
+    expect(choose('broken', createState(route), false)._tag).toBe('Refuse');
+    expect(choose('not-sent', createState(route), false)._tag).toBe('Retry');
+  });
+
+  test('a stream is repeated only where its route may be resumed, and cut once it began', () => {
+    const plain = createRoute({ kind: 'stream' });
+    const resumable = createRoute({ isResumable: true, kind: 'stream' });
+    const broken = { isAnswering: true, mayHaveRun: true };
+    expect(choose('broken', createState(plain, broken))).toEqual({ _tag: 'Cut' });
+    expect(choose('broken', createState(resumable, broken))._tag).toBe('Retry');
+  });
+});
+
+describe('events of a stream', () => {
+  const push = (text: string[]): string[] => {
+    const framer = Routing.createEventFramer();
+    return text.flatMap((part) => (
+      framer.push(Buffer.from(part)).map(({ bytes, id }) => `${id}:${bytes.toString().length}`)
+    ));
+  };
+
+  test('half an event is held back until it is whole', () => {
+    expect(push(['id: 1\ndata: a\n', '\nid: 2\nda'])).toEqual(['1:15']);
+    expect(push(['id: 1\r\ndata: a\r\n\r', '\n'])).toEqual(['1:18']);
+  });
+
+  test('events without an id are passed on', () => {
+    expect(push(['data: a\n\n: note\n\n'])).toEqual(['undefined:9', 'undefined:8']);
+  });
+});
+
+describe('headers', () => {
+  const names: Routing.HeaderNames = {
+    account: 'x-account',
+    expectedServer: 'x-server',
+    lastEventId: 'last-event-id',
+    notRun: 'x-not-run',
+    priority: 'x-priority',
+    promptParts: 'x-parts',
+    requestId: 'x-id',
+    serverSignature: 'x-signature',
+    systemOnly: ['x-hold'],
+    timeLeft: 'x-left',
+    tokenCounts: 'x-tokens',
+  };
+
+  test('the key, headers of the system and headers of one connection do not pass', () => {
+    expect(Routing.selectRequestHeaders([
+      'Authorization', 'Bearer k', 'X-Account', 'forged', 'X-Hold', 'h', 'Connection', 'x-own',
+      'X-Own', '1', 'X-Id', 'r1', 'Host', 'shop', 'Transfer-Encoding', 'chunked',
+    ], names)).toEqual(['X-Id', 'r1', 'Host', 'shop']);
+  });
+
+  test('a prompt is read from its headers, and none where they are missing', () => {
+    expect(Routing.parsePrompt('5c1e:800, 91bd:410', '1460,80')).toEqual({
+      inputTokens: 1_460,
+      maxOutputTokens: 80,
+      parts: [{ id: '5c1e', tokens: 800 }, { id: '91bd', tokens: 410 }],
+    });
+    expect(Routing.parsePrompt(undefined, undefined)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/ServerTable.test.ts
@@ -0,0 +1,63 @@
+import { beforeEach, describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+function createServer(id: string, state: 'draining' | 'ready' = 'ready'): Routing.BackendServer {
+  return {
+    bornMs: 0,
+    dataCentre: 'a',
+    host: '10.0.0.1',
+    id,
+    isReclaimable: false,
+    port: 80,
+    service: 'chat',
+    slots: 4,
+    state,
+    version: 'v1',
+  };
+}
+
+describe('table of servers', () => {
+  let table: Routing.ServerTable;
+  const listIds = (nowMs: number): string[] => (
+    table.listServing('chat', nowMs).map(({ id }) => id)
+  );
+  beforeEach(() => {
+    table = Routing.createServerTable();
+    table.observeContact(0);
+    table.applyEntry('s1', createServer('s1'), 0);
+  });
+
+  test('a server that leaves or is gone gets no new requests', () => {
+    table.applyEntry('s2', createServer('s2'), 0);
+    table.applyEntry('s1', createServer('s1', 'draining'), 100);
+    table.applyEntry('s2', undefined, 100);
+    expect(listIds(100)).toEqual([]);
+  });
+
+  test('an entry that lapsed while the store was away is kept for two seconds', () => {
+    table.observeContact(8_000);
+    table.applyEntry('s1', undefined, 8_000);
+    expect(listIds(9_900)).toEqual(['s1']);
+    expect(listIds(10_000)).toEqual([]);
+  });
+
+  test('an entry that comes back in that time stays', () => {
+    table.observeContact(8_000);
+    table.applyEntry('s1', undefined, 8_000);
+    table.applyEntry('s1', createServer('s1'), 8_500);
+    expect(listIds(12_000)).toEqual(['s1']);
+  });
+
+  test('a leaving server that disappears in an outage is not taken back', () => {
+    table.applyEntry('s1', createServer('s1', 'draining'), 100);
+    table.observeContact(8_000);
+    table.applyEntry('s1', undefined, 8_000);
+    expect(listIds(8_100)).toEqual([]);
+  });
+
+  test('a complete read replaces what was known', () => {
+    table.observeContact(500);
+    table.applySnapshot([createServer('s2')], 500);
+    expect(listIds(500)).toEqual(['s2']);
+  });
+});
