Avoid servers that fail a part of their requests, and test the path on raw sockets

Change: the recent share of failures of a server is part of the cost of choosing it. Contract tests of the path with raw socket servers and of the adapter.

--- a/packages/core/src/Logging.ts
+++ b/packages/core/src/Logging.ts
@@ -69,6 +69,8 @@
     countDropped: () => dropped,
     flush: () => {
       try {
+        // Called once, at the end of the process.
+        // eslint-disable-next-line n/no-sync
         destination.flushSync();
       } catch (error) {
         // The reader is gone, so there is nobody left to tell.
--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -1,6 +1,6 @@
 /**
- * Takes part in the lease of the duties and carries them out while it is held: sealing and reporting
- * usage windows, ordering servers. Every daemon runs this; one holds the lease at a time.
+ * Takes part in the lease of the duties and carries them out while it is held: sealing and
+ * reporting usage windows, ordering servers. Every daemon runs this; one holds the lease at a time.
  */
 import * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
@@ -211,7 +211,8 @@
     const record = decoded.value;
     const previous = this.#state.holder;
     this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
-    if (record.holder !== this.#context.daemonId) this.#context.trueTime.observeRemote(record.writtenMs);
+    const { daemonId, trueTime } = this.#context;
+    if (record.holder !== daemonId) trueTime.observeRemote(record.writtenMs);
     const sentAt = this.#pending.get(record.nonce);
     if (sentAt !== undefined) this.#takeAuthority(sentAt);
     else if (this.#authority !== undefined && this.#state.fence !== this.#authority.fence) {
@@ -346,7 +347,9 @@
       this.#context.calls.sendUsage(seal.window, seal.counts, authority.fence),
     );
     this.#context.logger.info(
-      { answer, counts: seal.counts, fence: authority.fence, window: seal.window },
+      {
+        answer, counts: seal.counts, fence: authority.fence, window: seal.window,
+      },
       'usage reported',
     );
     if (answer === 'fenced') this.#refuseFence(authority.fence);
@@ -391,7 +394,9 @@
     const result = await Effect.runPromise(Effect.either(this.#context.countsLog.append(records)));
     if (Either.isRight(result)) {
       due.forEach(({ counts, window }) => this.#context.book.setHandedOver(window, counts));
-    } else this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
+      return;
+    }
+    this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
   }
 }
 
--- a/packages/routing/src/KeyProof.ts
+++ b/packages/routing/src/KeyProof.ts
@@ -1,8 +1,8 @@
 /**
  * Proof that the list of keys is current. A withdrawn key must stop working within a bound, also at
  * a daemon that the store turns away, so only a read that succeeded proves anything, and only for
- * the time at which it was sent. The steady clock stands still while a VM is suspended, so a jump of
- * the time of day against it voids the proof until the next read.
+ * the time at which it was sent. The steady clock stands still while a VM is suspended, so a jump
+ * of the time of day against it voids the proof until the next read.
  */
 import type * as Core from '@berylyoke/core';
 
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -286,7 +286,8 @@
   #computeFirstSilence(route: RoutingConfig.Route): Core.Millis | undefined {
     if (!AttemptRules.isRepeatable(route) || this.#sends >= route.maxAttempts) return undefined;
     if (route.kind !== 'stream') return this.#computeLeft() * SILENT_SHARE;
-    return Math.max(MIN_SILENT_MS, Math.min(route.targetMs * 2, this.#computeLeft() * SILENT_SHARE));
+    const silenceMs = Math.min(route.targetMs * 2, this.#computeLeft() * SILENT_SHARE);
+    return Math.max(MIN_SILENT_MS, silenceMs);
   }
 
   #watchSilence(silenceMs: Core.Millis | undefined): void {
@@ -478,11 +479,15 @@
   }
 
   #observeFailure({ chosen }: Attempt): void {
-    this.#context.health.observeFailure(this.#service, chosen.pooled.server.id);
+    const { clock, health } = this.#context;
+    health.observeFailure(this.#service, chosen.pooled.server.id);
+    ServerPool.observeOutcome(chosen.pooled, true, clock.readMonotonic());
   }
 
   #observeSuccess({ chosen }: Attempt): void {
-    this.#context.health.observeSuccess(this.#service, chosen.pooled.server.id);
+    const { clock, health } = this.#context;
+    health.observeSuccess(this.#service, chosen.pooled.server.id);
+    ServerPool.observeOutcome(chosen.pooled, false, clock.readMonotonic());
   }
 
   #claimRepeat(): boolean {
@@ -526,7 +531,8 @@
       );
       headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
     }
-    if (this.#head.requestId !== '') headers.push(this.#context.names.requestId, this.#head.requestId);
+    const { requestId } = this.#head;
+    if (requestId !== '') headers.push(this.#context.names.requestId, requestId);
     this.#addConnectionHeader(headers);
     this.#response.writeHead(refusal.status, headers);
     this.#response.end(body);
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -126,7 +126,9 @@
     settings.bounds.keyWithdrawalMs - KEY_MARGIN_MS,
   );
 
-  const applyConfig = (changes: readonly Ports.KeyedChange<RoutingConfig.RoutingConfig>[]): void => {
+  const applyConfig = (
+    changes: readonly Ports.KeyedChange<RoutingConfig.RoutingConfig>[],
+  ): void => {
     changes.forEach(({ value }) => {
       if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
         return;
@@ -239,7 +241,7 @@
       activeRequests -= 1;
     }).start();
   });
-  if (active !== undefined) entry.setLimits((active as PathContext.ActiveConfig).config.limits);
+  if (active !== undefined) entry.setLimits((active).config.limits);
   const isReady = (): boolean => (
     phase === 'running' && active !== undefined && hasServers && areKeysCurrent()
   );
@@ -275,8 +277,8 @@
   const stop = async (): Promise<void> => {
     phase = 'draining';
     logger.info({ activeRequests }, 'stopping');
-    const listener = entry as EntryListener.EntryListener;
-    const { resign, stop: stopDuties } = duties as DutyHolder.DutyHolder;
+    const listener = entry;
+    const { resign, stop: stopDuties } = duties;
     const resigned = resign();
     await listener.stop(() => {
       phase = 'refusing';
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -1,5 +1,6 @@
 /** Filter `choose` of the request path: the backend server for the next attempt of a request. */
 import * as Core from '@berylyoke/core';
+import * as FailureShare from './FailureShare.js';
 import type * as PathContext from './PathContext.js';
 import type * as ServerPool from './ServerPool.js';
 import * as ServerPick from './ServerPick.js';
@@ -44,12 +45,13 @@
   const median = computeMedian(times);
   const sharedHash = prompt === undefined ? undefined : hashSharedParts(prompt);
   const candidates = pooled.map(({
-    inFlight, meanTime, server, waitingTokens,
+    failureShare, inFlight, meanTime, server, waitingTokens,
   }): ServerPick.Candidate => ({
     cachedTokens: sharedHash === undefined
       ? 0
       : context.cache.estimateCachedTokens(server.id, sharedHash, nowMs),
     dataCentre: server.dataCentre,
+    failureShare: FailureShare.estimateFailure(failureShare, nowMs),
     id: server.id,
     inFlight,
     isReclaimable: server.isReclaimable,
--- a/packages/routing/src/ServerPick.ts
+++ b/packages/routing/src/ServerPick.ts
@@ -32,6 +32,8 @@
   readonly slowdown: number;
   /** Tokens of the prompt's shared parts that this daemon had read there lately. */
   readonly cachedTokens: number;
+  /** Estimated probability that a request fails there. */
+  readonly failureShare: number;
   /** Failed lately; used only when no other server is left. */
   readonly isSuspect: boolean;
 }
@@ -53,7 +55,7 @@
   readonly candidates: number;
 }
 
-/** Prompt tokens that an engine reads in a millisecond; the slowdown corrects it for each server. */
+/** Prompt tokens that an engine reads in a millisecond; the slowdown of each server corrects it. */
 const PREFILL_TOKENS_PER_MS = 60;
 
 /** Weight of tokens that are read again: they delay every request beside them. */
@@ -65,6 +67,12 @@
 /** Delay that each request in progress adds to the first token of another one. */
 const BATCH_DELAY_MS = 4;
 
+/**
+ * Cost of a failed request in expected milliseconds: it is lost or starts over, which is far worse
+ * than a longer wait at a sound server.
+ */
+const FAILURE_COST_MS = 2_000;
+
 /** Cost of leaving the data centre: a round trip and the bytes between data centres. */
 const DISTANCE_MS = 3;
 
@@ -119,7 +127,8 @@
   const costs = pool.map((candidate, index) => {
     const base = engineCosts?.[index] ?? (candidate.inFlight + 1) * expectedMs * candidate.slowdown;
     const distance = candidate.dataCentre === context.dataCentre ? 0 : DISTANCE_MS;
-    return base * (1 + JITTER * context.random()) + distance;
+    const risk = candidate.failureShare * FAILURE_COST_MS;
+    return (base + risk) * (1 + JITTER * context.random()) + distance;
   });
   const best = costs.indexOf(Math.min(...costs));
   const chosen = pool[best];
--- a/packages/routing/src/ServerPool.ts
+++ b/packages/routing/src/ServerPool.ts
@@ -5,6 +5,7 @@
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
+import * as FailureShare from './FailureShare.js';
 import type * as ServerTable from './ServerTable.js';
 
 /** Weight of the newest observation in the mean time of a server. */
@@ -46,6 +47,7 @@
   waitingTokens: number;
   /** Mean of observed times, or of observed over expected times for engines. */
   meanTime: number | undefined;
+  failureShare: FailureShare.FailureShare;
 }
 
 /** All backend servers in use. */
@@ -84,6 +86,7 @@
           scheduling: 'lifo',
           timeout: MAX_IDLE_MS,
         }),
+        failureShare: FailureShare.INITIAL_FAILURE_SHARE,
         inFlight: 0,
         meanTime: undefined,
         server,
@@ -101,3 +104,13 @@
   // eslint-disable-next-line no-param-reassign
   pooled.meanTime = mean + NEWEST_WEIGHT * (time - mean);
 }
+
+/** Adds the outcome of a request at a server. */
+export function observeOutcome(
+  pooled: PooledServer,
+  isFailure: boolean,
+  nowMs: Core.Millis,
+): void {
+  // eslint-disable-next-line no-param-reassign
+  pooled.failureShare = FailureShare.observeOutcome(pooled.failureShare, isFailure, nowMs);
+}
--- /dev/null
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -0,0 +1,231 @@
+/** Runs the request path against raw socket servers, whose answers a test writes byte by byte. */
+import * as Core from '@berylyoke/core';
+import * as Scheduling from '@berylyoke/scheduling';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as RoutedRequest from '../../RoutedRequest.js';
+import type * as PathContext from '../../PathContext.js';
+import * as Routing from '../../index.js';
+import * as RoutingMetrics from '../../RoutingMetrics.js';
+import * as ServerPool from '../../ServerPool.js';
+
+export const NAMES: Routing.HeaderNames = {
+  account: 'x-account',
+  expectedServer: 'x-server',
+  lastEventId: 'last-event-id',
+  notRun: 'x-not-run',
+  priority: 'x-priority',
+  promptParts: 'x-parts',
+  requestId: 'x-id',
+  serverSignature: 'x-signature',
+  systemOnly: [],
+  timeLeft: 'x-left',
+  tokenCounts: 'x-tokens',
+};
+
+/** Called for each request that a raw server reads; `count` is its number, from 1. */
+export type RawAnswer = (socket: net.Socket, requestId: string, count: number) => void;
+
+/** A raw server. */
+export interface RawServer {
+  readonly port: number;
+  /** Heads of the requests that it read. */
+  readonly heads: readonly string[];
+  readonly countClosed: () => number;
+  readonly close: () => void;
+}
+
+/** Starts a server that hands every request to `answer`. */
+export async function startRawServer(answer: RawAnswer): Promise<RawServer> {
+  const heads: string[] = [];
+  const sockets = new Set<net.Socket>();
+  let closed = 0;
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      closed += 1;
+    });
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+      const end = text.indexOf('\r\n\r\n');
+      if (end < 0) return;
+      const head = text.slice(0, end);
+      text = '';
+      heads.push(head);
+      answer(socket, /x-id: (\S+)/i.exec(head)?.[1] ?? '', heads.length);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    close: () => {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    },
+    countClosed: () => closed,
+    heads,
+    port: (server.address() as net.AddressInfo).port,
+  };
+}
+
+/** Writes a plain answer with its length. */
+export function writeAnswer(
+  socket: net.Socket,
+  requestId: string,
+  body: string,
+  extra = 'X-Signature: s\r\n',
+): void {
+  const length = `Content-Length: ${body.length}\r\n`;
+  socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${requestId}\r\n${extra}${length}\r\n${body}`);
+}
+
+export function createRoute(extra: Partial<Routing.Route> = {}): Routing.Route {
+  return {
+    host: 'shop.example',
+    isOpen: false,
+    isResumable: false,
+    kind: 'once',
+    maxAttempts: 2,
+    name: 'r',
+    pathPrefix: '/a/',
+    pauseTargetMs: 300,
+    priority: 1,
+    shares: [{ service: 's', weight: 1 }],
+    targetMs: 500,
+    timeoutMs: 1_500,
+    ...extra,
+  };
+}
+
+/** Answer as a caller sees it; `isCut` where it ended without being whole. */
+export interface CallerAnswer {
+  readonly status: number | undefined;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  readonly isCut: boolean;
+}
+
+/** A request path with its listener. */
+export interface PathHarness {
+  readonly call: (options?: {
+    readonly requestId?: string;
+    readonly key?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly leaveAfterMs?: number;
+  }) => Promise<CallerAnswer>;
+  readonly starts: readonly string[];
+  readonly setKeysCurrent: (areCurrent: boolean) => void;
+  readonly close: () => void;
+}
+
+const silent = Core.createLogger('silent', {});
+
+/** Starts a path with one route to servers at the given ports. */
+export async function startPath(
+  ports: readonly number[],
+  route: Routing.Route,
+): Promise<PathHarness> {
+  const servers = Routing.createServerTable();
+  ports.forEach((port, index) => servers.applyEntry(`s${index}`, {
+    bornMs: 0,
+    dataCentre: index === 0 ? 'a' : 'b',
+    host: '127.0.0.1',
+    id: `s${index}`,
+    isReclaimable: false,
+    port,
+    service: 's',
+    slots: 4,
+    state: 'ready',
+    version: 'v1',
+  }, 0));
+  const config: Routing.RoutingConfig = {
+    accountsByKeyDigest: new Map([
+      [Routing.hashKey('good'), { name: 'shop', priority: undefined }],
+    ]),
+    limits: {
+      headerTimeoutMs: 1_000, idleTimeoutMs: 5_000, maxBodyBytes: 1_000, maxHeaderBytes: 8_000,
+    },
+    routes: [route],
+    services: new Map(),
+    version: 1,
+  };
+  const starts: string[] = [];
+  let areKeysCurrent = true;
+  const pool = ServerPool.createServerPool(() => 8);
+  const context: PathContext.PathContext = {
+    areKeysCurrent: () => areKeysCurrent,
+    cache: Scheduling.createCacheIndex(),
+    claimRepeat: () => true,
+    clock: Core.systemClock,
+    countDaemons: () => 1,
+    countRequest: () => undefined,
+    countStart: (account) => starts.push(account),
+    dataCentre: 'a',
+    getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
+    getPhase: () => 'running',
+    health: Routing.createServerHealth(Core.systemClock, () => undefined),
+    logger: silent,
+    metrics: RoutingMetrics.createRoutingMetrics({
+      countActive: () => 0, countDroppedLogs: () => 0,
+    }),
+    names: NAMES,
+    pool,
+    random: () => 0,
+    renewKeys: async () => areKeysCurrent,
+    servers,
+  };
+  const listener = http.createServer((request, response) => {
+    new RoutedRequest.RoutedRequest(context, request, response, () => undefined).start();
+  });
+  await new Promise<void>((resolve) => {
+    listener.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = listener.address() as net.AddressInfo;
+  return {
+    call: ({
+      headers = {}, key = 'good', leaveAfterMs, requestId = 'r1',
+    } = {}) => new Promise((resolve) => {
+      const request = http.request({
+        agent: false,
+        headers: {
+          authorization: `Bearer ${key}`,
+          host: 'shop.example',
+          'x-id': requestId,
+          'x-left': '1000',
+          ...headers,
+        },
+        host: '127.0.0.1',
+        method: 'POST',
+        path: '/a/b',
+        port,
+      });
+      const chunks: Buffer[] = [];
+      const answer = (response: http.IncomingMessage | undefined, isCut: boolean): void => resolve({
+        body: Buffer.concat(chunks).toString(),
+        headers: response?.headers ?? {},
+        isCut,
+        status: response?.statusCode,
+      });
+      request.on('error', () => answer(undefined, true));
+      request.on('response', (response) => {
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => answer(response, true));
+        response.on('end', () => answer(response, !response.complete));
+      });
+      request.end('body');
+      if (leaveAfterMs !== undefined) setTimeout(() => request.destroy(), leaveAfterMs);
+    }),
+    close: () => {
+      pool.close();
+      listener.close();
+      listener.closeAllConnections();
+    },
+    setKeysCurrent: (areCurrent) => {
+      areKeysCurrent = areCurrent;
+    },
+    starts,
+  };
+}
--- a/packages/routing/src/__tests__/unit/DutyLease.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyLease.test.ts
@@ -54,8 +54,8 @@
   });
 
   test('the first seal of a window stays, whoever seals it again', () => {
-    const seal = (requests: number, fence: number): Routing.DutyRecord => createRecord('seal', 'a', {
-      fence, seal: { counts: { shop: requests }, window: 5 },
+    const seal = (requests: number): Routing.DutyRecord => createRecord('seal', 'a', {
+      fence: 0, seal: { counts: { shop: requests }, window: 5 },
     });
     const claimed = Routing.applyDutyRecord(
       Routing.INITIAL_DUTY_STATE,
@@ -63,8 +63,8 @@
       createRecord('claim', 'a'),
       at(0),
     );
-    const sealed = Routing.applyDutyRecord(claimed, 1, seal(10, 0), at(1));
-    const again = Routing.applyDutyRecord(sealed, 2, seal(12, 0), at(2));
+    const sealed = Routing.applyDutyRecord(claimed, 1, seal(10), at(1));
+    const again = Routing.applyDutyRecord(sealed, 2, seal(12), at(2));
     expect(again.seals.get(5)?.counts).toEqual({ shop: 10 });
   });
 
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -0,0 +1,192 @@
+import {
+  afterEach, describe, expect, test,
+} from 'vitest';
+import type * as net from 'node:net';
+import * as PathHarness from '../support/PathHarness.js';
+import type * as Routing from '../../index.js';
+
+const opened: { close: () => void }[] = [];
+
+async function setUp(
+  answers: readonly PathHarness.RawAnswer[],
+  route: Partial<Routing.Route> = {},
+): Promise<{ path: PathHarness.PathHarness; servers: PathHarness.RawServer[] }> {
+  const servers = await Promise.all(answers.map(PathHarness.startRawServer));
+  const path = await PathHarness.startPath(
+    servers.map(({ port }) => port),
+    PathHarness.createRoute(route),
+  );
+  opened.push(path, ...servers);
+  return { path, servers };
+}
+
+afterEach(() => opened.splice(0).forEach(({ close }) => close()));
+
+const answerPlain: PathHarness.RawAnswer = (socket, id) => (
+  PathHarness.writeAnswer(socket, id, `for ${id}`)
+);
+const reset: PathHarness.RawAnswer = (socket) => {
+  socket.resetAndDestroy();
+};
+const writeEvents = (socket: net.Socket, id: string, text: string, isWhole: boolean): void => {
+  socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n`
+    + 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+    + `${text.length.toString(16)}\r\n${text}\r\n${isWhole ? '0\r\n\r\n' : ''}`);
+};
+
+describe('one request', () => {
+  test('goes to the server with the account instead of the key, and comes back whole', async () => {
+    const { path, servers } = await setUp([answerPlain]);
+    const answer = await path.call();
+    expect(answer).toMatchObject({ body: 'for r1', isCut: false, status: 200 });
+    expect(answer.headers['x-signature']).toBe('s');
+    expect(servers[0]?.heads[0]).toMatch(/x-account: shop/);
+    expect(servers[0]?.heads[0]).toMatch(/x-server: s0/);
+    expect(servers[0]?.heads[0]).not.toMatch(/good|authorization/i);
+    expect(path.starts).toEqual(['shop']);
+  });
+
+  test('without a valid key reaches no server', async () => {
+    const { path, servers } = await setUp([answerPlain]);
+    expect(await path.call({ key: 'bad' })).toMatchObject({ status: 401 });
+    expect(servers[0]?.heads).toEqual([]);
+  });
+
+  test('is refused as not run while the list of keys may be out of date', async () => {
+    const { path, servers } = await setUp([answerPlain]);
+    path.setKeysCurrent(false);
+    const answer = await path.call();
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(servers[0]?.heads).toEqual([]);
+  });
+});
+
+describe('a request that may run once', () => {
+  test('is not sent again after a reset, and its outcome is unknown', async () => {
+    const { path, servers } = await setUp([reset, answerPlain]);
+    expect(await path.call()).toMatchObject({ status: 502 });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('goes on to another server after the first one said that it did not run', async () => {
+    const { path } = await setUp([(socket, id) => socket.write(
+      `HTTP/1.1 503 Busy\r\nX-Id: ${id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n`,
+    ), answerPlain]);
+    expect(await path.call()).toMatchObject({ body: 'for r1', status: 200 });
+  });
+
+  test('is not called not run on the word of a late refusal to an earlier request', async () => {
+    const { path } = await setUp([(socket, id, count) => {
+      if (count === 1) PathHarness.writeAnswer(socket, id, 'first');
+      else socket.write('HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n');
+    }]);
+    expect(await path.call()).toMatchObject({ status: 200 });
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ status: 502 });
+  });
+
+  test('gets an answer at its time limit, and its server is left alone', async () => {
+    const { path, servers } = await setUp([() => undefined], { timeoutMs: 200 });
+    expect(await path.call()).toMatchObject({ status: 504 });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+
+  test('of a caller that leaves is cancelled at its server', async () => {
+    const { path, servers } = await setUp([() => undefined]);
+    await path.call({ leaveAfterMs: 100 });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+});
+
+describe('a request that may be repeated', () => {
+  const kind = 'repeatable' as const;
+  const faults: Record<string, PathHarness.RawAnswer> = {
+    'a reset': reset,
+    'a silent server': () => undefined,
+    'an answer of another request': (socket) => PathHarness.writeAnswer(socket, 'other', 'wrong'),
+    'an answer that was cut off': (socket, id) => {
+      const head = `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n`;
+      socket.end(`${head}Content-Length: 9\r\n\r\nhalf`);
+    },
+    'an answer without a signature': (socket, id) => (
+      PathHarness.writeAnswer(socket, id, 'forged', '')
+    ),
+    'an encoded answer': (socket, id) => (
+      PathHarness.writeAnswer(socket, id, 'zip', 'X-Signature: s\r\nContent-Encoding: gzip\r\n')
+    ),
+    'an error of the server': (socket, id) => {
+      socket.write(`HTTP/1.1 500 No\r\nX-Id: ${id}\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n`);
+    },
+    'an unframed answer that was reset': (socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\nhalf`);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    },
+    'bytes that are no answer': (socket) => socket.write('\u0000garbage\r\n\r\n'),
+  };
+  Object.entries(faults).forEach(([name, fault]) => test(`survives ${name}`, async () => {
+    const { path } = await setUp([fault, answerPlain], { kind });
+    expect(await path.call()).toMatchObject({ body: 'for r1', isCut: false, status: 200 });
+    expect(path.starts).toEqual(['shop']);
+  }));
+
+  test('bytes after a complete answer are never taken for the next one', async () => {
+    const { path } = await setUp([(socket, id, count) => {
+      PathHarness.writeAnswer(socket, id, `for ${id}`);
+      if (count === 1) setTimeout(() => PathHarness.writeAnswer(socket, 'r1', 'late'), 30);
+    }], { kind });
+    expect(await path.call()).toMatchObject({ body: 'for r1' });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ body: 'for r2', status: 200 });
+  });
+});
+
+describe('a stream', () => {
+  const stream = { isResumable: true, kind: 'stream' as const };
+
+  test('is resumed after the last whole event, each event once', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => {
+        writeEvents(socket, id, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda', false);
+        setTimeout(() => socket.destroy(), 50);
+      },
+      (socket, id) => writeEvents(socket, id, 'id: 2\ndata: b\n\nid: 3\ndata: c\n\n', true),
+    ], stream);
+    expect(await path.call()).toMatchObject({
+      body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n', isCut: false,
+    });
+    expect(servers[1]?.heads[0]).toMatch(/last-event-id: 2/);
+    expect(path.starts).toEqual(['shop']);
+  });
+
+  test('that may not be resumed ends cut, without half an event', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => {
+        writeEvents(socket, id, 'id: 1\ndata: a\n\nid: 2\nda', false);
+        setTimeout(() => socket.destroy(), 50);
+      },
+      answerPlain,
+    ], { kind: 'stream' });
+    expect(await path.call()).toMatchObject({ body: 'id: 1\ndata: a\n\n', isCut: true });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('that falls silent is resumed elsewhere', async () => {
+    const { path } = await setUp([
+      (socket, id) => writeEvents(socket, id, 'id: 1\ndata: a\n\n', false),
+      (socket, id) => writeEvents(socket, id, 'id: 2\ndata: b\n\n', true),
+    ], { ...stream, pauseTargetMs: 50, timeoutMs: 5_000 });
+    expect(await path.call({ headers: { 'x-left': '5000' } })).toMatchObject({
+      body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', isCut: false,
+    });
+  });
+
+  test('is cut at the time limit of its route', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => writeEvents(socket, id, 'id: 1\ndata: a\n\n', false),
+    ], { kind: 'stream', timeoutMs: 300 });
+    expect(await path.call()).toMatchObject({ isCut: true });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/ServerPick.test.ts
@@ -0,0 +1,75 @@
+import { describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+const CONTEXT: Routing.PickContext = { daemonCount: 8, dataCentre: 'a', random: () => 0.5 };
+
+function createCandidate(id: string, extra: Partial<Routing.Candidate> = {}): Routing.Candidate {
+  return {
+    cachedTokens: 0,
+    dataCentre: 'a',
+    failureShare: 0.02,
+    id,
+    inFlight: 0,
+    isReclaimable: false,
+    isSuspect: false,
+    slowdown: 1,
+    waitingTokens: 0,
+    ...extra,
+  };
+}
+
+function createPrompt(shared: string): Routing.Prompt {
+  return {
+    inputTokens: 17_020,
+    maxOutputTokens: 120,
+    parts: [{ id: shared, tokens: 13_300 }, { id: `${shared}-own`, tokens: 3_720 }],
+  };
+}
+
+const SERVERS = Array.from({ length: 12 }, (_, index) => createCandidate(`s${index}`));
+
+describe('choice of a server', () => {
+  test('requests that share a long prompt gather on one server while it keeps up', () => {
+    const ids = ['x', 'y', 'z'].map((shared) => new Set(Array.from({ length: 20 }, () => (
+      Routing.pickServer(SERVERS, createPrompt(shared), 20, { ...CONTEXT, random: Math.random })?.id
+    ))));
+    ids.forEach((chosen) => expect(chosen.size).toBe(1));
+  });
+
+  test('a hot prompt spreads once its server is behind with reading', () => {
+    const first = Routing.pickServer(SERVERS, createPrompt('hot'), 20, CONTEXT)?.id;
+    const loaded = SERVERS.map((server) => (
+      server.id === first ? { ...server, inFlight: 30, waitingTokens: 60_000 } : server
+    ));
+    expect(Routing.pickServer(loaded, createPrompt('hot'), 20, CONTEXT)?.id).not.toBe(first);
+  });
+
+  test('a grey server, which fails a part of its requests, is avoided at a small load', () => {
+    const grey = createCandidate('grey', { failureShare: 0.4 });
+    const busy = createCandidate('busy', { inFlight: 3 });
+    expect(Routing.pickServer([grey, busy], undefined, 20, CONTEXT)?.id).toBe('busy');
+  });
+
+  test('suspects are used only when no other server is left', () => {
+    const suspect = createCandidate('suspect', { isSuspect: true });
+    const slow = createCandidate('slow', { inFlight: 5, slowdown: 9 });
+    expect(Routing.pickServer([suspect, slow], undefined, 20, CONTEXT)?.id).toBe('slow');
+    expect(Routing.pickServer([suspect], undefined, 20, CONTEXT)?.id).toBe('suspect');
+    expect(Routing.pickServer([], undefined, 20, CONTEXT)).toBeUndefined();
+  });
+});
+
+describe('share of failures', () => {
+  test('a few failures stand out against one, and are forgotten in time', () => {
+    const observe = (outcomes: boolean[]): Routing.FailureShare => outcomes.reduce(
+      (share, isFailure, index) => Routing.observeOutcome(share, isFailure, index * 100),
+      Routing.INITIAL_FAILURE_SHARE,
+    );
+    const one = Routing.estimateFailure(observe([false, false, true, false, false]), 500);
+    const grey = Routing.estimateFailure(observe([true, false, true, false, true]), 500);
+    expect(one).toBeLessThan(0.2);
+    expect(grey).toBeGreaterThan(0.35);
+    expect(Routing.estimateFailure(observe([true, false, true, false, true]), 60_000))
+      .toBeLessThan(0.05);
+  });
+});
--- a/packages/routing/src/__tests__/unit/ServerTable.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerTable.test.ts
@@ -1,4 +1,6 @@
-import { beforeEach, describe, expect, test } from 'vitest';
+import {
+  beforeEach, describe, expect, test,
+} from 'vitest';
 import * as Routing from '../../index.js';
 
 function createServer(id: string, state: 'draining' | 'ready' = 'ready'): Routing.BackendServer {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export * from './DutyLease.js';
 export * from './EntryListener.js';
 export * from './EventFramer.js';
+export * from './FailureShare.js';
 export * from './FeedLoop.js';
 export * from './HeaderRules.js';
 export * from './KeyProof.js';
