Tell an unframed answer that was reset from one that ended

Ruled out: the error event of the request (none comes), socket.errored (null), the flags of the stream. Change: an unframed answer whose connection has no peer at its end is broken, not whole.

--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -66,6 +66,20 @@
   return (error as NodeJS.ErrnoException).code ?? error.name;
 }
 
+/**
+ * Tells an unframed answer that was reset from one that ended. libuv reports a reset that arrives
+ * together with the last bytes as a plain end; the connection then has no peer any more. The
+ * address must not have been read before, because Node.js keeps it.
+ */
+function watchReset({ headers, socket }: http.IncomingMessage, onReset: () => void): void {
+  const isFramed = headers['content-length'] !== undefined
+    || headers['transfer-encoding'] !== undefined;
+  if (isFramed) return;
+  socket.prependOnceListener('end', () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+}
+
 /** Sends a request. */
 export function startExchange(
   options: BackendRequest,
@@ -119,6 +133,7 @@
       fail('foreign-answer');
       return;
     }
+    watchReset(answer, () => fail('reset-at-end'));
     answer.on('data', (bytes: Buffer) => {
       if (!isOver) handlers.onData(bytes);
     });
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -121,6 +121,11 @@
       socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\nhalf`);
       setTimeout(() => socket.resetAndDestroy(), 50);
     },
+    'an unframed answer whose reset arrives together with its bytes': (socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\nhalf`, () => {
+        socket.resetAndDestroy();
+      });
+    },
     'bytes that are no answer': (socket) => socket.write('\u0000garbage\r\n\r\n'),
   };
   Object.entries(faults).forEach(([name, fault]) => test(`survives ${name}`, async () => {
