Log each request within a budget of lines

Cause: answered requests were logged at debug only, so a complaint about a slow answer had no line. Change: answered requests up to 30 lines a second, failures up to 100; a line carries the number of suppressed ones before it.

--- /dev/null
+++ b/packages/routing/src/LineBudget.ts
@@ -0,0 +1,41 @@
+/**
+ * Bounds the log lines of one kind. Lines beyond the budget of a second are counted, and the next
+ * line that is written carries the count, so that a reader knows what is missing.
+ */
+import type * as Core from '@berylyoke/core';
+
+/** Budget of one kind of line. */
+export interface LineBudget {
+  /**
+   * Takes one line.
+   *
+   * @returns the lines suppressed since the last one that was written, or undefined where this one
+   * is suppressed as well
+   */
+  readonly take: () => number | undefined;
+}
+
+const MS_PER_S = 1_000;
+
+/** Creates a budget of lines a second; up to one second's lines may be written at once. */
+export function createLineBudget(clock: Core.Clock, linesPerSecond: number): LineBudget {
+  let credit = linesPerSecond;
+  let updatedMs = clock.readMonotonic();
+  let suppressed = 0;
+  return {
+    take: () => {
+      const nowMs = clock.readMonotonic();
+      const earned = ((nowMs - updatedMs) / MS_PER_S) * linesPerSecond;
+      credit = Math.min(linesPerSecond, credit + earned);
+      updatedMs = nowMs;
+      if (credit < 1) {
+        suppressed += 1;
+        return undefined;
+      }
+      credit -= 1;
+      const before = suppressed;
+      suppressed = 0;
+      return before;
+    },
+  };
+}
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -2,6 +2,7 @@
 import type * as Core from '@berylyoke/core';
 import type * as Scheduling from '@berylyoke/scheduling';
 import type * as HeaderRules from './HeaderRules.js';
+import type * as LineBudget from './LineBudget.js';
 import type * as RouteTable from './RouteTable.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
@@ -23,6 +24,9 @@
   readonly names: HeaderRules.HeaderNames;
   readonly clock: Core.Clock;
   readonly logger: Core.Logger;
+  /** Bounds of the lines about requests that were answered, and about all others. */
+  readonly answeredLines: LineBudget.LineBudget;
+  readonly failedLines: LineBudget.LineBudget;
   readonly metrics: RoutingMetrics.RoutingMetrics;
   readonly dataCentre: string;
   readonly getActiveConfig: () => ActiveConfig | undefined;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -459,6 +459,8 @@
     this.#observeFailure(attempt);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
+    const suppressed = this.#context.failedLines.take();
+    if (suppressed === undefined) return;
     this.#context.logger.info({
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end,
@@ -468,6 +470,7 @@
       sends: this.#sends,
       server: server.id,
       service: this.#service,
+      suppressed,
     }, 'attempt failed');
   }
 
@@ -557,7 +560,20 @@
     if (this.#firstMs !== undefined) {
       metrics.observe('first', this.#service, this.#firstMs - this.#receivedMs);
     }
-    this.#context.logger[outcome === 'answered' ? 'debug' : 'info']({
+    this.#logEnd(outcome, status, server, nowMs);
+    this.#onOver();
+  }
+
+  #logEnd(
+    outcome: string,
+    status: number | undefined,
+    server: string | undefined,
+    nowMs: Core.Millis,
+  ): void {
+    const { answeredLines, failedLines, logger } = this.#context;
+    const suppressed = (outcome === 'answered' ? answeredLines : failedLines).take();
+    if (suppressed === undefined) return;
+    logger.info({
       account: this.#account?.name,
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
@@ -574,7 +590,7 @@
       server,
       service: this.#service,
       status,
+      suppressed,
     }, 'request ended');
-    this.#onOver();
   }
 }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -9,6 +9,7 @@
 import * as FeedLoop from './FeedLoop.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as KeyProof from './KeyProof.js';
+import * as LineBudget from './LineBudget.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
@@ -47,6 +48,12 @@
 /** Part of the time before SIGKILL that is kept for the end of the process. */
 const EXIT_MARGIN_MS = 900;
 
+/** Lines a second about requests that were answered; the rest is summed up. */
+const ANSWERED_LINES_PER_S = 30;
+
+/** Lines a second about attempts and requests that failed. */
+const FAILED_LINES_PER_S = 100;
+
 const POOL_CHECK_MS = 2_000;
 const MS_PER_S = 1_000;
 
@@ -215,12 +222,14 @@
   const poolCheck = setInterval(() => pool.closeUnlisted(servers.listAll()), POOL_CHECK_MS);
   const context: PathContext.PathContext = {
     ...createRepeatBudgets(settings, countDaemons),
+    answeredLines: LineBudget.createLineBudget(clock, ANSWERED_LINES_PER_S),
     areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
     clock,
     countDaemons,
     countStart: (account) => book.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
+    failedLines: LineBudget.createLineBudget(clock, FAILED_LINES_PER_S),
     getActiveConfig: () => active,
     getPhase: () => phase,
     health: ServerHealth.createServerHealth(clock, (service, { reason, serverId }) => {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -5,6 +5,7 @@
 import * as net from 'node:net';
 import * as RoutedRequest from '../../RoutedRequest.js';
 import type * as PathContext from '../../PathContext.js';
+import * as LineBudget from '../../LineBudget.js';
 import * as Routing from '../../index.js';
 import * as RoutingMetrics from '../../RoutingMetrics.js';
 import * as ServerPool from '../../ServerPool.js';
@@ -156,6 +157,7 @@
   let areKeysCurrent = true;
   const pool = ServerPool.createServerPool(() => 8);
   const context: PathContext.PathContext = {
+    answeredLines: LineBudget.createLineBudget(Core.systemClock, 1),
     areKeysCurrent: () => areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
     claimRepeat: () => true,
@@ -164,6 +166,7 @@
     countRequest: () => undefined,
     countStart: (account) => starts.push(account),
     dataCentre: 'a',
+    failedLines: LineBudget.createLineBudget(Core.systemClock, 1),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
     getPhase: () => 'running',
     health: Routing.createServerHealth(Core.systemClock, () => undefined),
