Order servers by demand, and rank requests by account and route

Requests of an account with a priority all had one rank, so quick answers waited behind long drafts. Change: each data centre keeps 0.6 of what it may hold, and more by the prompt tokens that all daemons handed over for the last windows; the route decides between requests of equal priority.

--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -31,6 +31,11 @@
 /** Age up to which a window is still sealed and reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
+/** Windows over which the largest demand decides about orders. */
+const DEMAND_WINDOWS = 4;
+
+const MS_PER_S = 1_000;
+
 /** Time limit of a call; the lease has to outlast it. */
 export const DUTY_CALL_TIMEOUT_MS = 800;
 
@@ -49,7 +54,10 @@
   readonly countsLog: Ports.SharedLog;
   readonly calls: Ports.DutyCalls;
   readonly book: UsageCounts.UsageBook;
-  readonly listWantedOrders: () => readonly Ports.ServerOrder[];
+  /** `getTokensPerSecond` gives the prompt tokens that callers ask of a service. */
+  readonly listWantedOrders: (
+    getTokensPerSecond: (service: string) => number,
+  ) => readonly Ports.ServerOrder[];
   readonly random: () => number;
 }
 
@@ -67,6 +75,10 @@
   counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
   daemonId: Schema.String,
   incarnation: Schema.String,
+  tokens: Schema.optionalWith(
+    Schema.Record({ key: Schema.String, value: Schema.Number }),
+    { default: () => ({}) },
+  ),
   window: Schema.Number,
   writtenMs: Schema.Number,
 });
@@ -361,9 +373,18 @@
     this.#loseAuthority('the platform refused the fencing token');
   }
 
+  /** Computes the largest demand of the last windows, so that a pause stops no servers. */
+  #computeDemand(service: string): number {
+    const current = this.#computeCurrentWindow();
+    const windows = Array.from({ length: DEMAND_WINDOWS }, (_, index) => current - 1 - index);
+    const tokens = windows.map((window) => this.#collection.sumTokens(window, service));
+    return Math.max(...tokens) / (this.#context.windowMs / MS_PER_S);
+  }
+
   async #sendOrders(): Promise<void> {
     const nowMs = this.#context.clock.readMonotonic();
-    const [order] = this.#orders.selectDue(this.#context.listWantedOrders(), nowMs);
+    const wanted = this.#context.listWantedOrders((service) => this.#computeDemand(service));
+    const [order] = this.#orders.selectDue(wanted, nowMs);
     const authority = this.#authority;
     if (order === undefined || authority === undefined) return;
     if (this.#computeRemaining() <= DUTY_CALL_TIMEOUT_MS) return;
@@ -384,16 +405,17 @@
       window < current || afterMs === Infinity
     ));
     if (due.length === 0) return;
-    const records = due.map(({ counts, window }): typeof CountsRecord.Type => ({
+    const records = due.map(({ counts, tokens, window }): typeof CountsRecord.Type => ({
       counts,
       daemonId: this.#context.daemonId,
       incarnation: this.#incarnation,
+      tokens,
       window,
       writtenMs: Math.round(this.#context.trueTime.read()),
     }));
     const result = await Effect.runPromise(Effect.either(this.#context.countsLog.append(records)));
     if (Either.isRight(result)) {
-      due.forEach(({ counts, window }) => this.#context.book.setHandedOver(window, counts));
+      due.forEach(this.#context.book.setHandedOver);
       return;
     }
     this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
--- a/packages/routing/src/OrderPlan.ts
+++ b/packages/routing/src/OrderPlan.ts
@@ -12,10 +12,17 @@
 const LASTING_SHARE = 0.5;
 
 /**
- * Reclaimable servers in each data centre. At about a fifth of the price of a lasting one, spare
- * servers cost less than the late answers of a burst.
+ * Share of what a data centre may hold that is reclaimable whatever the demand. At about
+ * a fifth of the price of a lasting one, spare servers cost less than the late answers of a burst,
+ * which is over before ordered servers are ready.
  */
-const RECLAIMABLE_SERVERS = 4;
+const BASE_SHARE = 0.6;
+
+/**
+ * Prompt tokens a second, cached ones included, that a server is given. Engines read about 60,000
+ * tokens a second that are not cached; the rest is for bursts and for generation beside it.
+ */
+const TOKENS_PER_SERVER_S = 24_000;
 
 /** Time after which an order that was refused for lack of stock is tried again. */
 export const STOCK_RETRY_MS = 2_000;
@@ -24,6 +31,8 @@
 export interface OrderSituation {
   readonly service: RoutingConfig.Service;
   readonly servers: readonly ServerTable.BackendServer[];
+  /** Prompt tokens a second that callers ask for, over all daemons. */
+  readonly tokensPerSecond: number;
 }
 
 function listCheapest(prices: ReadonlyMap<string, number>): ReadonlySet<string> {
@@ -33,12 +42,14 @@
 
 /** Plans the orders of a service; empty where its pool has a fixed size. */
 export function planOrders(
-  { servers, service }: OrderSituation,
+  { servers, service, tokensPerSecond }: OrderSituation,
 ): readonly Ports.ServerOrder[] {
   const { purchase } = service;
   if (purchase === undefined) return [];
   const { maxServers, minServers, prices } = purchase;
   const lastingPlaces = listCheapest(prices);
+  const wanted = Math.ceil(tokensPerSecond / TOKENS_PER_SERVER_S / prices.size);
+  const base = Math.max(Math.ceil(maxServers * BASE_SHARE), wanted);
   return [...prices.keys()].flatMap((dataCentre) => {
     const there = servers.filter((server) => (
       server.service === service.name && server.dataCentre === dataCentre
@@ -49,7 +60,7 @@
     const lastingWanted = lastingPlaces.has(dataCentre) ? Math.min(1, maxServers) : 0;
     const reclaimable = Math.min(
       maxServers - lastingWanted,
-      Math.max(RECLAIMABLE_SERVERS, minServers - lastingWanted),
+      Math.max(base, minServers - lastingWanted),
     );
     // A lasting server is given up only once the cheaper ones that replace it are ready.
     const isReplaced = reclaimableNow >= Math.min(reclaimable, maxServers - lastingNow);
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -44,6 +44,8 @@
   /** Takes a repeat at a service from the budget that all daemons share. */
   readonly claimRepeat: (service: string) => boolean;
   readonly countRequest: (service: string) => void;
+  /** Counts the prompt of a request that callers ask of a service. */
+  readonly countDemand: (service: string, tokens: number) => void;
   /** Counts a request that began to run for a client account. */
   readonly countStart: (account: string) => void;
   readonly random: () => number;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -10,6 +10,7 @@
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
+import * as Priority from './Priority.js';
 import * as Refusals from './Refusals.js';
 import * as RequestHead from './RequestHead.js';
 import * as RouteTable from './RouteTable.js';
@@ -32,7 +33,6 @@
 
 const STATUS_MISDIRECTED = 421;
 const STATUS_FIRST_ERROR = 500;
-const PRIORITY_LOWEST = 9;
 
 /** The attempt in progress. */
 interface Attempt {
@@ -188,7 +188,10 @@
 
   #dispatch(): void {
     if (this.#isOver || this.#route === undefined) return;
-    if (this.#sends === 0 && this.#misses === 0) this.#context.countRequest(this.#service);
+    if (this.#sends === 0 && this.#misses === 0) {
+      this.#context.countRequest(this.#service);
+      this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
+    }
     const chosen = ServerChoiceFilter.chooseServer(
       this.#context,
       this.#service,
@@ -258,10 +261,9 @@
         (headers[index - (index % 2)] as string).toLowerCase() !== names.lastEventId
       ))
       : headers;
-    const priority = this.#account?.priority ?? route.priority;
     kept.push(names.timeLeft, String(Math.max(1, Math.floor(this.#computeLeft()))));
     kept.push(names.expectedServer, serverId);
-    kept.push(names.priority, String(Math.min(PRIORITY_LOWEST, Math.max(0, priority))));
+    kept.push(names.priority, String(Priority.rankRequest(this.#account, route)));
     if (this.#account !== undefined) kept.push(names.account, this.#account.name);
     if (isResumed) kept.push(names.lastEventId, String(this.#lastEventId));
     if (this.#body.length > 0) kept.push('Content-Length', String(this.#body.length));
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -227,6 +227,7 @@
     cache: Scheduling.createCacheIndex(),
     clock,
     countDaemons,
+    countDemand: (service, tokens) => book.addDemand(service, tokens, trueTime.read()),
     countStart: (account) => book.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
     failedLines: LineBudget.createLineBudget(clock, FAILED_LINES_PER_S),
@@ -272,9 +273,13 @@
     daemonId: settings.daemonId,
     dutyLog,
     leaseMs: settings.bounds.leaseMs,
-    listWantedOrders: () => [...active?.config.services.values() ?? []].flatMap((service) => (
-      OrderPlan.planOrders({ servers: servers.listAll(), service })
-    )),
+    listWantedOrders: (getTokensPerSecond) => (
+      [...active?.config.services.values() ?? []].flatMap((service) => OrderPlan.planOrders({
+        servers: servers.listAll(),
+        service,
+        tokensPerSecond: getTokensPerSecond(service.name),
+      }))
+    ),
     logger: Core.getPartLogger(log.logger, 'duties'),
     random: Math.random,
     trueTime,
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -7,6 +7,9 @@
 /** Requests by client account. */
 export type AccountCounts = Readonly<Record<string, number>>;
 
+/** Prompt tokens that callers asked for, by service. */
+export type ServiceTokens = Readonly<Record<string, number>>;
+
 /** Counts of one process for one window. */
 export interface WindowCounts {
   readonly daemonId: string;
@@ -14,45 +17,69 @@
   readonly incarnation: string;
   readonly window: number;
   readonly counts: AccountCounts;
+  readonly tokens: ServiceTokens;
 }
 
+/** Counts of this process for one window. */
+export type OwnCounts = Omit<WindowCounts, 'daemonId' | 'incarnation'>;
+
 /** Counts of this process. */
 export interface UsageBook {
   readonly addStart: (account: string, atMs: Core.Millis) => void;
+  /** Adds the prompt of a request, whether it is served or not. */
+  readonly addDemand: (service: string, tokens: number, atMs: Core.Millis) => void;
   /** Lists the windows whose counts changed since they were last handed over. */
-  readonly listChanged: () => readonly Omit<WindowCounts, 'daemonId' | 'incarnation'>[];
+  readonly listChanged: () => readonly OwnCounts[];
   /** Notes that the counts of a window were handed over as listed. */
-  readonly setHandedOver: (window: number, counts: AccountCounts) => void;
+  readonly setHandedOver: (figures: OwnCounts) => void;
 }
 
 /** Windows that a book keeps; a report is long overdue after that. */
 const MAX_WINDOWS = 12;
 
-function sumCounts(counts: AccountCounts): number {
-  return Object.values(counts).reduce((sum, count) => sum + count, 0);
+interface OpenWindow {
+  readonly counts: Map<string, number>;
+  readonly tokens: Map<string, number>;
+}
+
+/** Sums all figures; they only grow, so the sum tells an older copy from a newer one. */
+function sumFigures({ counts, tokens }: Pick<WindowCounts, 'counts' | 'tokens'>): number {
+  return [...Object.values(counts), ...Object.values(tokens)].reduce((sum, each) => sum + each, 0);
 }
 
 /** Creates an empty book for windows of a length. */
 export function createUsageBook(windowMs: Core.Millis): UsageBook {
-  const windows = new Map<number, Map<string, number>>();
+  const windows = new Map<number, OpenWindow>();
   const handedOver = new Map<number, number>();
+  const getWindow = (atMs: Core.Millis): OpenWindow => {
+    const window = Math.floor(atMs / windowMs);
+    const known = windows.get(window);
+    if (known !== undefined) return known;
+    const added = { counts: new Map<string, number>(), tokens: new Map<string, number>() };
+    windows.set(window, added);
+    if (windows.size > MAX_WINDOWS) {
+      const oldest = Math.min(...windows.keys());
+      windows.delete(oldest);
+      handedOver.delete(oldest);
+    }
+    return added;
+  };
   return {
+    addDemand: (service, tokens, atMs) => {
+      const window = getWindow(atMs);
+      window.tokens.set(service, (window.tokens.get(service) ?? 0) + tokens);
+    },
     addStart: (account, atMs) => {
-      const window = Math.floor(atMs / windowMs);
-      const counts = windows.get(window) ?? new Map<string, number>();
+      const { counts } = getWindow(atMs);
       counts.set(account, (counts.get(account) ?? 0) + 1);
-      windows.set(window, counts);
-      if (windows.size > MAX_WINDOWS) {
-        const oldest = Math.min(...windows.keys());
-        windows.delete(oldest);
-        handedOver.delete(oldest);
-      }
     },
     listChanged: () => [...windows]
-      .map(([window, counts]) => ({ counts: Object.fromEntries(counts), window }))
-      .filter(({ counts, window }) => sumCounts(counts) > (handedOver.get(window) ?? 0)),
-    setHandedOver: (window, counts) => {
-      handedOver.set(window, sumCounts(counts));
+      .map(([window, { counts, tokens }]) => ({
+        counts: Object.fromEntries(counts), tokens: Object.fromEntries(tokens), window,
+      }))
+      .filter((figures) => sumFigures(figures) > (handedOver.get(figures.window) ?? 0)),
+    setHandedOver: (figures) => {
+      handedOver.set(figures.window, sumFigures(figures));
     },
   };
 }
@@ -62,6 +89,8 @@
   readonly apply: (counts: WindowCounts) => void;
   /** Sums the counts of a window over all processes. */
   readonly sumWindow: (window: number) => AccountCounts;
+  /** Sums the prompt tokens of a service over all processes. */
+  readonly sumTokens: (window: number, service: string) => number;
   /** Counts the daemons that handed over counts for a window. */
   readonly countDaemons: (window: number) => number;
 }
@@ -75,7 +104,7 @@
       const name = `${counts.daemonId}/${counts.incarnation}`;
       const known = processes.get(name);
       // Counts only grow, so a copy that arrives late or twice is recognised by its sum.
-      if (known === undefined || sumCounts(known.counts) < sumCounts(counts.counts)) {
+      if (known === undefined || sumFigures(known) < sumFigures(counts)) {
         processes.set(name, counts);
       }
       windows.set(counts.window, processes);
@@ -84,6 +113,10 @@
     countDaemons: (window) => new Set(
       [...windows.get(window)?.values() ?? []].map(({ daemonId }) => daemonId),
     ).size,
+    sumTokens: (window, service) => [...windows.get(window)?.values() ?? []].reduce(
+      (sum, { tokens }) => sum + (tokens[service] ?? 0),
+      0,
+    ),
     sumWindow: (window) => {
       const sum: Record<string, number> = {};
       windows.get(window)?.forEach(({ counts }) => {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -163,6 +163,7 @@
     claimRepeat: () => true,
     clock: Core.systemClock,
     countDaemons: () => 1,
+    countDemand: () => undefined,
     countRequest: () => undefined,
     countStart: (account) => starts.push(account),
     dataCentre: 'a',
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/UsageCounts.test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, test } from 'vitest';
+import * as Routing from '../../index.js';
+
+const WINDOW_MS = 5_000;
+
+describe('usage counts', () => {
+  test('a request belongs to the window in which it began', () => {
+    const book = Routing.createUsageBook(WINDOW_MS);
+    book.addStart('shop', 9_999);
+    book.addStart('shop', 10_000);
+    expect(book.listChanged().map(({ counts, window }) => [window, counts]))
+      .toEqual([[1, { shop: 1 }], [2, { shop: 1 }]]);
+  });
+
+  test('what was handed over is listed again only once it has grown', () => {
+    const book = Routing.createUsageBook(WINDOW_MS);
+    book.addStart('shop', 1_000);
+    book.listChanged().forEach(book.setHandedOver);
+    expect(book.listChanged()).toEqual([]);
+    book.addStart('shop', 1_001);
+    expect(book.listChanged()).toHaveLength(1);
+  });
+
+  test('demand is handed over also where nothing could be served', () => {
+    const book = Routing.createUsageBook(WINDOW_MS);
+    book.addDemand('chat', 17_000, 1_000);
+    expect(book.listChanged()).toEqual([{ counts: {}, tokens: { chat: 17_000 }, window: 0 }]);
+  });
+
+  test('a copy that arrives twice, late or from a former start changes nothing wrongly', () => {
+    const collection = Routing.createUsageCollection();
+    const create = (incarnation: string, shop: number): Routing.WindowCounts => ({
+      counts: { shop }, daemonId: 'a', incarnation, tokens: { chat: shop * 10 }, window: 3,
+    });
+    collection.apply(create('1', 5));
+    collection.apply(create('1', 8));
+    collection.apply(create('1', 5));
+    collection.apply(create('2', 2));
+    expect(collection.sumWindow(3)).toEqual({ shop: 10 });
+    expect(collection.sumTokens(3, 'chat')).toBe(100);
+    expect(collection.countDaemons(3)).toBe(1);
+  });
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,6 +11,7 @@
 export * from './KeyProof.js';
 export * from './OrderPlan.js';
 export * from './Ports.js';
+export * from './Priority.js';
 export * from './Refusals.js';
 export * from './RequestHead.js';
 export * from './RouteTable.js';
