Reserve engines for short prompts, and choose by the observed delay

Change: a quarter of the engines, the same at all daemons, is preferred by short prompts and avoided by long ones; the recent delay of first tokens replaces the multiplied guess.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -333,15 +333,13 @@
   #noteStart(attempt: Attempt): void {
     if (attempt.hasStarted) return;
     const nowMs = this.#context.clock.readMonotonic();
-    const { pooled, costMs } = attempt.chosen;
+    const { pooled, unloadedMs } = attempt.chosen;
     // eslint-disable-next-line no-param-reassign
     attempt.hasStarted = true;
     pooled.waitingTokens -= attempt.waitingTokens;
     const elapsedMs = nowMs - attempt.startedMs;
-    ServerPool.observeTime(
-      pooled,
-      this.#head.prompt === undefined ? elapsedMs : elapsedMs / Math.max(1, costMs),
-    );
+    if (this.#head.prompt === undefined) ServerPool.observeTime(pooled, elapsedMs);
+    else ServerPool.observeDelay(pooled, elapsedMs - unloadedMs, nowMs);
     this.#firstMs ??= nowMs;
     this.#countStart();
   }
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -2,7 +2,7 @@
 import * as Core from '@berylyoke/core';
 import * as FailureShare from './FailureShare.js';
 import type * as PathContext from './PathContext.js';
-import type * as ServerPool from './ServerPool.js';
+import * as ServerPool from './ServerPool.js';
 import * as ServerPick from './ServerPick.js';
 
 /** Expected time of a plain request before any was observed. */
@@ -16,6 +16,7 @@
 export interface ChosenServer {
   readonly pooled: ServerPool.PooledServer;
   readonly costMs: Core.Millis;
+  readonly unloadedMs: Core.Millis;
   readonly candidates: number;
 }
 
@@ -44,23 +45,27 @@
   const times = pooled.flatMap(({ meanTime }) => (meanTime === undefined ? [] : [meanTime]));
   const median = computeMedian(times);
   const sharedHash = prompt === undefined ? undefined : hashSharedParts(prompt);
-  const candidates = pooled.map(({
-    failureShare, inFlight, meanTime, server, waitingTokens,
-  }): ServerPick.Candidate => ({
-    cachedTokens: sharedHash === undefined
-      ? 0
-      : context.cache.estimateCachedTokens(server.id, sharedHash, nowMs),
-    dataCentre: server.dataCentre,
-    failureShare: FailureShare.estimateFailure(failureShare, nowMs),
-    id: server.id,
-    inFlight,
-    isReclaimable: server.isReclaimable,
-    isSuspect: context.health.isSuspect(service, server.id),
-    slowdown: meanTime === undefined || median === undefined || median <= 0
-      ? 1
-      : Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, meanTime / median)),
-    waitingTokens,
-  }));
+  const candidates = pooled.map((each): ServerPick.Candidate => {
+    const {
+      failureShare, inFlight, meanTime, server, waitingTokens,
+    } = each;
+    return {
+      cachedTokens: sharedHash === undefined
+        ? 0
+        : context.cache.estimateCachedTokens(server.id, sharedHash, nowMs),
+      dataCentre: server.dataCentre,
+      delayMs: ServerPool.getDelay(each, nowMs),
+      failureShare: FailureShare.estimateFailure(failureShare, nowMs),
+      id: server.id,
+      inFlight,
+      isReclaimable: server.isReclaimable,
+      isSuspect: context.health.isSuspect(service, server.id),
+      slowdown: meanTime === undefined || median === undefined || median <= 0
+        ? 1
+        : Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, meanTime / median)),
+      waitingTokens,
+    };
+  });
   const pick = ServerPick.pickServer(candidates, prompt, median ?? DEFAULT_PLAIN_MS, {
     daemonCount: context.countDaemons(),
     dataCentre: context.dataCentre,
@@ -68,5 +73,8 @@
   });
   const chosen = pooled.find(({ server }) => server.id === pick?.id);
   if (pick === undefined || chosen === undefined) return undefined;
-  return { candidates: pick.candidates, costMs: pick.costMs, pooled: chosen };
+  const { costMs, unloadedMs } = pick;
+  return {
+    candidates: pick.candidates, costMs, pooled: chosen, unloadedMs,
+  };
 }
--- a/packages/routing/src/ServerPick.ts
+++ b/packages/routing/src/ServerPick.ts
@@ -1,8 +1,10 @@
 /**
  * Choice of a backend server among those of a service. Engines are compared by the expected time to
- * the first token: prompt tokens that wait there, and tokens of the prompt that are not cached.
- * Requests that share prompt parts so gather on few servers as long as these keep up. Plain
- * services are compared by their observed time and the requests in progress.
+ * the first token: the delay that was observed there lately, which shows the load of all daemons,
+ * prompt tokens of this daemon that wait there, and tokens of the prompt that are not cached.
+ * Requests that share prompt parts so gather on few servers as long as these keep up. A part of the
+ * engines is reserved for short prompts, because a long prompt delays every request beside it.
+ * Plain services are compared by their observed time and the requests in progress.
  */
 import * as Core from '@berylyoke/core';
 
@@ -28,8 +30,10 @@
   readonly inFlight: number;
   /** Prompt tokens that this daemon sent there and whose first token has not come. */
   readonly waitingTokens: number;
-  /** Observed over expected time, 1 where nothing was observed. */
+  /** Observed time against that of the other servers, 1 where nothing was observed. */
   readonly slowdown: number;
+  /** Recent delay of first tokens beyond what reading the prompt takes. */
+  readonly delayMs: Core.Millis;
   /** Tokens of the prompt's shared parts that this daemon had read there lately. */
   readonly cachedTokens: number;
   /** Estimated probability that a request fails there. */
@@ -51,7 +55,9 @@
 /** A chosen server and the cost that decided, in expected milliseconds. */
 export interface Pick {
   readonly id: string;
-  readonly costMs: number;
+  readonly costMs: Core.Millis;
+  /** Time to the first token of a server without load; 0 for plain services. */
+  readonly unloadedMs: Core.Millis;
   readonly candidates: number;
 }
 
@@ -64,6 +70,30 @@
 /** Share of a prompt that is expected to be cached at its first and second preferred server. */
 const PREFERRED_CACHED_SHARES = [0.8, 0.4] as const;
 
+/** Time from the end of reading a prompt to the first token, at a server without load. */
+const FIRST_TOKEN_MS = 90;
+
+/** Tokens still to be read up to which a prompt counts as short: about 40 ms of an engine. */
+const SHORT_PROMPT_TOKENS = 2_500;
+
+/** Share of the engines that is reserved for short prompts. */
+const RESERVED_SHARE = 0.25;
+
+/** Engines below which none is reserved. */
+const MIN_SERVERS_TO_RESERVE = 4;
+
+/** Name whose rendezvous ranking selects the reserved engines, alike at all daemons. */
+const RESERVED_KEY = 'short prompts';
+
+/** Load that reserved engines may lack against others before a long prompt goes there. */
+const LONG_ON_RESERVED_MS = 1_500;
+
+/** Delay at the reserved engines beyond which short prompts go elsewhere. */
+const SHORT_ELSEWHERE_MS = 150;
+
+/** Weight of a daemon's own waiting tokens, for the like choices of the others. */
+const MAX_FLEET_FACTOR = 2.5;
+
 /** Delay that each request in progress adds to the first token of another one. */
 const BATCH_DELAY_MS = 4;
 
@@ -89,18 +119,30 @@
   return parts.at(-2)?.id;
 }
 
+/** Selects the servers that are reserved for short prompts. */
+export function selectReserved(serverIds: readonly string[]): ReadonlySet<string> {
+  if (serverIds.length < MIN_SERVERS_TO_RESERVE) return new Set();
+  const count = Math.ceil(serverIds.length * RESERVED_SHARE);
+  return new Set(Core.rankCandidates(RESERVED_KEY, serverIds).slice(0, count));
+}
+
+interface EngineCost {
+  readonly costMs: Core.Millis;
+  readonly unloadedMs: Core.Millis;
+}
+
 function estimateEngineCosts(
   candidates: readonly Candidate[],
   prompt: Prompt,
   context: PickContext,
-): readonly number[] {
+): readonly EngineCost[] {
   const shared = countSharedTokens(prompt);
   const key = getSharedKey(prompt);
-  const ranked = key === undefined
-    ? []
-    : Core.rankCandidates(key, candidates.map(({ id }) => id));
-  // Other daemons send there as well; half of an even share is a cautious guess of their load.
-  const fleetFactor = 1 + (context.daemonCount - 1) / 2;
+  const isShort = prompt.inputTokens <= SHORT_PROMPT_TOKENS;
+  const reserved = selectReserved(candidates.map(({ id }) => id));
+  const preferred = candidates.map(({ id }) => id).filter((id) => reserved.has(id) === isShort);
+  const ranked = key === undefined ? [] : Core.rankCandidates(key, preferred);
+  const fleetFactor = Math.min(MAX_FLEET_FACTOR, 1 + (context.daemonCount - 1) / 2);
   return candidates.map((candidate) => {
     const rankShare = PREFERRED_CACHED_SHARES[ranked.indexOf(candidate.id)] ?? 0;
     const cached = Math.min(shared, Math.max(candidate.cachedTokens, shared * rankShare));
@@ -108,7 +150,13 @@
     const waitMs = (candidate.waitingTokens * fleetFactor) / PREFILL_TOKENS_PER_MS;
     const readMs = (ownTokens + (shared - cached) * (REREAD_WEIGHT - 1)) / PREFILL_TOKENS_PER_MS;
     const batchMs = candidate.inFlight * fleetFactor * BATCH_DELAY_MS;
-    return (waitMs + batchMs) * candidate.slowdown + readMs;
+    const penalties = { long: LONG_ON_RESERVED_MS, short: SHORT_ELSEWHERE_MS };
+    const isMisplaced = reserved.size > 0 && reserved.has(candidate.id) !== isShort;
+    const penaltyMs = isMisplaced ? penalties[isShort ? 'short' : 'long'] : 0;
+    return {
+      costMs: candidate.delayMs + waitMs + batchMs + readMs + penaltyMs,
+      unloadedMs: ownTokens / PREFILL_TOKENS_PER_MS + FIRST_TOKEN_MS,
+    };
   });
 }
 
@@ -125,7 +173,8 @@
     ? undefined
     : estimateEngineCosts(pool, prompt, context);
   const costs = pool.map((candidate, index) => {
-    const base = engineCosts?.[index] ?? (candidate.inFlight + 1) * expectedMs * candidate.slowdown;
+    const base = engineCosts?.[index]?.costMs
+      ?? (candidate.inFlight + 1) * expectedMs * candidate.slowdown;
     const distance = candidate.dataCentre === context.dataCentre ? 0 : DISTANCE_MS;
     const risk = candidate.failureShare * FAILURE_COST_MS;
     return (base + risk) * (1 + JITTER * context.random()) + distance;
@@ -133,5 +182,10 @@
   const best = costs.indexOf(Math.min(...costs));
   const chosen = pool[best];
   if (chosen === undefined) return undefined;
-  return { candidates: pool.length, costMs: costs[best] as number, id: chosen.id };
+  return {
+    candidates: pool.length,
+    costMs: costs[best] as number,
+    id: chosen.id,
+    unloadedMs: engineCosts?.[best]?.unloadedMs ?? 0,
+  };
 }
--- a/packages/routing/src/ServerPool.ts
+++ b/packages/routing/src/ServerPool.ts
@@ -11,6 +11,12 @@
 /** Weight of the newest observation in the mean time of a server. */
 const NEWEST_WEIGHT = 0.2;
 
+/** Weight of a delay that is longer than the recent ones: a queue builds up at once. */
+const NEWEST_DELAY_WEIGHT = 0.5;
+
+/** Age at which an observed delay counts half: queues of engines change within seconds. */
+const DELAY_HALF_LIFE_MS = 1_500;
+
 /** Time after which an unused connection is not used again, well below usual idle timeouts. */
 const MAX_IDLE_MS = 4_000;
 
@@ -45,8 +51,11 @@
   inFlight: number;
   /** Prompt tokens sent there whose first token has not come. */
   waitingTokens: number;
-  /** Mean of observed times, or of observed over expected times for engines. */
-  meanTime: number | undefined;
+  /** Mean of observed times; undefined before the first one. */
+  meanTime: Core.Millis | undefined;
+  /** Recent delay of first tokens, as of `delayAtMs`. */
+  delayMs: Core.Millis;
+  delayAtMs: Core.Millis;
   failureShare: FailureShare.FailureShare;
 }
 
@@ -86,6 +95,8 @@
           scheduling: 'lifo',
           timeout: MAX_IDLE_MS,
         }),
+        delayAtMs: 0,
+        delayMs: 0,
         failureShare: FailureShare.INITIAL_FAILURE_SHARE,
         inFlight: 0,
         meanTime: undefined,
@@ -105,6 +116,28 @@
   pooled.meanTime = mean + NEWEST_WEIGHT * (time - mean);
 }
 
+/** Gets the recent delay of a server, faded with age. */
+export function getDelay(
+  { delayAtMs, delayMs }: PooledServer,
+  nowMs: Core.Millis,
+): Core.Millis {
+  return delayMs * 0.5 ** (Math.max(0, nowMs - delayAtMs) / DELAY_HALF_LIFE_MS);
+}
+
+/** Adds an observed delay of a first token. */
+export function observeDelay(
+  pooled: PooledServer,
+  delayMs: Core.Millis,
+  nowMs: Core.Millis,
+): void {
+  const faded = getDelay(pooled, nowMs);
+  const weight = delayMs > faded ? NEWEST_DELAY_WEIGHT : NEWEST_WEIGHT;
+  /* eslint-disable no-param-reassign */
+  pooled.delayMs = faded + weight * (Math.max(0, delayMs) - faded);
+  pooled.delayAtMs = nowMs;
+  /* eslint-enable no-param-reassign */
+}
+
 /** Adds the outcome of a request at a server. */
 export function observeOutcome(
   pooled: PooledServer,
--- a/packages/routing/src/__tests__/unit/ServerPick.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerPick.test.ts
@@ -7,6 +7,7 @@
   return {
     cachedTokens: 0,
     dataCentre: 'a',
+    delayMs: 0,
     failureShare: 0.02,
     id,
     inFlight: 0,
@@ -44,6 +45,42 @@
     expect(Routing.pickServer(loaded, createPrompt('hot'), 20, CONTEXT)?.id).not.toBe(first);
   });
 
+  test('a queue that other daemons built up is avoided by its observed delay', () => {
+    const first = Routing.pickServer(SERVERS, createPrompt('x'), 20, CONTEXT)?.id;
+    const delayed = SERVERS.map((server) => (
+      server.id === first ? { ...server, delayMs: 2_000 } : server
+    ));
+    expect(Routing.pickServer(delayed, createPrompt('x'), 20, CONTEXT)?.id).not.toBe(first);
+  });
+
+  test('a burst of long drafts does not share servers with quick answers', () => {
+    const reserved = Routing.selectReserved(SERVERS.map(({ id }) => id));
+    expect(reserved.size).toBe(3);
+    const quick: Routing.Prompt = {
+      inputTokens: 1_460, maxOutputTokens: 170, parts: [{ id: 'q', tokens: 350 }],
+    };
+    Array.from({ length: 50 }, (_, index) => {
+      const long = Routing.pickServer(SERVERS, createPrompt(`long-${index}`), 20, CONTEXT);
+      expect(reserved.has(long?.id ?? '')).toBe(false);
+      const short = Routing.pickServer(SERVERS, quick, 20, { ...CONTEXT, random: Math.random });
+      return expect(reserved.has(short?.id ?? '')).toBe(true);
+    });
+  });
+
+  test('a burst of quick answers spreads over the other servers too', () => {
+    const reserved = Routing.selectReserved(SERVERS.map(({ id }) => id));
+    const loaded = SERVERS.map((server) => (
+      reserved.has(server.id) ? { ...server, delayMs: 400 } : server
+    ));
+    const quick = { inputTokens: 1_460, maxOutputTokens: 170, parts: [] };
+    const chosen = Routing.pickServer(loaded, quick, 20, CONTEXT);
+    expect(reserved.has(chosen?.id ?? '')).toBe(false);
+  });
+
+  test('a small pool reserves nothing', () => {
+    expect(Routing.selectReserved(['a', 'b', 'c']).size).toBe(0);
+  });
+
   test('a grey server, which fails a part of its requests, is avoided at a small load', () => {
     const grey = createCandidate('grey', { failureShare: 0.4 });
     const busy = createCandidate('busy', { inFlight: 3 });
