Read the store less often in a large fleet

Change: daemons share out the reads of the duties log, and one that finds the newest record old reads again when the term is over; pauses follow the bounds of the deployment. Tests with a fake log whose answers are lost, refused or late.

--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -16,8 +16,17 @@
 /** How often a process looks at what is due. */
 const STEP_MS = 300;
 
-/** How often a process without the lease reads the duties log. */
-const POLL_MS = 1_700;
+/** Reads of the duties log by all daemons together; each one reads less often in a large fleet. */
+const FLEET_POLLS_PER_S = 4;
+
+/** Shortest time between two reads by a daemon that does not suspect the holder. */
+const MIN_POLL_MS = 1_500;
+
+/** Daemons assumed before the duties log tells. */
+export const INITIAL_DAEMON_COUNT = 8;
+
+/** Age of the newest record from which the holder is suspected: two renewals were missed. */
+const SUSPICIOUS_AGE_MS = 2_700;
 
 /** How often the holder renews: three tries fit into a term. */
 const RENEW_MS = 1_300;
@@ -102,7 +111,7 @@
   /** Fencing tokens that the platform refused; they are never used again. */
   readonly #refusedFences = new Set<number>();
 
-  #lastPollMs = -Infinity;
+  #nextPollMs = -Infinity;
 
   #lastRenewMs = -Infinity;
 
@@ -185,23 +194,37 @@
 
   async #followLease(): Promise<void> {
     const nowMs = this.#context.clock.readMonotonic();
-    const canClaim = DutyLease.canClaim(this.#state, this.#readClocks());
-    if (nowMs - this.#lastPollMs >= POLL_MS || canClaim) {
-      const isRead = await this.#readDutyLog();
-      if (!isRead) return;
-    }
+    if (nowMs < this.#nextPollMs) return;
+    const isRead = await this.#readDutyLog();
+    this.#nextPollMs = nowMs + (isRead ? this.#computePollPause() : MIN_POLL_MS);
+    if (!isRead) return;
     if (!DutyLease.canClaim(this.#state, this.#readClocks())) {
       this.#claimAtMs = undefined;
       return;
     }
     this.#claimAtMs ??= nowMs + this.#context.random() * CLAIM_SPREAD_MS;
+    this.#nextPollMs = this.#claimAtMs;
     if (nowMs < this.#claimAtMs) return;
     this.#claimAtMs = undefined;
     await this.#append({ kind: 'claim' });
   }
 
+  /**
+   * Daemons of a large fleet read seldom. One that finds the newest record old reads again when the
+   * term is over, because only a record that did not change for a term allows a claim.
+   */
+  #computePollPause(): Core.Millis {
+    const { observedAt, termMs, writtenMs } = this.#state;
+    const ageMs = this.#context.trueTime.read() - (writtenMs ?? -Infinity);
+    if (observedAt !== undefined && ageMs > SUSPICIOUS_AGE_MS) {
+      const passedMs = this.#readClocks().monotonicMs - observedAt.monotonicMs;
+      return Math.max(STEP_MS, termMs + DutyLease.LEASE_MARGIN_MS - passedMs);
+    }
+    const daemons = this.#state.daemonCount ?? INITIAL_DAEMON_COUNT;
+    return Math.max(MIN_POLL_MS, (daemons / FLEET_POLLS_PER_S) * MS_PER_S);
+  }
+
   async #readDutyLog(): Promise<boolean> {
-    this.#lastPollMs = this.#context.clock.readMonotonic();
     const result = await Effect.runPromise(
       Effect.either(this.#context.dutyLog.read(this.#state.end)),
     );
--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -45,6 +45,8 @@
   readonly nonce: string | undefined;
   readonly observedAt: KeyProof.ClockReading | undefined;
   readonly daemonCount: number | undefined;
+  /** When the holder wrote its newest record, by its estimate of the true time. */
+  readonly writtenMs: Core.Millis | undefined;
   readonly seals: ReadonlyMap<number, Seal>;
 }
 
@@ -58,6 +60,7 @@
   observedAt: undefined,
   seals: new Map(),
   termMs: 0,
+  writtenMs: undefined,
 };
 
 /** Seals that are remembered; older windows are too late for a report. */
@@ -88,6 +91,7 @@
       nonce: record.nonce,
       observedAt: readAt,
       termMs: record.termMs,
+      writtenMs: record.writtenMs,
     };
   }
   // After a gap the first renewal tells who holds the lease.
@@ -102,6 +106,7 @@
     observedAt: readAt,
     seals: record.seal === undefined ? state.seals : addSeal(state.seals, record.seal),
     termMs: record.termMs,
+    writtenMs: record.writtenMs,
   };
 }
 
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -24,11 +24,17 @@
 import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 
-/** Time for which the store holds a read of the configuration. */
-const CONFIG_WAIT_MS = 1_500;
+/**
+ * Time for which the store holds a read of the configuration, as a share of the bound on withdrawn
+ * keys: a proof is at most two waits old, and a failed read must fit in besides.
+ */
+const CONFIG_WAIT_SHARE = 0.38;
 
-/** Pause between reads of the server entries, which change many times a second. */
-const SERVERS_PAUSE_MS = 800;
+/**
+ * Pause between reads of the server entries, as a share of the bound on leaving servers. Entries
+ * change many times a second, so a read that waits for a change would return at once.
+ */
+const SERVERS_PAUSE_SHARE = 0.5;
 
 /** Pause after a failed read. */
 const RETRY_MS = 400;
@@ -39,9 +45,6 @@
 /** Time that a request waits for a proof that its key is current. */
 const KEY_RENEWAL_MS = 300;
 
-/** Daemons assumed before the duties log tells. */
-const INITIAL_DAEMON_COUNT = 8;
-
 /** Part of a bound over all daemons that they share out, because the count of daemons lags. */
 const SHARED_BOUND_SHARE = 0.7;
 
@@ -126,7 +129,9 @@
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests, countDroppedLogs: log.countDropped,
   });
-  const countDaemons = (): number => Math.max(1, duties?.countDaemons() ?? INITIAL_DAEMON_COUNT);
+  const countDaemons = (): number => (
+    Math.max(1, duties?.countDaemons() ?? DutyHolder.INITIAL_DAEMON_COUNT)
+  );
   const areKeysCurrent = (): boolean => KeyProof.isProofValid(
     keyProof,
     readClocks(),
@@ -180,7 +185,7 @@
     pauseMs: 0,
     readClocks,
     retryMs: RETRY_MS,
-    waitMs: CONFIG_WAIT_MS,
+    waitMs: Math.round(settings.bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE),
   });
   const serverContact = reportContact('servers');
   const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
@@ -202,7 +207,7 @@
       changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
       clock.readMonotonic(),
     ),
-    pauseMs: SERVERS_PAUSE_MS,
+    pauseMs: settings.bounds.drainMs * SERVERS_PAUSE_SHARE,
     readClocks,
     retryMs: RETRY_MS,
     waitMs: 0,
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -27,6 +27,8 @@
   bounds: Schema.Struct({
     /** Time from the withdrawal of a key to its last use. */
     keyWithdrawalMs: Positive,
+    /** Time from the announcement that a server leaves to its last new request. */
+    drainMs: Positive,
     /** Time between SIGTERM and SIGKILL. */
     graceS: Positive,
     leaseMs: Positive,
--- /dev/null
+++ b/packages/routing/src/__tests__/support/FakeDuties.ts
@@ -0,0 +1,97 @@
+/** Small fakes of the shared log and of the calls of duties, with their faults in a table. */
+import * as Effect from 'effect/Effect';
+import * as Routing from '../../index.js';
+
+/** What happens to one call. */
+export type Fault = 'delay' | 'lost-answer' | 'none' | 'refusal';
+
+/** A log in memory; `chooseFault` decides about each call of a daemon. */
+export interface FakeLog {
+  readonly records: readonly unknown[];
+  readonly connect: (daemonId: string) => Routing.SharedLog;
+}
+
+const DELAY_MS = 600;
+
+export function createFakeLog(chooseFault: (daemonId: string, call: string) => Fault): FakeLog {
+  const records: unknown[] = [];
+  const fail = (call: string, sent: boolean): Routing.StoreUnavailable => (
+    new Routing.StoreUnavailable({ call, detail: 'fault', sent })
+  );
+  const append = (
+    added: readonly unknown[],
+    expectedEnd: number | undefined,
+  ): Effect.Effect<number, Routing.EndMoved> => Effect.suspend(() => {
+    if (expectedEnd !== undefined && expectedEnd !== records.length) {
+      return Effect.fail(new Routing.EndMoved({ end: records.length }));
+    }
+    records.push(...added);
+    return Effect.succeed(records.length - added.length);
+  });
+  return {
+    connect: (daemonId) => ({
+      append: (added, expectedEnd) => {
+        const outcomes = {
+          delay: () => Effect.delay(append(added, expectedEnd), DELAY_MS),
+          'lost-answer': () => append(added, expectedEnd).pipe(
+            Effect.flatMap(() => Effect.fail(fail('append', true))),
+          ),
+          none: () => append(added, expectedEnd),
+          refusal: () => Effect.fail(fail('append', true)),
+        };
+        return outcomes[chooseFault(daemonId, 'append')]();
+      },
+      read: (from) => {
+        const read = Effect.sync(() => ({
+          next: records.length,
+          records: records.slice(from).map((value, index) => ({ offset: from + index, value })),
+        }));
+        const outcomes = {
+          delay: () => Effect.delay(read, DELAY_MS),
+          'lost-answer': () => Effect.fail(fail('read', true)),
+          none: () => read,
+          refusal: () => Effect.fail(fail('read', true)),
+        };
+        return outcomes[chooseFault(daemonId, 'read')]();
+      },
+    }),
+    records,
+  };
+}
+
+/** A report or an order as the platform saw it. */
+export interface SeenCall {
+  readonly holder: string;
+  readonly fence: number;
+  readonly atMs: number;
+  readonly window: number | undefined;
+  readonly counts: string;
+}
+
+/** Platform that refuses older fencing tokens. */
+export interface FakePlatform {
+  readonly seen: readonly SeenCall[];
+  readonly connect: (holder: string) => Routing.DutyCalls;
+}
+
+export function createFakePlatform(readTime: () => number): FakePlatform {
+  const seen: SeenCall[] = [];
+  let highest = -1;
+  const receive = (call: SeenCall): Routing.DutyAnswer => {
+    if (call.fence < highest) return 'fenced';
+    highest = call.fence;
+    seen.push(call);
+    return 'accepted';
+  };
+  return {
+    connect: (holder) => ({
+      orderServers: (_, fence) => Effect.sync(() => receive({
+        atMs: readTime(), counts: '', fence, holder, window: undefined,
+      })),
+      sendUsage: (window, counts, fence) => Effect.sync(() => receive({
+        atMs: readTime(), counts: JSON.stringify(counts), fence, holder, window,
+      })),
+    }),
+    seen,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/DutyHolder.test.ts
@@ -0,0 +1,145 @@
+import * as Core from '@berylyoke/core';
+import {
+  afterEach, beforeEach, describe, expect, test, vi,
+} from 'vitest';
+import * as FakeDuties from '../support/FakeDuties.js';
+import * as Routing from '../../index.js';
+
+const LEASE_MS = 3_000;
+const WINDOW_MS = 5_000;
+
+interface Fleet {
+  readonly platform: FakeDuties.FakePlatform;
+  readonly books: readonly Routing.UsageBook[];
+  readonly holders: readonly Routing.DutyHolder[];
+  /** Stops the process of a daemon without a word. */
+  readonly kill: (index: number) => void;
+}
+
+function startFleet(
+  count: number,
+  chooseFault: (daemonId: string, call: string) => FakeDuties.Fault = () => 'none',
+): Fleet {
+  const dutyLog = FakeDuties.createFakeLog(chooseFault);
+  const countsLog = FakeDuties.createFakeLog(chooseFault);
+  const platform = FakeDuties.createFakePlatform(() => performance.now());
+  const daemons = Array.from({ length: count }, (_, index) => {
+    const daemonId = `vm-${index}`;
+    const book = Routing.createUsageBook(WINDOW_MS);
+    const holder = Routing.startDuties({
+      book,
+      calls: platform.connect(daemonId),
+      clock: Core.systemClock,
+      countsLog: countsLog.connect(daemonId),
+      daemonId,
+      dutyLog: dutyLog.connect(daemonId),
+      leaseMs: LEASE_MS,
+      listWantedOrders: () => [],
+      logger: Core.createLogger('silent', {}),
+      random: () => index / count,
+      trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+      windowMs: WINDOW_MS,
+    });
+    return { book, holder };
+  });
+  return {
+    books: daemons.map(({ book }) => book),
+    holders: daemons.map(({ holder }) => holder),
+    kill: (index) => {
+      daemons[index]?.holder.stop();
+    },
+    platform,
+  };
+}
+
+const listReports = ({ platform }: Fleet): readonly FakeDuties.SeenCall[] => (
+  platform.seen.filter(({ window }) => window !== undefined)
+);
+
+/** One set of figures for each window, and holders that do not alternate within a lease. */
+function checkPromises(fleet: Fleet): void {
+  const figures = new Map<number, Set<string>>();
+  listReports(fleet).forEach(({ counts, window }) => {
+    figures.set(window as number, (figures.get(window as number) ?? new Set()).add(counts));
+  });
+  figures.forEach((counts) => expect(counts.size).toBe(1));
+  const byFence = new Map<number, Set<string>>();
+  fleet.platform.seen.forEach(({ fence, holder }) => {
+    byFence.set(fence, (byFence.get(fence) ?? new Set()).add(holder));
+  });
+  byFence.forEach((holders) => expect(holders.size).toBe(1));
+}
+
+describe('duties of a fleet', () => {
+  let fleet: Fleet | undefined;
+  beforeEach(() => {
+    vi.useFakeTimers({
+      now: 1_000_000_000_000,
+      toFake: ['Date', 'clearTimeout', 'performance', 'setTimeout'],
+    });
+  });
+  afterEach(async () => {
+    fleet?.holders.forEach((holder) => holder.stop());
+    await vi.advanceTimersByTimeAsync(5_000);
+    vi.useRealTimers();
+  });
+
+  const addRequests = (books: readonly Routing.UsageBook[]): void => {
+    books.forEach((book) => book.addStart('shop', Date.now()));
+  };
+
+  test('one daemon reports each window once, with the requests of all', async () => {
+    fleet = startFleet(4);
+    addRequests(fleet.books);
+    await vi.advanceTimersByTimeAsync(12_000);
+    const reports = listReports(fleet);
+    expect(reports.map(({ counts }) => counts)).toEqual(['{"shop":4}']);
+    expect(new Set(reports.map(({ holder }) => holder)).size).toBe(1);
+  });
+
+  test('the holder dies: another one takes over in time for the report', async () => {
+    fleet = startFleet(4);
+    await vi.advanceTimersByTimeAsync(6_000);
+    const first = fleet.holders[0]?.getHolder();
+    const index = Number(first?.slice('vm-'.length));
+    fleet.kill(index);
+    addRequests(fleet.books.filter((_, each) => each !== index));
+    await vi.advanceTimersByTimeAsync(WINDOW_MS + 10_000);
+    const reports = listReports(fleet);
+    expect(reports.at(-1)?.counts).toBe('{"shop":3}');
+    expect(reports.at(-1)?.holder).not.toBe(first);
+    checkPromises(fleet);
+  });
+
+  test('a planned stop gives the lease away without waiting for its end', async () => {
+    fleet = startFleet(3);
+    await vi.advanceTimersByTimeAsync(6_000);
+    const first = fleet.holders[0]?.getHolder();
+    await fleet.holders[Number(first?.slice('vm-'.length))]?.resign();
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(fleet.holders.every((holder) => holder.getHolder() !== first)).toBe(true);
+  });
+
+  test.each([1, 2, 3, 4, 5, 6, 7, 8])(
+    'lost answers, refusals and late effects never give two figures (seed %i)',
+    async (seed) => {
+      let state = seed;
+      const faults: readonly FakeDuties.Fault[] = [
+        'none', 'none', 'none', 'lost-answer', 'refusal', 'delay',
+      ];
+      fleet = startFleet(4, () => {
+        // A linear congruential generator: the faults of a seed are always the same.
+        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+        return faults[Math.floor((state / 2_147_483_648) * faults.length)] ?? 'none';
+      });
+      const { books } = fleet;
+      const rounds = Array.from({ length: 30 }, () => async () => {
+        addRequests(books);
+        await vi.advanceTimersByTimeAsync(1_000);
+      });
+      await rounds.reduce((before, round) => before.then(round), Promise.resolve());
+      checkPromises(fleet);
+      expect(listReports(fleet).length).toBeGreaterThan(2);
+    },
+  );
+});
