Count a held read without a change as proof for the end of its hold

Ruled out: serving on while all daemons are refused; nobody can tell an outage of the whole store from one that turns only this system away, and a withdrawn key must not work. Change: an empty answer after the whole hold proves the end of the hold less 100 ms.

--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -18,8 +18,8 @@
   /** Pause after a read that failed. */
   readonly retryMs: Core.Millis;
   readonly readClocks: () => KeyProof.ClockReading;
-  /** Called with the clocks before the read was sent, and before its changes are applied. */
-  readonly onContact: (sentAt: KeyProof.ClockReading) => void;
+  /** Called with the time for which a read proves what it found, before it is applied. */
+  readonly onContact: (provenAt: KeyProof.ClockReading) => void;
   readonly onSnapshot: (changes: readonly Ports.KeyedChange<T>[]) => void;
   readonly onChanges: (changes: readonly Ports.KeyedChange<T>[]) => void;
   readonly onFailure: (error: Ports.StoreUnavailable) => void;
@@ -32,6 +32,24 @@
   readonly stop: () => void;
 }
 
+/** Part of a hold that is not counted, for timers of different speed. */
+const HOLD_MARGIN_MS = 100;
+
+/**
+ * Computes the time for which a read without a change proves that there was none. The store answers
+ * a held read as soon as there is a change, so an empty answer after the whole hold proves it for
+ * the end of the hold, which began after the read was sent.
+ */
+export function computeHeldProof(
+  sentAt: KeyProof.ClockReading,
+  answeredAt: KeyProof.ClockReading,
+  waitMs: Core.Millis,
+): KeyProof.ClockReading {
+  const wasHeld = answeredAt.monotonicMs - sentAt.monotonicMs >= waitMs;
+  const heldMs = wasHeld ? Math.max(0, waitMs - HOLD_MARGIN_MS) : 0;
+  return { monotonicMs: sentAt.monotonicMs + heldMs, wallMs: sentAt.wallMs + heldMs };
+}
+
 /** Starts following a feed. */
 export function startFeed<T>(options: FeedOptions<T>): FeedLoop {
   let next: number | undefined;
@@ -55,8 +73,9 @@
       options.onFailure(result.left);
       return options.retryMs;
     }
+    const isHeld = !isNewest && result.right.next === next;
     next = result.right.next;
-    options.onContact(sentAt);
+    options.onContact(isHeld ? computeHeldProof(sentAt, options.readClocks(), waitMs) : sentAt);
     if (isNewest) options.onSnapshot(result.right.changes);
     else if (result.right.changes.length > 0) options.onChanges(result.right.changes);
     return options.pauseMs;
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -26,7 +26,7 @@
 
 /**
  * Time for which the store holds a read of the configuration, as a share of the bound on withdrawn
- * keys: a proof is at most two waits old, and a failed read must fit in besides.
+ * keys: a proof is at most a wait old, and a second wait and a failed read must fit in besides.
  */
 const CONFIG_WAIT_SHARE = 0.38;
 
@@ -176,8 +176,8 @@
   const configLoop = FeedLoop.startFeed({
     feed: configFeed,
     onChanges: applyConfig,
-    onContact: (sentAt) => {
-      keyProof = sentAt;
+    onContact: (provenAt) => {
+      keyProof = provenAt;
       configContact.onContact();
     },
     onFailure: configContact.onFailure,
