--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -35,6 +35,8 @@
   readonly countDaemons: () => number;
   /** Whether the list of keys is known to be current enough. */
   readonly areKeysCurrent: () => boolean;
+  /** Age of the proof of the list of keys; undefined where there is none. */
+  readonly getKeyProofAge: () => Core.Millis | undefined;
   /** Tries to make it so; resolves with whether it is. */
   readonly renewKeys: () => Promise<boolean>;
   readonly servers: ServerTable.ServerTable;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -66,6 +66,9 @@
 
   #service = '';
 
+  /** Newest choice of a server, for the log. */
+  #choice: Pick<ServerChoiceFilter.ChosenServer, 'candidates' | 'costMs'> | undefined;
+
   #configVersion: number | undefined;
 
   #account: RoutingConfig.ClientAccount | undefined;
@@ -206,6 +209,7 @@
     const { names } = this.#context;
     const { server } = chosen.pooled;
     this.#tried.add(server.id);
+    this.#choice = chosen;
     this.#sends += 1;
     const waitingTokens = this.#head.prompt === undefined ? 0 : this.#noteDispatch(chosen);
     const { pooled } = chosen;
@@ -462,6 +466,7 @@
     const suppressed = this.#context.failedLines.take();
     if (suppressed === undefined) return;
     this.#context.logger.info({
+      choice: this.#describeChoice(),
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end,
       lastEventId: this.#lastEventId,
@@ -564,6 +569,12 @@
     this.#onOver();
   }
 
+  #describeChoice(): { readonly candidates: number; readonly costMs: number } | undefined {
+    if (this.#choice === undefined) return undefined;
+    const { candidates, costMs } = this.#choice;
+    return { candidates, costMs: Math.round(costMs) };
+  }
+
   #logEnd(
     outcome: string,
     status: number | undefined,
@@ -577,9 +588,11 @@
       account: this.#account?.name,
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
+      choice: this.#describeChoice(),
       firstMs: this.#firstMs === undefined
         ? undefined
         : Math.round(this.#firstMs - this.#receivedMs),
+      keyProofAgeMs: Math.round(this.#context.getKeyProofAge() ?? -1),
       lastEventId: this.#lastEventId,
       limitMs: Number.isFinite(this.#limitMs) ? this.#limitMs : undefined,
       mayHaveRun: this.#mayHaveRun,
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -237,6 +237,9 @@
     dataCentre: settings.dataCentre,
     failedLines: LineBudget.createLineBudget(clock, FAILED_LINES_PER_S),
     getActiveConfig: () => active,
+    getKeyProofAge: () => (
+      keyProof === undefined ? undefined : clock.readMonotonic() - keyProof.monotonicMs
+    ),
     getPhase: () => phase,
     health: ServerHealth.createServerHealth(clock, (service, { reason, serverId }) => {
       logger.info({ reason, server: serverId, service }, 'health of a server changed');
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -169,6 +169,7 @@
     dataCentre: 'a',
     failedLines: LineBudget.createLineBudget(Core.systemClock, 1),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
+    getKeyProofAge: () => 0,
     getPhase: () => 'running',
     health: Routing.createServerHealth(Core.systemClock, () => undefined),
     logger: silent,
