--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -34,7 +34,7 @@
  * Pause between reads of the server entries, as a share of the bound on leaving servers. Entries
  * change many times a second, so a read that waits for a change would return at once.
  */
-const SERVERS_PAUSE_SHARE = 0.5;
+const SERVERS_PAUSE_SHARE = 0.4;
 
 /** Pause after a failed read. */
 const RETRY_MS = 400;
@@ -202,7 +202,10 @@
       servers.observeContact(clock.readMonotonic());
       serverContact.onContact();
     },
-    onFailure: serverContact.onFailure,
+    onFailure: (error) => {
+      servers.observeFailure();
+      serverContact.onFailure(error);
+    },
     onSnapshot: (changes) => servers.applySnapshot(
       changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
       clock.readMonotonic(),
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -26,7 +26,7 @@
 /** Time after the store's return in which living servers have renewed their entries. */
 const RENEWAL_GRACE_MS = 2_000;
 
-/** Silence of the store after which entries may have lapsed because of it. */
+/** Time without a read, one of which failed, after which entries may have lapsed because of it. */
 const OUTAGE_MS = 1_500;
 
 /** Table of one daemon. */
@@ -37,6 +37,8 @@
   readonly applySnapshot: (servers: readonly BackendServer[], nowMs: Core.Millis) => void;
   /** Notes a successful read of the entries, before its records are applied. */
   readonly observeContact: (nowMs: Core.Millis) => void;
+  /** Notes a read of the entries that failed. */
+  readonly observeFailure: () => void;
   /** Lists the servers of a service that take new requests. */
   readonly listServing: (service: string, nowMs: Core.Millis) => readonly BackendServer[];
   /** Lists every server with an entry. */
@@ -49,6 +51,7 @@
   const lapsed = new Map<string, Core.Millis>();
   let lastContactMs: Core.Millis | undefined;
   let returnedMs: Core.Millis | undefined;
+  let hasFailed = false;
 
   const removeEntry = (id: string, nowMs: Core.Millis): void => {
     const isAfterOutage = returnedMs !== undefined && nowMs - returnedMs < RENEWAL_GRACE_MS;
@@ -84,8 +87,13 @@
       ));
     },
     observeContact: (nowMs) => {
-      if (lastContactMs !== undefined && nowMs - lastContactMs > OUTAGE_MS) returnedMs = nowMs;
+      const isLongAgo = lastContactMs !== undefined && nowMs - lastContactMs > OUTAGE_MS;
+      if (hasFailed && isLongAgo) returnedMs = nowMs;
+      hasFailed = false;
       lastContactMs = nowMs;
     },
+    observeFailure: () => {
+      hasFailed = true;
+    },
   };
 }
--- a/packages/routing/src/__tests__/unit/ServerTable.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerTable.test.ts
@@ -36,7 +36,14 @@
     expect(listIds(100)).toEqual([]);
   });
 
+  test('a long pause between reads that succeed is no outage: a removed server is gone', () => {
+    table.observeContact(3_000);
+    table.applyEntry('s1', undefined, 3_000);
+    expect(listIds(3_000)).toEqual([]);
+  });
+
   test('an entry that lapsed while the store was away is kept for two seconds', () => {
+    table.observeFailure();
     table.observeContact(8_000);
     table.applyEntry('s1', undefined, 8_000);
     expect(listIds(9_900)).toEqual(['s1']);
@@ -44,6 +51,7 @@
   });
 
   test('an entry that comes back in that time stays', () => {
+    table.observeFailure();
     table.observeContact(8_000);
     table.applyEntry('s1', undefined, 8_000);
     table.applyEntry('s1', createServer('s1'), 8_500);
@@ -52,6 +60,7 @@
 
   test('a leaving server that disappears in an outage is not taken back', () => {
     table.applyEntry('s1', createServer('s1', 'draining'), 100);
+    table.observeFailure();
     table.observeContact(8_000);
     table.applyEntry('s1', undefined, 8_000);
     expect(listIds(8_100)).toEqual([]);
