Build the headers of a backend request in a module of its own

Cause: RoutedRequest held the path, the headers and the log lines. Change: BackendHeaders is a pure function; behaviour as before.

--- /dev/null
+++ b/packages/routing/src/BackendHeaders.ts
@@ -0,0 +1,46 @@
+/** Builds the headers of a request to a backend server. */
+import type * as Core from '@berylyoke/core';
+import * as HeaderRules from './HeaderRules.js';
+import * as Priority from './Priority.js';
+import type * as RequestHead from './RequestHead.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+
+/** What a request to a backend server says. */
+export interface BackendHeaderOptions {
+  readonly head: RequestHead.RequestHead;
+  readonly route: RoutingConfig.Route;
+  readonly account: RoutingConfig.ClientAccount | undefined;
+  /** The only server that may take the request. */
+  readonly serverId: string;
+  /** Time for which the server may work. */
+  readonly leftMs: Core.Millis;
+  /** Last event that was delivered; the caller's own where nothing was. */
+  readonly lastEventId: number | undefined;
+  readonly bodyBytes: number;
+}
+
+function removeHeader(headers: readonly string[], name: string): string[] {
+  return headers.filter((_, index) => (
+    (headers[index - (index % 2)] as string).toLowerCase() !== name
+  ));
+}
+
+/** Builds names and values by turns. */
+export function buildBackendHeaders(
+  {
+    account, bodyBytes, head, lastEventId, leftMs, route, serverId,
+  }: BackendHeaderOptions,
+  names: HeaderRules.HeaderNames,
+): string[] {
+  const passed = HeaderRules.selectRequestHeaders(head.rawHeaders, names);
+  const isResumed = lastEventId !== head.lastEventId;
+  return [
+    ...isResumed ? removeHeader(passed, names.lastEventId) : passed,
+    names.timeLeft, String(Math.max(1, Math.floor(leftMs))),
+    names.expectedServer, serverId,
+    names.priority, String(Priority.rankRequest(account, route)),
+    ...account === undefined ? [] : [names.account, account.name],
+    ...isResumed ? [names.lastEventId, String(lastEventId)] : [],
+    ...bodyBytes > 0 ? ['Content-Length', String(bodyBytes)] : [],
+  ];
+}
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -7,10 +7,10 @@
 import type * as http from 'node:http';
 import * as AttemptRules from './AttemptRules.js';
 import * as BackendExchange from './BackendExchange.js';
+import * as BackendHeaders from './BackendHeaders.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
-import * as Priority from './Priority.js';
 import * as Refusals from './Refusals.js';
 import * as RequestHead from './RequestHead.js';
 import * as RouteTable from './RouteTable.js';
@@ -218,7 +218,15 @@
     const exchange = BackendExchange.startExchange({
       agent: pooled.agent,
       body: this.#body,
-      headers: this.#buildHeaders(server.id, route),
+      headers: BackendHeaders.buildBackendHeaders({
+        account: this.#account,
+        bodyBytes: this.#body.length,
+        head: this.#head,
+        lastEventId: this.#lastEventId,
+        leftMs: this.#computeLeft(),
+        route,
+        serverId: server.id,
+      }, names),
       host: server.host,
       idHeader: names.requestId,
       method: this.#head.method,
@@ -256,24 +264,6 @@
     return Math.max(0, prompt.inputTokens - cached);
   }
 
-  #buildHeaders(serverId: string, route: RoutingConfig.Route): string[] {
-    const { names } = this.#context;
-    const headers = HeaderRules.selectRequestHeaders(this.#head.rawHeaders, names);
-    const isResumed = this.#lastEventId !== this.#head.lastEventId;
-    const kept = isResumed
-      ? headers.filter((_, index) => (
-        (headers[index - (index % 2)] as string).toLowerCase() !== names.lastEventId
-      ))
-      : headers;
-    kept.push(names.timeLeft, String(Math.max(1, Math.floor(this.#computeLeft()))));
-    kept.push(names.expectedServer, serverId);
-    kept.push(names.priority, String(Priority.rankRequest(this.#account, route)));
-    if (this.#account !== undefined) kept.push(names.account, this.#account.name);
-    if (isResumed) kept.push(names.lastEventId, String(this.#lastEventId));
-    if (this.#body.length > 0) kept.push('Content-Length', String(this.#body.length));
-    return kept;
-  }
-
   #computeLeft(): Core.Millis {
     return this.#receivedMs + this.#limitMs - this.#context.clock.readMonotonic();
   }
