Check the header limit, and drop settings and fields that nothing uses

Cause: reading the change as a newcomer: the limit on headers had a refusal and no check, the due time of usage reports and a field of candidates had no reader, and tests repeated a fixture. Change: 431 beyond the limit, with a test; the unused parts are gone; one fixture of a route.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -136,6 +136,11 @@
   }
 
   #classify({ config, routes }: PathContext.ActiveConfig): void {
+    const headerBytes = this.#head.rawHeaders.reduce((sum, { length }) => sum + length, 0);
+    if (headerBytes > config.limits.maxHeaderBytes) {
+      this.#refuse('headers_too_large');
+      return;
+    }
     const route = RouteTable.findRoute(routes, this.#head.host, this.#head.path);
     if (route === undefined) {
       this.#refuse('no_route');
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -33,8 +33,6 @@
     graceS: Positive,
     leaseMs: Positive,
     usageWindowS: Positive,
-    /** Time after the end of a usage window at which its report is due. */
-    usageDueS: Positive,
   }),
   repeats: Schema.Struct({
     /** Repeats at a service as a share of its requests, over all daemons. */
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -58,7 +58,6 @@
       failureShare: FailureShare.estimateFailure(failureShare, nowMs),
       id: server.id,
       inFlight,
-      isReclaimable: server.isReclaimable,
       isSuspect: context.health.isSuspect(service, server.id),
       slowdown: meanTime === undefined || median === undefined || median <= 0
         ? 1
--- a/packages/routing/src/ServerPick.ts
+++ b/packages/routing/src/ServerPick.ts
@@ -25,7 +25,6 @@
 export interface Candidate {
   readonly id: string;
   readonly dataCentre: string;
-  readonly isReclaimable: boolean;
   /** Requests of this daemon in progress there. */
   readonly inFlight: number;
   /** Prompt tokens that this daemon sent there and whose first token has not come. */
--- a/packages/routing/src/__tests__/unit/Path.test.ts
+++ b/packages/routing/src/__tests__/unit/Path.test.ts
@@ -1,23 +1,8 @@
 import { describe, expect, test } from 'vitest';
+import * as PathHarness from '../support/PathHarness.js';
 import * as Routing from '../../index.js';
 
-function createRoute(extra: Partial<Routing.Route> = {}): Routing.Route {
-  return {
-    host: 'shop.example',
-    isOpen: false,
-    isResumable: false,
-    kind: 'once',
-    maxAttempts: 2,
-    name: 'r',
-    pathPrefix: '/a/',
-    pauseTargetMs: 300,
-    priority: 1,
-    shares: [{ service: 's', weight: 1 }],
-    targetMs: 500,
-    timeoutMs: 5_000,
-    ...extra,
-  };
-}
+const { createRoute } = PathHarness;
 
 describe('route of a request', () => {
   const table = Routing.buildRouteTable([
@@ -116,19 +101,7 @@
 });
 
 describe('headers', () => {
-  const names: Routing.HeaderNames = {
-    account: 'x-account',
-    expectedServer: 'x-server',
-    lastEventId: 'last-event-id',
-    notRun: 'x-not-run',
-    priority: 'x-priority',
-    promptParts: 'x-parts',
-    requestId: 'x-id',
-    serverSignature: 'x-signature',
-    systemOnly: ['x-hold'],
-    timeLeft: 'x-left',
-    tokenCounts: 'x-tokens',
-  };
+  const names = { ...PathHarness.NAMES, systemOnly: ['x-hold'] };
 
   test('the key, headers of the system and headers of one connection do not pass', () => {
     expect(Routing.selectRequestHeaders([
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -52,6 +52,13 @@
     expect(servers[0]?.heads).toEqual([]);
   });
 
+  test('with more headers than the configuration allows is refused', async () => {
+    const { path, servers } = await setUp([answerPlain]);
+    const headers = { 'x-big': 'x'.repeat(8_000) };
+    expect(await path.call({ headers })).toMatchObject({ status: 431 });
+    expect(servers[0]?.heads).toEqual([]);
+  });
+
   test('is refused as not run while the list of keys may be out of date', async () => {
     const { path, servers } = await setUp([answerPlain]);
     path.setKeysCurrent(false);
--- a/packages/routing/src/__tests__/unit/ServerPick.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerPick.test.ts
@@ -11,7 +11,6 @@
     failureShare: 0.02,
     id,
     inFlight: 0,
-    isReclaimable: false,
     isSuspect: false,
     slowdown: 1,
     waitingTokens: 0,
