Refuse a body beyond the limit once

Cause: found in the last reading of the change. After the refusal of a body beyond the limit its further chunks were still counted, so the next one refused again; writing a second head threw ERR_HTTP_HEADERS_SENT and ended the daemon with every request in it. Change: chunks that come after the end of a request are ignored. Figures: the added test ends with the unhandled error before and passes after.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -157,6 +157,7 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     this.#request.on('data', (chunk: Buffer) => {
+      if (this.#isOver) return;
       bytes += chunk.length;
       if (bytes > maxBytes) this.#refuse('body_too_large');
       else chunks.push(chunk);
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -116,6 +116,8 @@
     readonly key?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly leaveAfterMs?: number;
+    /** Parts of the body, each sent as a chunk of its own. */
+    readonly chunks?: readonly string[];
   }) => Promise<CallerAnswer>;
   readonly starts: readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
@@ -191,7 +193,7 @@
   const { port } = listener.address() as net.AddressInfo;
   return {
     call: ({
-      headers = {}, key = 'good', leaveAfterMs, requestId = 'r1',
+      chunks: body = ['body'], headers = {}, key = 'good', leaveAfterMs, requestId = 'r1',
     } = {}) => new Promise((resolve) => {
       const request = http.request({
         agent: false,
@@ -220,7 +222,8 @@
         response.on('error', () => answer(response, true));
         response.on('end', () => answer(response, !response.complete));
       });
-      request.end('body');
+      body.slice(0, -1).forEach((chunk) => request.write(chunk));
+      request.end(body.at(-1));
       if (leaveAfterMs !== undefined) setTimeout(() => request.destroy(), leaveAfterMs);
     }),
     close: () => {
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -59,6 +59,14 @@
     expect(servers[0]?.heads).toEqual([]);
   });
 
+  test('with a body beyond the limit is refused once, however many chunks follow', async () => {
+    const { path, servers } = await setUp([answerPlain]);
+    const chunks = Array.from({ length: 4 }, () => 'x'.repeat(900));
+    expect(await path.call({ chunks })).toMatchObject({ status: 413 });
+    expect(await path.call()).toMatchObject({ status: 200 });
+    expect(servers[0]?.heads).toHaveLength(1);
+  });
+
   test('is refused as not run while the list of keys may be out of date', async () => {
     const { path, servers } = await setUp([answerPlain]);
     path.setKeysCurrent(false);
