Read configuration and server entries through relays

Change: the holder of the duties names two or more relays for each data centre of six daemons or more, from the records of counts that it reads anyway. Relays read the store; the other daemons read the relays' copies over connect-es. A copy carries its age, counted by the relay's clocks, and the reader counts it from before it sent the call, so a proof of keys is never taken for newer than it is. A reader whose relay fails, or is out of touch for longer than the bound allows, reads the store itself for 4 s, the first time without a hold. A failed read of the relay counts for entries that lapse. A failed hand-over of counts is repeated once a second instead of at each step.

Tests: copies, plan and choice of relays without network; six real daemons whose relays are killed and paused, and a key that is withdrawn meanwhile.

--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -6,10 +6,12 @@
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
 import * as Schema from 'effect/Schema';
+import * as util from 'node:util';
 import * as DutyLease from './DutyLease.js';
 import * as KeyProof from './KeyProof.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
+import * as RelayPlan from './RelayPlan.js';
 import type * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 
@@ -37,6 +39,9 @@
 /** Time after the end of a window in which daemons hand over their counts. */
 const HAND_OVER_MS = 1_500;
 
+/** Pause after a hand-over that failed; the holder waits for it after an outage of the store. */
+const HAND_OVER_RETRY_MS = 1_000;
+
 /** Age up to which a window is still sealed and reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
@@ -54,6 +59,13 @@
 /** What the duties work with. */
 export interface DutyContext {
   readonly daemonId: string;
+  readonly dataCentre: string;
+  /** Where this daemon answers other daemons, if it does. */
+  readonly peerAddress: string | undefined;
+  /** Processor cores of this VM. */
+  readonly cores: number;
+  /** Called with the relays that the holder named last. */
+  readonly onRelays: (relays: RelayPlan.RelayRoster) => void;
   readonly clock: Core.Clock;
   readonly logger: Core.Logger;
   readonly trueTime: TrueTime.TrueTime;
@@ -81,8 +93,11 @@
 }
 
 const CountsRecord = Schema.Struct({
+  address: Schema.optional(Schema.String),
+  cores: Schema.Number,
   counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
   daemonId: Schema.String,
+  dataCentre: Schema.String,
   incarnation: Schema.String,
   tokens: Schema.optionalWith(
     Schema.Record({ key: Schema.String, value: Schema.Number }),
@@ -119,6 +134,11 @@
 
   #countsFrom = 0;
 
+  #nextHandOverMs = -Infinity;
+
+  /** Newest window that was handed over, with or without counts. */
+  #lastHandedOver = -Infinity;
+
   readonly #collection = UsageCounts.createUsageCollection();
 
   readonly #reported = new Set<number>();
@@ -156,7 +176,7 @@
     this.#isStopped = true;
     clearTimeout(this.#timer);
     await this.#running;
-    await this.#handOverCounts(Infinity);
+    await this.#handOverCounts(true);
   };
 
   #schedule(): void {
@@ -177,7 +197,9 @@
   }
 
   async #step(): Promise<void> {
-    await this.#handOverCounts(HAND_OVER_MS);
+    if (this.#context.clock.readMonotonic() >= this.#nextHandOverMs) {
+      await this.#handOverCounts(false);
+    }
     if (this.#hasResigned) return;
     if (this.#authority !== undefined && this.#computeRemaining() <= 0) {
       this.#loseAuthority('term over');
@@ -244,7 +266,7 @@
     const decoded = decodeDuty(value);
     if (decoded._tag === 'None') return;
     const record = decoded.value;
-    const previous = this.#state.holder;
+    const { holder: previous, relays } = this.#state;
     this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
     const { daemonId, trueTime } = this.#context;
     if (record.holder !== daemonId) trueTime.observeRemote(record.writtenMs);
@@ -253,6 +275,10 @@
     else if (this.#authority !== undefined && this.#state.fence !== this.#authority.fence) {
       this.#loseAuthority('another daemon holds the lease');
     }
+    if (!util.isDeepStrictEqual(relays, this.#state.relays)) {
+      this.#context.logger.info({ offset, relays: this.#state.relays }, 'relays changed');
+      this.#context.onRelays(this.#state.relays);
+    }
     if (previous !== this.#state.holder) {
       this.#context.logger.info(
         { fence: this.#state.fence, holder: this.#state.holder, offset },
@@ -276,7 +302,7 @@
   }
 
   async #append(
-    part: Pick<DutyLease.DutyRecord, 'daemonCount' | 'fence' | 'kind' | 'seal'>,
+    part: Pick<DutyLease.DutyRecord, 'daemonCount' | 'fence' | 'kind' | 'relays' | 'seal'>,
   ): Promise<boolean> {
     const sentAt = this.#readClocks();
     const record: DutyLease.DutyRecord = {
@@ -310,7 +336,10 @@
     else if (nowMs - this.#lastRenewMs >= RENEW_MS) {
       this.#lastRenewMs = nowMs;
       await this.#append({
-        daemonCount: this.#state.daemonCount, fence: this.#authority?.fence, kind: 'renewal',
+        daemonCount: this.#state.daemonCount,
+        fence: this.#authority?.fence,
+        kind: 'renewal',
+        relays: this.#state.relays,
       });
     }
     await this.#sendReports();
@@ -338,10 +367,15 @@
   async #sealWindow(window: number): Promise<void> {
     if (!await this.#readCounts()) return;
     this.#lastRenewMs = this.#context.clock.readMonotonic();
+    const members = this.#collection.listMembers(window);
     await this.#append({
       daemonCount: this.#collection.countDaemons(window) || this.#state.daemonCount,
       fence: this.#authority?.fence,
       kind: 'seal',
+      // Nobody hands over counts in an outage of the store; the relays of before stay then.
+      relays: members.length === 0
+        ? this.#state.relays
+        : RelayPlan.planRelays(members, this.#state.relays),
       seal: { counts: this.#collection.sumWindow(window), window },
     });
   }
@@ -360,7 +394,9 @@
     }
     result.right.records.forEach(({ value }) => {
       const decoded = decodeCounts(value);
-      if (decoded._tag === 'Some') this.#collection.apply(decoded.value);
+      if (decoded._tag === 'Some') {
+        this.#collection.apply({ ...decoded.value, address: decoded.value.address });
+      }
     });
     this.#countsFrom = result.right.next;
     return true;
@@ -421,16 +457,22 @@
     if (answer === 'accepted') await this.#sendOrders();
   }
 
-  /** Hands over the counts of windows that ended, at most `afterMs` ago or a multiple of it. */
-  async #handOverCounts(afterMs: Core.Millis): Promise<void> {
+  /** Hands over the counts of windows that ended; a daemon that stops adds its current window. */
+  async #handOverCounts(isStopping: boolean): Promise<void> {
     const current = this.#computeCurrentWindow();
-    const due = this.#context.book.listChanged().filter(({ window }) => (
-      window < current || afterMs === Infinity
+    const changed = this.#context.book.listChanged().filter(({ window }) => (
+      window < current || isStopping
     ));
+    // A daemon without requests hands over a window without counts: the holder counts daemons.
+    const isIdle = changed.length === 0 && this.#lastHandedOver < current - 1;
+    const due = isIdle ? [{ counts: {}, tokens: {}, window: current - 1 }] : changed;
     if (due.length === 0) return;
     const records = due.map(({ counts, tokens, window }): typeof CountsRecord.Type => ({
+      ...this.#context.peerAddress === undefined ? {} : { address: this.#context.peerAddress },
+      cores: this.#context.cores,
       counts,
       daemonId: this.#context.daemonId,
+      dataCentre: this.#context.dataCentre,
       incarnation: this.#incarnation,
       tokens,
       window,
@@ -438,9 +480,11 @@
     }));
     const result = await Effect.runPromise(Effect.either(this.#context.countsLog.append(records)));
     if (Either.isRight(result)) {
-      due.forEach(this.#context.book.setHandedOver);
+      this.#lastHandedOver = current - 1;
+      changed.forEach(this.#context.book.setHandedOver);
       return;
     }
+    this.#nextHandOverMs = this.#context.clock.readMonotonic() + HAND_OVER_RETRY_MS;
     this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
   }
 }
--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -19,6 +19,10 @@
   holder: Schema.String,
   kind: Schema.Literal('claim', 'release', 'renewal', 'seal'),
   nonce: Schema.String,
+  /** Addresses of the daemons that read the store for others, by data centre. */
+  relays: Schema.optional(Schema.Record({
+    key: Schema.String, value: Schema.Array(Schema.String),
+  })),
   seal: Schema.optional(Schema.Struct({
     counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
     window: Schema.Number,
@@ -45,6 +49,7 @@
   readonly nonce: string | undefined;
   readonly observedAt: KeyProof.ClockReading | undefined;
   readonly daemonCount: number | undefined;
+  readonly relays: NonNullable<DutyRecord['relays']>;
   /** When the holder wrote its newest record, by its estimate of the true time. */
   readonly writtenMs: Core.Millis | undefined;
   readonly seals: ReadonlyMap<number, Seal>;
@@ -58,6 +63,7 @@
   holder: undefined,
   nonce: undefined,
   observedAt: undefined,
+  relays: {},
   seals: new Map(),
   termMs: 0,
   writtenMs: undefined,
@@ -104,6 +110,7 @@
     holder: record.holder,
     nonce: record.nonce,
     observedAt: readAt,
+    relays: record.relays ?? state.relays,
     seals: record.seal === undefined ? state.seals : addSeal(state.seals, record.seal),
     termMs: record.termMs,
     writtenMs: record.writtenMs,
--- a/packages/routing/src/EntryListener.ts
+++ b/packages/routing/src/EntryListener.ts
@@ -42,7 +42,8 @@
   return { host: address.slice(0, index), port: Number(address.slice(index + 1)) };
 }
 
-async function listen(server: http.Server, address: string): Promise<void> {
+/** Starts listening; fails where the address is taken. */
+export async function listen(server: http.Server, address: string): Promise<void> {
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/routing/src/Ports.ts
+++ b/packages/routing/src/Ports.ts
@@ -23,25 +23,26 @@
 /** The log does not end where the append expected it, so nothing was appended. */
 export class EndMoved extends Data.TaggedError('EndMoved')<{ readonly end: number }> {}
 
-/** Change of one key; an undefined value removes the key, or the value could not be decoded. */
-export interface KeyedChange<T> {
+/** Change of one key; without bytes the key was removed. */
+export interface KeyedChange {
   readonly key: string;
-  readonly value: T | undefined;
+  readonly offset: number;
+  readonly raw: Buffer | undefined;
 }
 
 /** Changes read from a feed and the offset to go on from. */
-export interface FeedPage<T> {
-  readonly changes: readonly KeyedChange<T>[];
+export interface FeedPage {
+  readonly changes: readonly KeyedChange[];
   readonly next: number;
 }
 
 /** Newest values by key, and the changes after them. */
-export interface KeyedFeed<T> {
-  readonly readNewest: () => Effect.Effect<FeedPage<T>, StoreUnavailable>;
+export interface KeyedFeed {
+  readonly readNewest: () => Effect.Effect<FeedPage, StoreUnavailable>;
   /** Answers as soon as there is a change, or without one after `waitMs`. */
   readonly readChanges: (
     from: number, waitMs: Core.Millis,
-  ) => Effect.Effect<FeedPage<T>, HistoryLost | StoreUnavailable>;
+  ) => Effect.Effect<FeedPage, HistoryLost | StoreUnavailable>;
 }
 
 /** Record of a log. */
--- /dev/null
+++ b/packages/routing/src/RelayCalls.ts
@@ -0,0 +1,113 @@
+/** Carries reads of feeds between the daemons of a data centre over connect-es on HTTP/1.1. */
+import * as protobuf from '@bufbuild/protobuf';
+import * as connect from '@connectrpc/connect';
+import * as connectNode from '@connectrpc/connect-node';
+import * as Data from 'effect/Data';
+import * as Effect from 'effect/Effect';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as EntryListener from './EntryListener.js';
+import type * as FeedCopy from './FeedCopy.js';
+import * as Relay from './gen/berylyoke/relay/v1/relay_pb.js';
+
+/** Time limit of a call in milliseconds: a small VM may take 100 ms to get its processor. */
+const CALL_TIMEOUT_MS = 400;
+
+/** Connections to one relay: one call of each feed is under way at a time. */
+const MAX_CONNECTIONS = 4;
+
+/** Milliseconds for which an idle connection is kept; readers call several times a second. */
+const KEEP_ALIVE_MS = 5_000;
+
+/** The other daemon did not answer, or has no copy of the feed. */
+export class RelayUnavailable extends Data.TaggedError('RelayUnavailable')<{
+  readonly detail: string;
+}> {}
+
+/** Reads the copy of a feed that another daemon holds. */
+export type ReadRelay = (
+  address: string, feed: string, from: number,
+) => Effect.Effect<FeedCopy.CopyPage, RelayUnavailable>;
+
+function encodePage(copied: FeedCopy.CopyPage | undefined): Relay.ReadFeedResponse {
+  return protobuf.create(Relay.ReadFeedResponseSchema, copied === undefined ? {} : {
+    ageMs: copied.ageMs,
+    changes: copied.page.changes.map(({ key, offset, raw }) => ({ key, offset, value: raw })),
+    failureAgeMs: copied.failureAgeMs,
+    isKnown: true,
+    isSnapshot: copied.isSnapshot,
+    next: copied.page.next,
+  });
+}
+
+function decodePage(response: Relay.ReadFeedResponse): FeedCopy.CopyPage | undefined {
+  return response.isKnown ? {
+    ageMs: response.ageMs,
+    failureAgeMs: response.failureAgeMs,
+    isSnapshot: response.isSnapshot,
+    page: {
+      changes: response.changes.map(({ key, offset, value }) => ({
+        key, offset, raw: value === undefined ? undefined : Buffer.from(value),
+      })),
+      next: response.next,
+    },
+  } : undefined;
+}
+
+/** Creates the client of other daemons. */
+export function createRelayReader(): ReadRelay {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+  const clients = new Map<string, connect.Client<typeof Relay.RelayService>>();
+  const getClient = (address: string): connect.Client<typeof Relay.RelayService> => {
+    const known = clients.get(address);
+    if (known !== undefined) return known;
+    const client = connect.createClient(Relay.RelayService, connectNode.createConnectTransport({
+      baseUrl: `http://${address}`, httpVersion: '1.1', nodeOptions: { agent },
+    }));
+    clients.set(address, client);
+    return client;
+  };
+  return (address, feed, from) => Effect.tryPromise({
+    catch: (error) => new RelayUnavailable({ detail: String(error) }),
+    try: (signal) => getClient(address).readFeed(
+      { feed, from },
+      { signal, timeoutMs: CALL_TIMEOUT_MS },
+    ),
+  }).pipe(Effect.flatMap((response) => {
+    const page = decodePage(response);
+    return page === undefined
+      ? Effect.fail(new RelayUnavailable({ detail: `no copy of ${feed}` }))
+      : Effect.succeed(page);
+  }));
+}
+
+/** Server for other daemons. */
+export interface RelayListener {
+  /** `IP:PORT` that it listens on. */
+  readonly address: string;
+  readonly close: () => void;
+}
+
+/** Starts answering other daemons; resolves when it listens. */
+export async function startRelayListener(
+  address: string,
+  readCopy: (feed: string, from: number) => FeedCopy.CopyPage | undefined,
+): Promise<RelayListener> {
+  const server = http.createServer(connectNode.connectNodeAdapter({
+    routes: (router) => {
+      router.service(Relay.RelayService, {
+        readFeed: ({ feed, from }) => encodePage(readCopy(feed, from)),
+      });
+    },
+  }));
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
+  await EntryListener.listen(server, address);
+  const { port } = server.address() as net.AddressInfo;
+  return {
+    address: `${EntryListener.splitAddress(address).host}:${port}`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/RelayChoice.ts
@@ -0,0 +1,83 @@
+/**
+ * Chooses the relay that this daemon reads from. Readers spread over the relays of their data
+ * centre; a relay that fails or is out of touch with the store is left for a while. Without a
+ * usable relay a daemon reads from the store itself.
+ */
+import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import type * as FeedCopy from './FeedCopy.js';
+import type * as RelayCalls from './RelayCalls.js';
+import type * as RelayPlan from './RelayPlan.js';
+
+/** Time for which a relay that failed is not asked: about the length of a short store outage. */
+const SUSPENSION_MS = 4_000;
+
+/** Relays of one daemon. */
+export interface RelayChoice {
+  readonly setRoster: (roster: RelayPlan.RelayRoster) => void;
+  /** Whether other daemons read from this one. */
+  readonly isRelay: () => boolean;
+  /** Address of the relay to ask now. */
+  readonly choose: () => string | undefined;
+  /** Leaves a relay for a while. */
+  readonly observeFailure: (address: string) => void;
+}
+
+/** Creates the choice of a daemon; `address` is where it answers other daemons itself. */
+export function createRelayChoice(
+  clock: Core.Clock,
+  self: {
+    readonly daemonId: string; readonly dataCentre: string; readonly address: string | undefined;
+  },
+): RelayChoice {
+  let relays: readonly string[] = [];
+  const suspendedUntil = new Map<string, Core.Millis>();
+  const isRelay = (): boolean => self.address !== undefined && relays.includes(self.address);
+  return {
+    choose: () => {
+      if (isRelay()) return undefined;
+      const nowMs = clock.readMonotonic();
+      return relays.find((address) => nowMs >= (suspendedUntil.get(address) ?? -Infinity));
+    },
+    isRelay,
+    setRoster: (roster) => {
+      relays = Core.rankCandidates(self.daemonId, roster[self.dataCentre] ?? []);
+      [...suspendedUntil.keys()]
+        .filter((address) => !relays.includes(address))
+        .forEach((address) => suspendedUntil.delete(address));
+    },
+    observeFailure: (address) => {
+      suspendedUntil.set(address, clock.readMonotonic() + SUSPENSION_MS);
+    },
+  };
+}
+
+/** What a read from a relay works with. */
+export interface RelayRead {
+  readonly choice: RelayChoice;
+  readonly read: RelayCalls.ReadRelay;
+  readonly feed: string;
+  readonly from: number;
+  /** Age of a copy above which its holder counts as out of touch with the store. */
+  readonly maxAgeMs: Core.Millis;
+  readonly logger: Core.Logger;
+}
+
+/** Reads the chosen relay's copy; undefined where there is none, or it fails or is too old. */
+export function readFromRelay({
+  choice, feed, from, logger, maxAgeMs, read,
+}: RelayRead): Effect.Effect<FeedCopy.CopyPage | undefined> {
+  const address = choice.choose();
+  if (address === undefined) return Effect.succeed(undefined);
+  const leaveRelay = (detail: string): undefined => {
+    choice.observeFailure(address);
+    logger.warn({ detail, feed, relay: address }, 'relay not usable');
+    return undefined;
+  };
+  return read(address, feed, from).pipe(Effect.match({
+    onFailure: ({ detail }) => leaveRelay(detail),
+    onSuccess: (copied) => (
+      copied.ageMs > maxAgeMs ? leaveRelay(`copy is ${Math.round(copied.ageMs)} ms old`) : copied
+    ),
+  }));
+}
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -6,6 +6,7 @@
 import * as Scheduling from '@berylyoke/scheduling';
 import * as DutyHolder from './DutyHolder.js';
 import * as EntryListener from './EntryListener.js';
+import * as FeedCopy from './FeedCopy.js';
 import * as FeedLoop from './FeedLoop.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as KeyProof from './KeyProof.js';
@@ -13,6 +14,8 @@
 import * as OrderPlan from './OrderPlan.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
+import * as RelayCalls from './RelayCalls.js';
+import * as RelayChoice from './RelayChoice.js';
 import * as RouteTable from './RouteTable.js';
 import * as RoutedRequest from './RoutedRequest.js';
 import type * as RoutingConfig from './RoutingConfig.js';
@@ -36,6 +39,18 @@
  */
 const SERVERS_PAUSE_SHARE = 0.4;
 
+/** The same for a daemon that reads for others, whose reads come on top. */
+const RELAY_PAUSE_SHARE = 0.25;
+
+/** Pause between reads of a relay's copy, as a share of the bound on leaving servers. */
+const RELAYED_PAUSE_SHARE = 0.2;
+
+/** Age of a copy of the server entries up to which it is used, as a share of the same bound. */
+const MAX_COPY_AGE_SHARE = 0.5;
+
+/** Time that the newest proof of a relay's configuration may be older than the store's hold. */
+const RELAY_SLACK_MS = 600;
+
 /** Pause after a failed read. */
 const RETRY_MS = 400;
 
@@ -66,8 +81,10 @@
   readonly names: HeaderRules.HeaderNames;
   readonly clock: Core.Clock;
   readonly log: Core.BufferedLogger;
-  readonly configFeed: Ports.KeyedFeed<RoutingConfig.RoutingConfig>;
-  readonly serverFeed: Ports.KeyedFeed<ServerTable.BackendServer>;
+  readonly configFeed: Ports.KeyedFeed;
+  readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.RoutingConfig | undefined;
+  readonly serverFeed: Ports.KeyedFeed;
+  readonly decodeServer: (key: string, raw: Buffer) => ServerTable.BackendServer | undefined;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
   readonly calls: Ports.DutyCalls;
@@ -111,7 +128,8 @@
 /** Starts a daemon; resolves when it listens. */
 export async function startRoutingDaemon(options: DaemonOptions): Promise<RoutingDaemon> {
   const {
-    calls, clock, configFeed, countsLog, dutyLog, log, names, serverFeed, settings,
+    calls, clock, configFeed, countsLog, decodeConfig, decodeServer, dutyLog, log, names,
+    serverFeed, settings,
   } = options;
   const logger = Core.getPartLogger(log.logger, 'routing');
   const readClocks = (): KeyProof.ClockReading => KeyProof.readClocks(clock);
@@ -139,7 +157,7 @@
   );
 
   const applyConfig = (
-    changes: readonly Ports.KeyedChange<RoutingConfig.RoutingConfig>[],
+    changes: readonly FeedCopy.DecodedChange<RoutingConfig.RoutingConfig>[],
   ): void => {
     changes.forEach(({ value }) => {
       if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
@@ -172,9 +190,33 @@
       },
     };
   };
+  const copies = {
+    configuration: FeedCopy.createFeedCopy<RoutingConfig.RoutingConfig>(),
+    servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
+  };
+  const relayChoice = RelayChoice.createRelayChoice(clock, {
+    address: settings.listen.peers,
+    daemonId: settings.daemonId,
+    dataCentre: settings.dataCentre,
+  });
+  const readRelay = RelayCalls.createRelayReader();
+  const createRelaySource = (
+    feed: keyof typeof copies,
+    pauseMs: Core.Millis,
+    maxAgeMs: Core.Millis,
+  ): FeedLoop.RelaySource => ({
+    pauseMs,
+    read: (from) => RelayChoice.readFromRelay({
+      choice: relayChoice, feed, from, logger, maxAgeMs, read: readRelay,
+    }),
+  });
+  const configWaitMs = Math.round(settings.bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE);
   const configContact = reportContact('configuration');
   const configLoop = FeedLoop.startFeed({
+    copy: copies.configuration,
+    decode: decodeConfig,
     feed: configFeed,
+    getPauseMs: () => 0,
     onChanges: applyConfig,
     onContact: (provenAt) => {
       keyProof = provenAt;
@@ -182,36 +224,50 @@
     },
     onFailure: configContact.onFailure,
     onSnapshot: applyConfig,
-    pauseMs: 0,
     readClocks,
+    relay: createRelaySource(
+      'configuration',
+      settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
+      configWaitMs + RELAY_SLACK_MS,
+    ),
     retryMs: RETRY_MS,
-    waitMs: Math.round(settings.bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE),
+    waitMs: configWaitMs,
   });
   const serverContact = reportContact('servers');
   const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
     logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
   };
   const serverLoop = FeedLoop.startFeed({
+    copy: copies.servers,
+    decode: decodeServer,
     feed: serverFeed,
+    getPauseMs: () => settings.bounds.drainMs * (
+      relayChoice.isRelay() ? RELAY_PAUSE_SHARE : SERVERS_PAUSE_SHARE
+    ),
     onChanges: (changes) => changes.forEach(({ key, value }) => {
       logEntry(key, value);
       servers.applyEntry(key, value, clock.readMonotonic());
     }),
-    onContact: () => {
+    onContact: (_, contactMs) => {
       hasServers = true;
-      servers.observeContact(clock.readMonotonic());
+      servers.observeContact(contactMs);
       serverContact.onContact();
     },
     onFailure: (error) => {
       servers.observeFailure();
       serverContact.onFailure(error);
     },
+    onRelayFailure: servers.observeFailure,
     onSnapshot: (changes) => servers.applySnapshot(
       changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
       clock.readMonotonic(),
     ),
-    pauseMs: settings.bounds.drainMs * SERVERS_PAUSE_SHARE,
     readClocks,
+    relay: createRelaySource(
+      'servers',
+      settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
+      settings.bounds.drainMs * MAX_COPY_AGE_SHARE,
+    ),
     retryMs: RETRY_MS,
     waitMs: 0,
   });
@@ -270,6 +326,11 @@
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
   );
+  const relayListener = settings.listen.peers === undefined
+    ? undefined
+    : await RelayCalls.startRelayListener(settings.listen.peers, (feed, from) => (
+      feed in copies ? copies[feed as keyof typeof copies].read(from, readClocks()) : undefined
+    ));
   const closeMetrics = settings.listen.metrics === undefined
     ? undefined
     : await EntryListener.startStatusListener(
@@ -280,8 +341,10 @@
     book,
     calls,
     clock,
+    cores: settings.vm.cpuShare * settings.vm.cores,
     countsLog,
     daemonId: settings.daemonId,
+    dataCentre: settings.dataCentre,
     dutyLog,
     leaseMs: settings.bounds.leaseMs,
     listWantedOrders: (getTokensPerSecond) => (
@@ -292,6 +355,8 @@
       }))
     ),
     logger: Core.getPartLogger(log.logger, 'duties'),
+    onRelays: relayChoice.setRoster,
+    peerAddress: settings.listen.peers,
     random: Math.random,
     trueTime,
     windowMs: settings.bounds.usageWindowS * MS_PER_S,
@@ -315,6 +380,7 @@
     clearInterval(poolCheck);
     pool.close();
     closeReadiness();
+    relayListener?.close();
     closeMetrics?.();
     logger.info({ activeRequests }, 'stopped');
     log.flush();
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -23,7 +23,15 @@
     /** Where the load balancer asks whether the daemon is ready. */
     readiness: Address,
     metrics: Schema.optional(Address),
+    /** Where other daemons call; without it the daemon reads everything from the store. */
+    peers: Schema.optional(Address),
   }),
+  /** Size of the VM; large ones read the store for the others. */
+  vm: Schema.optionalWith(Schema.Struct({
+    /** Share of each core that the daemon may use. */
+    cpuShare: Positive,
+    cores: Positive,
+  }), { default: () => ({ cores: 1, cpuShare: 1 }) }),
   bounds: Schema.Struct({
     /** Time from the withdrawal of a key to its last use. */
     keyWithdrawalMs: Positive,
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -3,6 +3,7 @@
  * its counts over as cumulative figures, so that a repeated hand-over changes nothing.
  */
 import type * as Core from '@berylyoke/core';
+import type * as RelayPlan from './RelayPlan.js';
 
 /** Requests by client account. */
 export type AccountCounts = Readonly<Record<string, number>>;
@@ -13,6 +14,11 @@
 /** Counts of one process for one window. */
 export interface WindowCounts {
   readonly daemonId: string;
+  readonly dataCentre: string;
+  /** Where the daemon answers other daemons, if it does. */
+  readonly address: string | undefined;
+  /** Processor cores of its VM. */
+  readonly cores: number;
   /** Distinguishes the starts of a daemon. */
   readonly incarnation: string;
   readonly window: number;
@@ -21,7 +27,7 @@
 }
 
 /** Counts of this process for one window. */
-export type OwnCounts = Omit<WindowCounts, 'daemonId' | 'incarnation'>;
+export type OwnCounts = Pick<WindowCounts, 'counts' | 'tokens' | 'window'>;
 
 /** Counts of this process. */
 export interface UsageBook {
@@ -93,6 +99,8 @@
   readonly sumTokens: (window: number, service: string) => number;
   /** Counts the daemons that handed over counts for a window. */
   readonly countDaemons: (window: number) => number;
+  /** Lists the daemons that answer others and handed over counts for a window. */
+  readonly listMembers: (window: number) => readonly RelayPlan.FleetMember[];
 }
 
 /** Creates an empty collection. */
@@ -113,6 +121,17 @@
     countDaemons: (window) => new Set(
       [...windows.get(window)?.values() ?? []].map(({ daemonId }) => daemonId),
     ).size,
+    listMembers: (window) => {
+      const members = [...windows.get(window)?.values() ?? []].flatMap((process) => (
+        process.address === undefined ? [] : [{ ...process, address: process.address }]
+      ));
+      // A daemon that was restarted in the window stands there with each of its starts.
+      return [...new Map(members.map(({
+        address, cores, daemonId, dataCentre,
+      }) => [daemonId, {
+        address, cores, daemonId, dataCentre,
+      }])).values()];
+    },
     sumTokens: (window, service) => [...windows.get(window)?.values() ?? []].reduce(
       (sum, { tokens }) => sum + (tokens[service] ?? 0),
       0,
--- a/packages/routing/src/__tests__/unit/DutyHolder.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyHolder.test.ts
@@ -12,6 +12,8 @@
   readonly platform: FakeDuties.FakePlatform;
   readonly books: readonly Routing.UsageBook[];
   readonly holders: readonly Routing.DutyHolder[];
+  /** Newest relays that each daemon heard of. */
+  readonly rosters: ReadonlyMap<string, Routing.RelayRoster>;
   /** Stops the process of a daemon without a word. */
   readonly kill: (index: number) => void;
 }
@@ -23,6 +25,7 @@
   const dutyLog = FakeDuties.createFakeLog(chooseFault);
   const countsLog = FakeDuties.createFakeLog(chooseFault);
   const platform = FakeDuties.createFakePlatform(() => performance.now());
+  const rosters = new Map<string, Routing.RelayRoster>();
   const daemons = Array.from({ length: count }, (_, index) => {
     const daemonId = `vm-${index}`;
     const book = Routing.createUsageBook(WINDOW_MS);
@@ -30,12 +33,18 @@
       book,
       calls: platform.connect(daemonId),
       clock: Core.systemClock,
+      cores: 1,
       countsLog: countsLog.connect(daemonId),
       daemonId,
+      dataCentre: 'a',
       dutyLog: dutyLog.connect(daemonId),
       leaseMs: LEASE_MS,
       listWantedOrders: () => [],
       logger: Core.createLogger('silent', {}),
+      onRelays: (relays) => {
+        rosters.set(daemonId, relays);
+      },
+      peerAddress: `10.0.0.${index}:7340`,
       random: () => index / count,
       trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
       windowMs: WINDOW_MS,
@@ -49,6 +58,7 @@
       daemons[index]?.holder.stop();
     },
     platform,
+    rosters,
   };
 }
 
@@ -97,6 +107,13 @@
     expect(new Set(reports.map(({ holder }) => holder)).size).toBe(1);
   });
 
+  test('every daemon hears of the relays before any request came', async () => {
+    fleet = startFleet(6);
+    await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+    const relays = [...fleet.rosters.values()].map((roster) => roster.a?.length);
+    expect(relays).toEqual([2, 2, 2, 2, 2, 2]);
+  });
+
   test('the holder dies: another one takes over in time for the report', async () => {
     fleet = startFleet(4);
     await vi.advanceTimersByTimeAsync(6_000);
--- a/packages/routing/src/__tests__/unit/FeedLoop.test.ts
+++ b/packages/routing/src/__tests__/unit/FeedLoop.test.ts
@@ -4,6 +4,33 @@
 
 const at = (ms: number): Routing.ClockReading => ({ monotonicMs: ms, wallMs: ms + 1_000_000 });
 
+function createChange(offset: number, text: string | undefined): Routing.KeyedChange {
+  return { key: 'k', offset, raw: text === undefined ? undefined : Buffer.from(text) };
+}
+
+type ReadChanges = Routing.KeyedFeed['readChanges'];
+
+/** Options of a loop whose parts a test replaces. */
+function createOptions(parts: Partial<Routing.FeedOptions<string>>): Routing.FeedOptions<string> {
+  return {
+    copy: Routing.createFeedCopy(),
+    decode: (_, raw) => raw.toString(),
+    feed: {
+      readChanges: () => Effect.never,
+      readNewest: () => Effect.succeed({ changes: [createChange(0, 'v')], next: 1 }),
+    },
+    getPauseMs: () => 0,
+    onChanges: () => undefined,
+    onContact: () => undefined,
+    onFailure: () => undefined,
+    onSnapshot: () => undefined,
+    readClocks: () => at(0),
+    retryMs: 1,
+    waitMs: 10,
+    ...parts,
+  };
+}
+
 describe('proof of a held read', () => {
   test('an empty answer after the whole hold proves its end, not its beginning', () => {
     expect(Routing.computeHeldProof(at(0), at(1_905), 1_900)).toEqual(at(1_800));
@@ -18,19 +45,18 @@
 describe('following a feed', () => {
   test('values survive failures; a lost history is read anew', async () => {
     const log: string[] = [];
-    const answers: ReturnType<Routing.KeyedFeed<string>['readChanges']>[] = [
-      Effect.succeed({ changes: [{ key: 'k', value: 'v2' }], next: 2 }),
+    const answers: ReturnType<ReadChanges>[] = [
+      Effect.succeed({ changes: [createChange(1, 'v2')], next: 2 }),
       Effect.fail(new Routing.StoreUnavailable({ call: 'read', detail: 'down', sent: true })),
       Effect.fail(new Routing.HistoryLost({ first: 9 })),
     ];
     await new Promise<void>((resolve) => {
-      const loop = Routing.startFeed<string>({
+      const loop = Routing.startFeed(createOptions({
         feed: {
           readChanges: () => answers.shift() ?? Effect.never,
-          readNewest: () => Effect.succeed({ changes: [{ key: 'k', value: 'v' }], next: 1 }),
+          readNewest: () => Effect.succeed({ changes: [createChange(0, 'v')], next: 1 }),
         },
         onChanges: (changes) => log.push(`changes ${changes[0]?.value}`),
-        onContact: () => undefined,
         onFailure: ({ detail }) => log.push(detail),
         onSnapshot: () => {
           log.push('snapshot');
@@ -38,11 +64,7 @@
           loop.stop();
           resolve();
         },
-        pauseMs: 0,
-        readClocks: () => at(0),
-        retryMs: 1,
-        waitMs: 10,
-      });
+      }));
     });
     expect(log).toEqual(['snapshot', 'changes v2', 'down', 'snapshot']);
   });
@@ -50,7 +72,7 @@
   test('a refresh ends a held read and reads at once', async () => {
     let isHeld = false;
     const waits: number[] = [];
-    const loop = Routing.startFeed<string>({
+    const loop = Routing.startFeed(createOptions({
       feed: {
         readChanges: (_, waitMs) => {
           waits.push(waitMs);
@@ -59,18 +81,87 @@
         },
         readNewest: () => Effect.succeed({ changes: [], next: 1 }),
       },
-      onChanges: () => undefined,
-      onContact: () => undefined,
-      onFailure: () => undefined,
-      onSnapshot: () => undefined,
-      pauseMs: 0,
-      readClocks: () => at(0),
-      retryMs: 1,
-      waitMs: 10,
-    });
+    }));
     await expect.poll(() => isHeld).toBe(true);
     await loop.refresh();
     loop.stop();
     expect(waits.slice(0, 2)).toEqual([10, 0]);
   });
 });
+
+describe('following a feed through a relay', () => {
+  const createCopied = (
+    parts: Partial<Routing.CopyPage>,
+  ): Routing.CopyPage => ({
+    ageMs: 700,
+    failureAgeMs: undefined,
+    isSnapshot: false,
+    page: { changes: [], next: 1 },
+    ...parts,
+  });
+
+  interface Followed {
+    readonly contacts: readonly number[];
+    readonly storeWaits: readonly number[];
+    readonly failures: number;
+  }
+
+  /** Follows until the relay and the store have given every answer. */
+  const follow = async (copied: readonly (Routing.CopyPage | undefined)[]): Promise<Followed> => {
+    const contacts: number[] = [];
+    const storeWaits: number[] = [];
+    let failures = 0;
+    let nowMs = 10_000;
+    const left = [...copied];
+    await new Promise<void>((resolve) => {
+      const loop = Routing.startFeed(createOptions({
+        feed: {
+          readChanges: (_, waitMs) => {
+            storeWaits.push(waitMs);
+            return Effect.succeed({ changes: [], next: 1 });
+          },
+          readNewest: () => Effect.succeed({ changes: [createChange(0, 'v')], next: 1 }),
+        },
+        onContact: ({ monotonicMs }) => contacts.push(monotonicMs),
+        onRelayFailure: () => {
+          failures += 1;
+        },
+        readClocks: () => at(nowMs),
+        relay: {
+          pauseMs: 1,
+          read: () => Effect.sync(() => {
+            nowMs += 500;
+            if (left.length === 0) {
+              loop.stop();
+              resolve();
+            }
+            return left.shift();
+          }),
+        },
+      }));
+    });
+    return { contacts, failures, storeWaits };
+  };
+
+  test('a relayed page counts from when the call was sent, less its age', async () => {
+    const { contacts, storeWaits } = await follow([
+      createCopied({}), createCopied({ ageMs: 100 }),
+    ]);
+    expect(contacts.slice(0, 3)).toEqual([10_000, 9_300, 10_400]);
+    expect(storeWaits.length).toBeLessThanOrEqual(1);
+  });
+
+  test('the first read of the store after a relay failed is not held', async () => {
+    const { storeWaits } = await follow([createCopied({}), undefined, undefined]);
+    expect(storeWaits.slice(0, 2)).toEqual([0, 10]);
+  });
+
+  test('a failed read of the relay since the last contact counts as an own one, once', async () => {
+    const { failures } = await follow([
+      createCopied({ ageMs: 100 }),
+      createCopied({ ageMs: 50, failureAgeMs: 200 }),
+      createCopied({ ageMs: 50, failureAgeMs: 700 }),
+    ]);
+    expect(failures).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -0,0 +1,206 @@
+import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import * as Either from 'effect/Either';
+import {
+  afterEach, describe, expect, test,
+} from 'vitest';
+import * as Routing from '../../index.js';
+
+const at = (ms: number, jumpMs = 0): Routing.ClockReading => (
+  { monotonicMs: ms, wallMs: ms + 1_000_000 + jumpMs }
+);
+
+function createChange(
+  ...[key, offset, value]: readonly [string, number, string | undefined]
+): Routing.DecodedChange<string> {
+  return {
+    key, offset, raw: value === undefined ? undefined : Buffer.from(value), value,
+  };
+}
+
+describe('copy of a feed', () => {
+  const createCopy = (): Routing.FeedCopy<string> => {
+    const copy = Routing.createFeedCopy<string>();
+    copy.apply({
+      changes: [createChange('a', 3, 'x'), createChange('b', 4, 'y')],
+      isSnapshot: true,
+      next: 5,
+      provenAt: at(0),
+    });
+    return copy;
+  };
+  const listKeys = (copied: Routing.CopyPage | undefined): readonly string[] => (
+    copied?.page.changes.map(({ key, raw }) => `${key}=${raw?.toString() ?? ''}`) ?? []
+  );
+
+  test('gives a reader what changed since its offset, and a late one everything', () => {
+    const copy = createCopy();
+    copy.apply({
+      changes: [createChange('a', 5, 'z'), createChange('b', 6, undefined)],
+      isSnapshot: false,
+      next: 7,
+      provenAt: at(100),
+    });
+    expect(listKeys(copy.read(5, at(100)))).toEqual(['a=z', 'b=']);
+    expect(listKeys(copy.read(7, at(100)))).toEqual([]);
+    const late = copy.read(2, at(100));
+    expect(late?.isSnapshot).toBe(true);
+    expect(listKeys(late)).toEqual(['a=z']);
+  });
+
+  test('renewals without news are not repeated to readers', () => {
+    const copy = createCopy();
+    copy.apply({
+      changes: [createChange('a', 5, 'x')], isSnapshot: false, next: 6, provenAt: at(100),
+    });
+    const copied = copy.read(5, at(100));
+    expect(listKeys(copied)).toEqual([]);
+    expect(copied?.page.next).toBe(6);
+  });
+
+  test('a reader that is ahead of the copy is not set back', () => {
+    expect(createCopy().read(9, at(0))?.page).toEqual({ changes: [], next: 9 });
+  });
+
+  test('tells its age and a failure of the store, and proves nothing after a suspension', () => {
+    const copy = createCopy();
+    copy.observeFailure(at(400));
+    expect(copy.read(5, at(1_000))).toMatchObject({ ageMs: 1_000, failureAgeMs: 600 });
+    expect(copy.read(5, at(6_000))?.failureAgeMs).toBeUndefined();
+    expect(copy.read(5, at(1_000, 3_000))).toBeUndefined();
+  });
+
+  test('a reader that missed a removal the copy forgot gets everything', () => {
+    const copy = createCopy();
+    Array.from({ length: 1_100 }, (_, index) => copy.apply({
+      changes: [createChange(`gone-${index}`, 5 + index, undefined)],
+      isSnapshot: false,
+      next: 6 + index,
+      provenAt: at(0),
+    }));
+    expect(copy.read(50, at(0))?.isSnapshot).toBe(true);
+    expect(copy.read(1_000, at(0))?.isSnapshot).toBe(false);
+  });
+});
+
+describe('plan of the relays', () => {
+  const createMembers = (count: number, dataCentre: string): Routing.FleetMember[] => (
+    Array.from({ length: count }, (_, index) => ({
+      address: `${dataCentre}${index}:1`,
+      cores: index % 3 === 0 ? 1.35 : 0.324,
+      daemonId: `${dataCentre}-${String(index).padStart(4, '0')}`,
+      dataCentre,
+    }))
+  );
+
+  test('a large data centre has relays on its larger VMs, a small one none', () => {
+    const roster = Routing.planRelays([...createMembers(22, 'a'), ...createMembers(4, 'b')], {});
+    expect(roster).toEqual({ a: ['a0:1', 'a3:1'] });
+  });
+
+  test('relays that are still there keep their part when others come or go', () => {
+    const members = createMembers(22, 'a');
+    const roster = Routing.planRelays(members.slice(1), { a: ['a0:1', 'a5:1'] });
+    expect(roster.a).toEqual(['a3:1', 'a5:1']);
+  });
+
+  test('no relay has more than 16 readers, at 2,600 daemons in ten data centres', () => {
+    const members = Array.from({ length: 10 }, (_, index) => createMembers(260, `z${index}-`));
+    const roster = Routing.planRelays(members.flat(), {});
+    const relays = Object.values(roster).flat();
+    expect(2_600 / relays.length).toBeLessThanOrEqual(16);
+    expect(relays.length).toBeLessThan(200);
+  });
+});
+
+describe('choice of a relay', () => {
+  const self = { address: 'me:1', daemonId: 'd', dataCentre: 'a' };
+
+  test('a relay that failed is left for the other one, then for the store, for a while', () => {
+    const clock = Core.createManualClock();
+    const choice = Routing.createRelayChoice(clock, self);
+    expect(choice.choose()).toBeUndefined();
+    choice.setRoster({ a: ['p:1', 'q:1'], b: ['r:1'] });
+    const first = choice.choose() as string;
+    choice.observeFailure(first);
+    const second = choice.choose() as string;
+    expect([first, second].sort()).toEqual(['p:1', 'q:1']);
+    choice.observeFailure(second);
+    expect(choice.choose()).toBeUndefined();
+    clock.advance(4_000);
+    expect(choice.choose()).toBe(first);
+  });
+
+  test('a relay reads from the store itself', () => {
+    const choice = Routing.createRelayChoice(Core.createManualClock(), self);
+    choice.setRoster({ a: ['me:1', 'p:1'] });
+    expect(choice.isRelay()).toBe(true);
+    expect(choice.choose()).toBeUndefined();
+  });
+
+  test('readers spread over the relays', () => {
+    const chosen = Array.from({ length: 40 }, (_, index) => {
+      const choice = Routing.createRelayChoice(
+        Core.createManualClock(),
+        { ...self, daemonId: `daemon-${index}` },
+      );
+      choice.setRoster({ a: ['p:1', 'q:1'] });
+      return choice.choose();
+    });
+    expect(chosen.filter((address) => address === 'p:1').length).toBeGreaterThan(10);
+    expect(chosen.filter((address) => address === 'q:1').length).toBeGreaterThan(10);
+  });
+
+  test.each([
+    ['fails', () => Effect.fail(new Routing.RelayUnavailable({ detail: 'refused' }))],
+    ['has an old copy', () => Effect.succeed({
+      ageMs: 2_000, failureAgeMs: 300, isSnapshot: false, page: { changes: [], next: 1 },
+    })],
+  ])('a relay that %s is not used and is left', async (_, read) => {
+    const choice = Routing.createRelayChoice(Core.createManualClock(), self);
+    choice.setRoster({ a: ['p:1'] });
+    const copied = await Effect.runPromise(Routing.readFromRelay({
+      choice,
+      feed: 'servers',
+      from: 1,
+      logger: Core.createLogger('silent', {}),
+      maxAgeMs: 1_500,
+      read,
+    }));
+    expect(copied).toBeUndefined();
+    expect(choice.choose()).toBeUndefined();
+  });
+});
+
+describe('calls between daemons', () => {
+  let listener: Routing.RelayListener | undefined;
+  afterEach(() => listener?.close());
+
+  test('carry a page as it is', async () => {
+    const copied: Routing.CopyPage = {
+      ageMs: 12.5,
+      failureAgeMs: undefined,
+      isSnapshot: true,
+      page: {
+        changes: [
+          { key: 'a', offset: 3, raw: Buffer.from([0, 255]) },
+          { key: 'b', offset: 4, raw: undefined },
+        ],
+        next: 2 ** 40,
+      },
+    };
+    listener = await Routing.startRelayListener('127.0.0.1:0', () => copied);
+    const read = Routing.createRelayReader();
+    expect(await Effect.runPromise(read(listener.address, 'servers', 1))).toEqual(copied);
+  });
+
+  test('a daemon without a copy, and one that is gone, are told as failures', async () => {
+    listener = await Routing.startRelayListener('127.0.0.1:0', () => undefined);
+    const read = Routing.createRelayReader();
+    const unknown = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
+    expect(Either.isLeft(unknown)).toBe(true);
+    listener.close();
+    const gone = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
+    expect(Either.isLeft(gone)).toBe(true);
+  });
+});
--- a/packages/routing/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/routing/src/__tests__/unit/UsageCounts.test.ts
@@ -30,7 +30,14 @@
   test('a copy that arrives twice, late or from a former start changes nothing wrongly', () => {
     const collection = Routing.createUsageCollection();
     const create = (incarnation: string, shop: number): Routing.WindowCounts => ({
-      counts: { shop }, daemonId: 'a', incarnation, tokens: { chat: shop * 10 }, window: 3,
+      address: '10.0.0.1:7340',
+      cores: 1,
+      counts: { shop },
+      daemonId: 'a',
+      dataCentre: 'z',
+      incarnation,
+      tokens: { chat: shop * 10 },
+      window: 3,
     });
     collection.apply(create('1', 5));
     collection.apply(create('1', 8));
@@ -39,5 +46,10 @@
     expect(collection.sumWindow(3)).toEqual({ shop: 10 });
     expect(collection.sumTokens(3, 'chat')).toBe(100);
     expect(collection.countDaemons(3)).toBe(1);
+    expect(collection.listMembers(3)).toEqual([
+      {
+        address: '10.0.0.1:7340', cores: 1, daemonId: 'a', dataCentre: 'z',
+      },
+    ]);
   });
 });
