Join refreshes of the keys instead of interrupting them

Cause: each request that finds the keys not proven asks for a refresh, and each refresh interrupted the read before it. Where requests came faster than the store answered, no read ever ended and the daemon refused everything until the requests paused. In an outage each such request was also a call to the store.

Change: a refresh joins the one under way, and does nothing within the pause after a failed read since the last one. Found by reading; both tests failed before.

--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -46,7 +46,11 @@
 
 /** A feed that is being followed. */
 export interface FeedLoop {
-  /** Reads again at once; resolves when a read that was sent from now on ends. */
+  /**
+   * Reads the store again at once, and resolves when that read ends. Joins a refresh that is under
+   * way: callers that each interrupted the one before would keep a slow store from ever answering.
+   * Does nothing within the pause after a failed read since the last refresh.
+   */
   readonly refresh: () => Promise<void>;
   readonly stop: () => void;
 }
@@ -85,6 +89,8 @@
   let waiters: (() => void)[] = [];
   let lastProvenMs = -Infinity;
   let isRelayed = false;
+  let refreshing: Promise<void> | undefined;
+  let refreshedMs = -Infinity;
 
   const applyPage = (
     page: Ports.FeedPage,
@@ -174,16 +180,28 @@
   };
   run(0, false);
 
+  const startRefresh = (): Promise<void> => new Promise((resolve) => {
+    waiters.push(resolve);
+    if (timer === undefined) abort.abort();
+    else {
+      clearTimeout(timer);
+      timer = undefined;
+      run(0, true);
+    }
+  });
+
   return {
-    refresh: () => new Promise((resolve) => {
-      waiters.push(resolve);
-      if (timer === undefined) abort.abort();
-      else {
-        clearTimeout(timer);
-        timer = undefined;
-        run(0, true);
+    refresh: () => {
+      const nowMs = options.readClocks().monotonicMs;
+      if (refreshing === undefined && nowMs - refreshedMs < options.retryMs) {
+        return Promise.resolve();
       }
-    }),
+      refreshing ??= startRefresh().finally(() => {
+        refreshing = undefined;
+        refreshedMs = options.readClocks().monotonicMs;
+      });
+      return refreshing;
+    },
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- a/packages/routing/src/__tests__/unit/FeedLoop.test.ts
+++ b/packages/routing/src/__tests__/unit/FeedLoop.test.ts
@@ -89,6 +89,56 @@
   });
 });
 
+describe('refreshing a feed', () => {
+  const startSlowFeed = (answerMs: number, nowMs: () => number): {
+    readonly loop: Routing.FeedLoop;
+    readonly counts: { reads: number; contacts: number };
+  } => {
+    const counts = { contacts: 0, reads: 0 };
+    const loop = Routing.startFeed(createOptions({
+      feed: {
+        readChanges: (_, waitMs) => {
+          if (waitMs > 0) return Effect.never;
+          counts.reads += 1;
+          return Effect.delay(Effect.succeed({ changes: [], next: 1 }), answerMs);
+        },
+        readNewest: () => Effect.succeed({ changes: [], next: 1 }),
+      },
+      onContact: () => {
+        counts.contacts += 1;
+      },
+      readClocks: () => at(nowMs()),
+      retryMs: 50,
+    }));
+    return { counts, loop };
+  };
+  const wait = (timeMs: number): Promise<void> => new Promise((resolve) => {
+    setTimeout(resolve, timeMs);
+  });
+
+  test('requests that come faster than the store answers interrupt no read', async () => {
+    const { counts, loop } = startSlowFeed(60, () => performance.now());
+    await wait(10);
+    const refreshes = await Promise.all(Array.from({ length: 8 }, async (_, index) => {
+      await wait(index * 10);
+      return loop.refresh();
+    }));
+    loop.stop();
+    expect(refreshes.length).toBe(8);
+    expect(counts).toEqual({ contacts: 2, reads: 1 });
+  });
+
+  test('requests in an outage do not each call the store', async () => {
+    const { counts, loop } = startSlowFeed(0, () => 5_000);
+    await wait(10);
+    await loop.refresh();
+    await loop.refresh();
+    await loop.refresh();
+    loop.stop();
+    expect(counts.reads).toBe(1);
+  });
+});
+
 describe('following a feed through a relay', () => {
   const createCopied = (
     parts: Partial<Routing.CopyPage>,
