Hand counts of usage over through the relays

Cause: after the relays for the feeds, the hand-overs of counts were the largest part of the calls to the store: 88 appends a window. The counts that a killed daemon had made since its last hand-over, up to a whole window, were lost.

Change: a daemon hands its counts to its relay, which stores those of its readers in one append and answers when they are stored; without an answer the daemon appends its own, and equal figures are recognised as copies. Once a second a daemon also gives its relay a copy of the current window, which the relay stores where no final figures come. The hand-over no longer delays the renewal of the lease. Failed reads of the entries are repeated every 800 ms instead of 400.

Tests: batches, copies of a killed daemon, a relay that fails, and the calls over a socket.

--- /dev/null
+++ b/packages/routing/src/CountsHandOver.ts
@@ -0,0 +1,75 @@
+/**
+ * Hands over counts of usage windows: a relay stores its own and those of other daemons in one
+ * append; a daemon without a usable relay appends its own.
+ */
+import type * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import * as Either from 'effect/Either';
+import type * as CountsRecord from './CountsRecord.js';
+import * as HandOverBatch from './HandOverBatch.js';
+import type * as Ports from './Ports.js';
+import type * as RelayCalls from './RelayCalls.js';
+import type * as RelayChoice from './RelayChoice.js';
+
+/** What the hand-over works with. */
+export interface HandOverContext {
+  readonly choice: RelayChoice.RelayChoice;
+  readonly client: Pick<RelayCalls.RelayClient, 'handOver'>;
+  readonly countsLog: Pick<Ports.SharedLog, 'append'>;
+  readonly computeCurrentWindow: () => number;
+  readonly logger: Core.Logger;
+}
+
+/** Hand-over of one daemon. */
+export interface CountsHandOver {
+  /** Stores final counts of this daemon, and tells whether that succeeded. */
+  readonly handOver: (records: readonly CountsRecord.CountsRecord[]) => Promise<boolean>;
+  /** Gives a relay copies of counts that may still grow. */
+  readonly copyCounts: (records: readonly CountsRecord.CountsRecord[]) => void;
+  /** Takes counts of another daemon. */
+  readonly takeCounts: RelayCalls.RelayHandlers['takeCounts'];
+}
+
+/** Creates the hand-over of a daemon. */
+export function createCountsHandOver({
+  choice, client, computeCurrentWindow, countsLog, logger,
+}: HandOverContext): CountsHandOver {
+  const append = async (records: readonly CountsRecord.CountsRecord[]): Promise<boolean> => {
+    const result = await Effect.runPromise(Effect.either(countsLog.append(records)));
+    if (Either.isLeft(result)) {
+      logger.warn({ detail: result.left.message }, 'usage counts not handed over');
+    }
+    return Either.isRight(result);
+  };
+  const batch = HandOverBatch.createHandOverBatch({ append, computeCurrentWindow });
+  const sendToRelay = async (
+    address: string,
+    records: readonly CountsRecord.CountsRecord[],
+    isFinal: boolean,
+  ): Promise<boolean> => {
+    const result = await Effect.runPromise(
+      Effect.either(client.handOver(address, records, isFinal)),
+    );
+    if (Either.isRight(result)) return true;
+    logger.warn({ detail: result.left.detail, relay: address }, 'relay took no usage counts');
+    return false;
+  };
+  return {
+    copyCounts: (records) => {
+      const address = choice.choose();
+      if (address !== undefined) sendToRelay(address, records, false);
+    },
+    handOver: async (records) => {
+      if (choice.isRelay()) return batch.addFinal(records);
+      const address = choice.choose();
+      if (address !== undefined && await sendToRelay(address, records, true)) return true;
+      // Counts that the relay stored without an answer are recognised as copies.
+      return append(records);
+    },
+    takeCounts: async (records, isFinal) => {
+      if (isFinal) return batch.addFinal(records);
+      batch.addCopies(records);
+      return true;
+    },
+  };
+}
--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -7,6 +7,7 @@
 import * as Either from 'effect/Either';
 import * as Schema from 'effect/Schema';
 import * as util from 'node:util';
+import * as CountsRecord from './CountsRecord.js';
 import * as DutyLease from './DutyLease.js';
 import * as KeyProof from './KeyProof.js';
 import * as OrderPlan from './OrderPlan.js';
@@ -42,6 +43,9 @@
 /** Pause after a hand-over that failed; the holder waits for it after an outage of the store. */
 const HAND_OVER_RETRY_MS = 1_000;
 
+/** How often a copy of the current window goes to a relay; a kill loses the counts since then. */
+const COPY_MS = 1_000;
+
 /** Age up to which a window is still sealed and reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
@@ -73,6 +77,10 @@
   readonly windowMs: Core.Millis;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
+  /** Stores final counts, and tells whether that succeeded. */
+  readonly handOver: (records: readonly CountsRecord.CountsRecord[]) => Promise<boolean>;
+  /** Gives a relay copies of counts that may still grow. */
+  readonly copyCounts: (records: readonly CountsRecord.CountsRecord[]) => void;
   readonly calls: Ports.DutyCalls;
   readonly book: UsageCounts.UsageBook;
   /** `getTokensPerSecond` gives the prompt tokens that callers ask of a service. */
@@ -92,23 +100,7 @@
   readonly stop: () => Promise<void>;
 }
 
-const CountsRecord = Schema.Struct({
-  address: Schema.optional(Schema.String),
-  cores: Schema.Number,
-  counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
-  daemonId: Schema.String,
-  dataCentre: Schema.String,
-  incarnation: Schema.String,
-  tokens: Schema.optionalWith(
-    Schema.Record({ key: Schema.String, value: Schema.Number }),
-    { default: () => ({}) },
-  ),
-  window: Schema.Number,
-  writtenMs: Schema.Number,
-});
-
 const decodeDuty = Schema.decodeUnknownOption(DutyLease.DutyRecord);
-const decodeCounts = Schema.decodeUnknownOption(CountsRecord);
 
 /** Participation in the lease and the work of its holder. */
 class DutyProcess implements DutyHolder {
@@ -136,6 +128,10 @@
 
   #nextHandOverMs = -Infinity;
 
+  #nextCopyMs = -Infinity;
+
+  #handingOver: Promise<void> | undefined;
+
   /** Newest window that was handed over, with or without counts. */
   #lastHandedOver = -Infinity;
 
@@ -176,6 +172,7 @@
     this.#isStopped = true;
     clearTimeout(this.#timer);
     await this.#running;
+    await this.#handingOver;
     await this.#handOverCounts(true);
   };
 
@@ -197,9 +194,11 @@
   }
 
   async #step(): Promise<void> {
-    if (this.#context.clock.readMonotonic() >= this.#nextHandOverMs) {
-      await this.#handOverCounts(false);
-    }
+    // A relay that is silent must not delay the renewal of the lease.
+    this.#handingOver ??= this.#handOverCounts(false).finally(() => {
+      this.#handingOver = undefined;
+    });
+    this.#copyCurrentWindow();
     if (this.#hasResigned) return;
     if (this.#authority !== undefined && this.#computeRemaining() <= 0) {
       this.#loseAuthority('term over');
@@ -393,7 +392,7 @@
       return false;
     }
     result.right.records.forEach(({ value }) => {
-      const decoded = decodeCounts(value);
+      const decoded = CountsRecord.decodeCounts(value);
       if (decoded._tag === 'Some') {
         this.#collection.apply({ ...decoded.value, address: decoded.value.address });
       }
@@ -459,6 +458,8 @@
 
   /** Hands over the counts of windows that ended; a daemon that stops adds its current window. */
   async #handOverCounts(isStopping: boolean): Promise<void> {
+    const nowMs = this.#context.clock.readMonotonic();
+    if (nowMs < this.#nextHandOverMs && !isStopping) return;
     const current = this.#computeCurrentWindow();
     const changed = this.#context.book.listChanged().filter(({ window }) => (
       window < current || isStopping
@@ -467,7 +468,27 @@
     const isIdle = changed.length === 0 && this.#lastHandedOver < current - 1;
     const due = isIdle ? [{ counts: {}, tokens: {}, window: current - 1 }] : changed;
     if (due.length === 0) return;
-    const records = due.map(({ counts, tokens, window }): typeof CountsRecord.Type => ({
+    if (await this.#context.handOver(due.map((figures) => this.#createRecord(figures)))) {
+      this.#lastHandedOver = current - 1;
+      changed.forEach(this.#context.book.setHandedOver);
+      return;
+    }
+    this.#nextHandOverMs = this.#context.clock.readMonotonic() + HAND_OVER_RETRY_MS;
+  }
+
+  /** A relay stores the copy of the current window where this process is killed before its end. */
+  #copyCurrentWindow(): void {
+    const nowMs = this.#context.clock.readMonotonic();
+    if (nowMs < this.#nextCopyMs) return;
+    this.#nextCopyMs = nowMs + COPY_MS;
+    const current = this.#computeCurrentWindow();
+    const figures = this.#context.book.listChanged().filter(({ window }) => window === current);
+    if (figures.length === 0) return;
+    this.#context.copyCounts(figures.map((each) => this.#createRecord(each)));
+  }
+
+  #createRecord({ counts, tokens, window }: UsageCounts.OwnCounts): CountsRecord.CountsRecord {
+    return {
       ...this.#context.peerAddress === undefined ? {} : { address: this.#context.peerAddress },
       cores: this.#context.cores,
       counts,
@@ -477,15 +498,7 @@
       tokens,
       window,
       writtenMs: Math.round(this.#context.trueTime.read()),
-    }));
-    const result = await Effect.runPromise(Effect.either(this.#context.countsLog.append(records)));
-    if (Either.isRight(result)) {
-      this.#lastHandedOver = current - 1;
-      changed.forEach(this.#context.book.setHandedOver);
-      return;
-    }
-    this.#nextHandOverMs = this.#context.clock.readMonotonic() + HAND_OVER_RETRY_MS;
-    this.#context.logger.warn({ detail: result.left.message }, 'usage counts not handed over');
+    };
   }
 }
 
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -1,11 +1,14 @@
-/** Carries reads of feeds between the daemons of a data centre over connect-es on HTTP/1.1. */
+/** Carries reads of feeds, and counts, between the daemons of a data centre over connect-es. */
 import * as protobuf from '@bufbuild/protobuf';
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
+import type * as Core from '@berylyoke/core';
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
+import * as Schema from 'effect/Schema';
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as CountsRecord from './CountsRecord.js';
 import * as EntryListener from './EntryListener.js';
 import type * as FeedCopy from './FeedCopy.js';
 import * as Relay from './gen/berylyoke/relay/v1/relay_pb.js';
@@ -24,10 +27,34 @@
   readonly detail: string;
 }> {}
 
-/** Reads the copy of a feed that another daemon holds. */
-export type ReadRelay = (
-  address: string, feed: string, from: number,
-) => Effect.Effect<FeedCopy.CopyPage, RelayUnavailable>;
+/**
+ * Time limit of a hand-over in milliseconds: the relay's batch and an append. Together with an
+ * append of the daemon's own it has to end before the holder seals the window, 1.5 s after its end.
+ */
+const HAND_OVER_TIMEOUT_MS = 800;
+
+/** Calls of other daemons. */
+export interface RelayClient {
+  /** Reads the copy of a feed that the daemon holds. */
+  readonly read: (
+    address: string, feed: string, from: number,
+  ) => Effect.Effect<FeedCopy.CopyPage, RelayUnavailable>;
+  /** Hands over counts; fails where they are not known to be stored. */
+  readonly handOver: (
+    address: string, records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
+  ) => Effect.Effect<void, RelayUnavailable>;
+}
+
+/** What a daemon does for others. */
+export interface RelayHandlers {
+  readonly readCopy: (feed: string, from: number) => FeedCopy.CopyPage | undefined;
+  /** Resolves when the records are kept, with false where that failed. */
+  readonly takeCounts: (
+    records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
+  ) => Promise<boolean>;
+}
+
+const decodeCountsText = Schema.decodeUnknownOption(Schema.parseJson(CountsRecord.CountsRecord));
 
 function encodePage(copied: FeedCopy.CopyPage | undefined): Relay.ReadFeedResponse {
   return protobuf.create(Relay.ReadFeedResponseSchema, copied === undefined ? {} : {
@@ -55,7 +82,7 @@
 }
 
 /** Creates the client of other daemons. */
-export function createRelayReader(): ReadRelay {
+export function createRelayClient(): RelayClient {
   const agent = new http.Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
   const clients = new Map<string, connect.Client<typeof Relay.RelayService>>();
   const getClient = (address: string): connect.Client<typeof Relay.RelayService> => {
@@ -67,18 +94,36 @@
     clients.set(address, client);
     return client;
   };
-  return (address, feed, from) => Effect.tryPromise({
+  const request = <T>(
+    send: (options: connect.CallOptions) => Promise<T>,
+    timeoutMs: Core.Millis,
+  ): Effect.Effect<T, RelayUnavailable> => Effect.tryPromise({
     catch: (error) => new RelayUnavailable({ detail: String(error) }),
-    try: (signal) => getClient(address).readFeed(
-      { feed, from },
-      { signal, timeoutMs: CALL_TIMEOUT_MS },
-    ),
-  }).pipe(Effect.flatMap((response) => {
-    const page = decodePage(response);
-    return page === undefined
-      ? Effect.fail(new RelayUnavailable({ detail: `no copy of ${feed}` }))
-      : Effect.succeed(page);
-  }));
+    try: (signal) => send({ signal, timeoutMs }),
+  });
+  return {
+    handOver: (address, records, isFinal) => request((options) => getClient(address).handOver({
+      isFinal, records: records.map((record) => Buffer.from(JSON.stringify(record))),
+    }, options), HAND_OVER_TIMEOUT_MS).pipe(Effect.flatMap(({ isStored }) => (
+      isStored ? Effect.void : Effect.fail(new RelayUnavailable({ detail: 'counts not stored' }))
+    ))),
+    read: (address, feed, from) => request(
+      (options) => getClient(address).readFeed({ feed, from }, options),
+      CALL_TIMEOUT_MS,
+    ).pipe(Effect.flatMap((response) => {
+      const page = decodePage(response);
+      return page === undefined
+        ? Effect.fail(new RelayUnavailable({ detail: `no copy of ${feed}` }))
+        : Effect.succeed(page);
+    })),
+  };
+}
+
+function decodeRecords(records: readonly Uint8Array[]): readonly CountsRecord.CountsRecord[] {
+  return records.flatMap((bytes) => {
+    const decoded = decodeCountsText(Buffer.from(bytes).toString('utf8'));
+    return decoded._tag === 'None' ? [] : [decoded.value];
+  });
 }
 
 /** Server for other daemons. */
@@ -91,12 +136,15 @@
 /** Starts answering other daemons; resolves when it listens. */
 export async function startRelayListener(
   address: string,
-  readCopy: (feed: string, from: number) => FeedCopy.CopyPage | undefined,
+  handlers: RelayHandlers,
 ): Promise<RelayListener> {
   const server = http.createServer(connectNode.connectNodeAdapter({
     routes: (router) => {
       router.service(Relay.RelayService, {
-        readFeed: ({ feed, from }) => encodePage(readCopy(feed, from)),
+        handOver: async ({ isFinal, records }) => ({
+          isStored: await handlers.takeCounts(decodeRecords(records), isFinal),
+        }),
+        readFeed: ({ feed, from }) => encodePage(handlers.readCopy(feed, from)),
       });
     },
   }));
--- a/packages/routing/src/RelayChoice.ts
+++ b/packages/routing/src/RelayChoice.ts
@@ -55,7 +55,7 @@
 /** What a read from a relay works with. */
 export interface RelayRead {
   readonly choice: RelayChoice;
-  readonly read: RelayCalls.ReadRelay;
+  readonly read: RelayCalls.RelayClient['read'];
   readonly feed: string;
   readonly from: number;
   /** Age of a copy above which its holder counts as out of touch with the store. */
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -4,6 +4,7 @@
  */
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import * as CountsHandOver from './CountsHandOver.js';
 import * as DutyHolder from './DutyHolder.js';
 import * as EntryListener from './EntryListener.js';
 import * as FeedCopy from './FeedCopy.js';
@@ -51,8 +52,11 @@
 /** Time that the newest proof of a relay's configuration may be older than the store's hold. */
 const RELAY_SLACK_MS = 600;
 
-/** Pause after a failed read. */
-const RETRY_MS = 400;
+/** Pause after a failed read of the configuration, whose proof of keys decides about serving. */
+const CONFIG_RETRY_MS = 400;
+
+/** Pause after a failed read of the entries; those that lapsed in an outage are kept for 2 s. */
+const SERVERS_RETRY_MS = 800;
 
 /** Part of the bound on withdrawn keys that is kept for requests on their way. */
 const KEY_MARGIN_MS = 500;
@@ -135,7 +139,8 @@
   const readClocks = (): KeyProof.ClockReading => KeyProof.readClocks(clock);
   const trueTime = TrueTime.createTrueTime(readClocks);
   const servers = ServerTable.createServerTable();
-  const book = UsageCounts.createUsageBook(settings.bounds.usageWindowS * MS_PER_S);
+  const windowMs = settings.bounds.usageWindowS * MS_PER_S;
+  const book = UsageCounts.createUsageBook(windowMs);
   let active: PathContext.ActiveConfig | undefined;
   let hasServers = false;
   let keyProof: KeyProof.ClockReading | undefined;
@@ -199,7 +204,7 @@
     daemonId: settings.daemonId,
     dataCentre: settings.dataCentre,
   });
-  const readRelay = RelayCalls.createRelayReader();
+  const relayClient = RelayCalls.createRelayClient();
   const createRelaySource = (
     feed: keyof typeof copies,
     pauseMs: Core.Millis,
@@ -207,7 +212,7 @@
   ): FeedLoop.RelaySource => ({
     pauseMs,
     read: (from) => RelayChoice.readFromRelay({
-      choice: relayChoice, feed, from, logger, maxAgeMs, read: readRelay,
+      choice: relayChoice, feed, from, logger, maxAgeMs, read: relayClient.read,
     }),
   });
   const configWaitMs = Math.round(settings.bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE);
@@ -230,7 +235,7 @@
       settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
       configWaitMs + RELAY_SLACK_MS,
     ),
-    retryMs: RETRY_MS,
+    retryMs: CONFIG_RETRY_MS,
     waitMs: configWaitMs,
   });
   const serverContact = reportContact('servers');
@@ -268,7 +273,7 @@
       settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
       settings.bounds.drainMs * MAX_COPY_AGE_SHARE,
     ),
-    retryMs: RETRY_MS,
+    retryMs: SERVERS_RETRY_MS,
     waitMs: 0,
   });
   const renewKeys = async (): Promise<boolean> => {
@@ -326,11 +331,21 @@
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
   );
+  const counts = CountsHandOver.createCountsHandOver({
+    choice: relayChoice,
+    client: relayClient,
+    computeCurrentWindow: () => Math.floor(trueTime.read() / windowMs),
+    countsLog,
+    logger,
+  });
   const relayListener = settings.listen.peers === undefined
     ? undefined
-    : await RelayCalls.startRelayListener(settings.listen.peers, (feed, from) => (
-      feed in copies ? copies[feed as keyof typeof copies].read(from, readClocks()) : undefined
-    ));
+    : await RelayCalls.startRelayListener(settings.listen.peers, {
+      readCopy: (feed, from) => (
+        feed in copies ? copies[feed as keyof typeof copies].read(from, readClocks()) : undefined
+      ),
+      takeCounts: counts.takeCounts,
+    });
   const closeMetrics = settings.listen.metrics === undefined
     ? undefined
     : await EntryListener.startStatusListener(
@@ -342,10 +357,12 @@
     calls,
     clock,
     cores: settings.vm.cpuShare * settings.vm.cores,
+    copyCounts: counts.copyCounts,
     countsLog,
     daemonId: settings.daemonId,
     dataCentre: settings.dataCentre,
     dutyLog,
+    handOver: counts.handOver,
     leaseMs: settings.bounds.leaseMs,
     listWantedOrders: (getTokensPerSecond) => (
       [...active?.config.services.values() ?? []].flatMap((service) => OrderPlan.planOrders({
@@ -359,7 +376,7 @@
     peerAddress: settings.listen.peers,
     random: Math.random,
     trueTime,
-    windowMs: settings.bounds.usageWindowS * MS_PER_S,
+    windowMs,
   });
   logger.info({ dataCentre: settings.dataCentre, listen: settings.listen }, 'started');
 
--- a/packages/routing/src/__tests__/unit/DutyHolder.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyHolder.test.ts
@@ -1,4 +1,6 @@
 import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import * as Either from 'effect/Either';
 import {
   afterEach, beforeEach, describe, expect, test, vi,
 } from 'vitest';
@@ -34,10 +36,14 @@
       calls: platform.connect(daemonId),
       clock: Core.systemClock,
       cores: 1,
+      copyCounts: () => undefined,
       countsLog: countsLog.connect(daemonId),
       daemonId,
       dataCentre: 'a',
       dutyLog: dutyLog.connect(daemonId),
+      handOver: async (records) => Either.isRight(await Effect.runPromise(
+        Effect.either(countsLog.connect(daemonId).append(records)),
+      )),
       leaseMs: LEASE_MS,
       listWantedOrders: () => [],
       logger: Core.createLogger('silent', {}),
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -18,6 +18,18 @@
   };
 }
 
+const counts: Routing.CountsRecord = {
+  address: '10.0.0.1:7340',
+  cores: 1,
+  counts: { shop: 3 },
+  daemonId: 'a',
+  dataCentre: 'z',
+  incarnation: 'i',
+  tokens: {},
+  window: 7,
+  writtenMs: 35_000,
+};
+
 describe('copy of a feed', () => {
   const createCopy = (): Routing.FeedCopy<string> => {
     const copy = Routing.createFeedCopy<string>();
@@ -189,18 +201,119 @@
         next: 2 ** 40,
       },
     };
-    listener = await Routing.startRelayListener('127.0.0.1:0', () => copied);
-    const read = Routing.createRelayReader();
+    listener = await Routing.startRelayListener('127.0.0.1:0', {
+      readCopy: () => copied, takeCounts: async () => true,
+    });
+    const { read } = Routing.createRelayClient();
     expect(await Effect.runPromise(read(listener.address, 'servers', 1))).toEqual(copied);
   });
 
   test('a daemon without a copy, and one that is gone, are told as failures', async () => {
-    listener = await Routing.startRelayListener('127.0.0.1:0', () => undefined);
-    const read = Routing.createRelayReader();
+    listener = await Routing.startRelayListener('127.0.0.1:0', {
+      readCopy: () => undefined, takeCounts: async () => true,
+    });
+    const { read } = Routing.createRelayClient();
     const unknown = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
     expect(Either.isLeft(unknown)).toBe(true);
     listener.close();
     const gone = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
     expect(Either.isLeft(gone)).toBe(true);
   });
+
+  test('carry counts, and tell that they were not stored', async () => {
+    const taken: unknown[] = [];
+    listener = await Routing.startRelayListener('127.0.0.1:0', {
+      readCopy: () => undefined,
+      takeCounts: async (records, isFinal) => {
+        taken.push(...records);
+        return !isFinal;
+      },
+    });
+    const { handOver } = Routing.createRelayClient();
+    const { address } = listener;
+    const copied = await Effect.runPromise(Effect.either(handOver(address, [counts], false)));
+    const stored = await Effect.runPromise(Effect.either(handOver(address, [counts], true)));
+    expect([Either.isRight(copied), Either.isRight(stored)]).toEqual([true, false]);
+    expect(taken).toEqual([counts, counts]);
+  });
+});
+
+describe('hand-over of counts', () => {
+  const createCounts = (daemonId: string, window: number, shop = 1): Routing.CountsRecord => ({
+    ...counts, counts: { shop }, daemonId, window,
+  });
+  const createBatch = (current: number): {
+    readonly batch: Routing.HandOverBatch;
+    readonly appends: Routing.CountsRecord[][];
+    readonly setOutcome: (isStored: boolean) => void;
+  } => {
+    const appends: Routing.CountsRecord[][] = [];
+    let outcome = true;
+    return {
+      appends,
+      batch: Routing.createHandOverBatch({
+        append: async (records) => {
+          appends.push([...records]);
+          return outcome;
+        },
+        computeCurrentWindow: () => current,
+      }, 5),
+      setOutcome: (isStored) => {
+        outcome = isStored;
+      },
+    };
+  };
+
+  test('figures of several daemons are stored by one append', async () => {
+    const { appends, batch } = createBatch(8);
+    const outcomes = await Promise.all([
+      batch.addFinal([createCounts('a', 7)]), batch.addFinal([createCounts('b', 7)]),
+    ]);
+    expect(outcomes).toEqual([true, true]);
+    expect(appends.map((records) => records.map(({ daemonId }) => daemonId))).toEqual([['a', 'b']]);
+  });
+
+  test('the copy of a daemon that was killed is stored, and no other one', async () => {
+    const { appends, batch } = createBatch(8);
+    batch.addCopies([createCounts('killed', 7, 4), createCounts('a', 7, 2)]);
+    batch.addCopies([createCounts('killed', 7, 5), createCounts('b', 8), createCounts('old', 1)]);
+    await batch.addFinal([createCounts('a', 7, 3)]);
+    expect(appends[0]?.map(({ counts: { shop }, daemonId }) => [daemonId, shop]))
+      .toEqual([['a', 3], ['killed', 5]]);
+  });
+
+  test('a copy is kept where the append failed', async () => {
+    const { appends, batch, setOutcome } = createBatch(8);
+    batch.addCopies([createCounts('killed', 7)]);
+    setOutcome(false);
+    expect(await batch.addFinal([createCounts('a', 7)])).toBe(false);
+    setOutcome(true);
+    await batch.addFinal([createCounts('a', 7)]);
+    expect(appends[1]?.map(({ daemonId }) => daemonId)).toEqual(['a', 'killed']);
+  });
+
+  test('a daemon whose relay fails appends its own counts', async () => {
+    const appended: unknown[] = [];
+    const choice = Routing.createRelayChoice(
+      Core.createManualClock(),
+      { address: 'me:1', daemonId: 'd', dataCentre: 'a' },
+    );
+    choice.setRoster({ a: ['p:1'] });
+    const { handOver } = Routing.createCountsHandOver({
+      choice,
+      client: {
+        handOver: () => Effect.fail(new Routing.RelayUnavailable({ detail: 'silent' })),
+      },
+      computeCurrentWindow: () => 8,
+      countsLog: {
+        append: (records) => Effect.sync(() => {
+          appended.push(...records);
+          return 0;
+        }),
+      },
+      logger: Core.createLogger('silent', {}),
+    });
+    expect(await handOver([counts])).toBe(true);
+    expect(appended).toEqual([counts]);
+  });
 });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,8 @@
 /** Routing daemon: request path, choice of servers, duties; its ports and settings. */
 export * from './AttemptRules.js';
 export * from './BackendExchange.js';
+export * from './CountsHandOver.js';
+export * from './CountsRecord.js';
 export * from './DutyHolder.js';
 export * from './DutyLease.js';
 export * from './EntryListener.js';
@@ -8,6 +10,7 @@
 export * from './FailureShare.js';
 export * from './FeedCopy.js';
 export * from './FeedLoop.js';
+export * from './HandOverBatch.js';
 export * from './HeaderRules.js';
 export * from './KeyProof.js';
 export * from './OrderPlan.js';
