Explain a request from collected logs, and check the lines

On-call engineers have only the logs. `berylyoke logs check` compares lines with the schema in packages/cli/src/LogLines.ts; text that a collector puts before the object is skipped.

Found on the way: a failed check of arguments printed "undefined" instead of its message, because yargs hands a returned text over as it is.

--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -7,6 +7,7 @@
 import * as CliError from './CliError.js';
 import * as ConfigCommands from './ConfigCommands.js';
 import * as KeyCommands from './KeyCommands.js';
+import * as LogCommands from './LogCommands.js';
 import * as OperatorCommands from './OperatorCommands.js';
 
 const { COMMANDS } = CliCommand;
@@ -23,8 +24,10 @@
   [COMMANDS.configShow]: ConfigCommands.showConfig,
   [COMMANDS.configValidate]: ConfigCommands.validateConfig,
   [COMMANDS.explain]: OperatorCommands.showExplanation,
+  [COMMANDS.explainLogs]: LogCommands.explainFromLogs,
   [COMMANDS.keyIssue]: KeyCommands.issueKey,
   [COMMANDS.keyWithdraw]: KeyCommands.withdrawKey,
+  [COMMANDS.logsCheck]: LogCommands.checkLogs,
   [COMMANDS.status]: OperatorCommands.showStatus,
 };
 
@@ -59,7 +62,7 @@
         })
         .check(({ base }) => {
           if (base === undefined || (Number.isInteger(base) && base >= 0)) return true;
-          return '--base takes a whole number from 0';
+          throw new Error('--base takes a whole number from 0');
         })
         .example(`${PROGRAM} --settings s.toml config publish lists.toml`, '')
         .example(`${PROGRAM} --settings s.toml config publish lists.toml --base 7`, ''),
@@ -105,6 +108,18 @@
     .demandCommand(1, 1, 'name one of: issue, withdraw');
 }
 
+function addExplainArguments(parser: Yargs.Argv): Yargs.Argv {
+  return parser
+    .positional('requestId', { describe: 'id of the request', type: 'string' })
+    .option('logs', { array: true, describe: 'files of log lines', type: 'string' })
+    .check(({ logs, requestId }) => {
+      if (requestId !== undefined || (logs?.length ?? 0) > 1) return true;
+      throw new Error('name the request id');
+    })
+    .example(`${PROGRAM} --settings s.toml explain 5f0c6b1d`, 'asks the daemons')
+    .example(`${PROGRAM} explain --logs vm-1.log vm-2.log 5f0c6b1d`, 'reads their logs');
+}
+
 function buildParser(select: Select): Yargs.Argv {
   return yargs()
     .scriptName(PROGRAM)
@@ -124,15 +139,31 @@
       select(COMMANDS.status),
     )
     .command(
-      'explain <requestId>',
+      'explain [requestId]',
       'show why a request was answered as it was',
-      (parser) => parser
-        .positional('requestId', {
-          demandOption: true, describe: 'x-request-id of the answer', type: 'string',
-        })
-        .example(`${PROGRAM} --settings s.toml explain 5f0c6b1d`, ''),
-      select(COMMANDS.explain),
+      addExplainArguments,
+      (args) => {
+        const { logs, requestId } = args as Partial<CliCommand.CliArguments>;
+        if (logs === undefined) select(COMMANDS.explain)(args);
+        // An option that takes several files also takes the request id that follows them.
+        else if (requestId !== undefined) select(COMMANDS.explainLogs)(args);
+        else {
+          select(COMMANDS.explainLogs)({
+            ...args as object, logs: logs.slice(0, -1), requestId: logs.at(-1),
+          });
+        }
+      },
     )
+    .command('logs', 'collected log lines', (parser) => parser
+      .command(
+        'check <logs..>',
+        'check that every line follows the schema',
+        (command) => command
+          .positional('logs', { array: true, describe: 'files of log lines', type: 'string' })
+          .example(`${PROGRAM} logs check vm-1.log vm-2.log`, ''),
+        select(COMMANDS.logsCheck),
+      )
+      .demandCommand(1, 1, 'name one of: check'))
     .example(`${PROGRAM} --settings s.toml config publish lists.toml`, '')
     .example(`${PROGRAM} --settings s.toml key issue --account fan-shop --json`, '')
     .epilogue('Exit status: 0 success, 2 bad input, 1 any other failure.')
--- a/packages/cli/src/CliCommand.ts
+++ b/packages/cli/src/CliCommand.ts
@@ -9,8 +9,10 @@
   configShow: 'config show',
   configValidate: 'config validate',
   explain: 'explain',
+  explainLogs: 'explain --logs',
   keyIssue: 'key issue',
   keyWithdraw: 'key withdraw',
+  logsCheck: 'logs check',
   status: 'status',
 } as const;
 export type Command = (typeof COMMANDS)[keyof typeof COMMANDS];
@@ -23,6 +25,7 @@
   readonly account: string;
   readonly keyId: string;
   readonly requestId: string;
+  readonly logs?: readonly string[];
 }
 
 /** Result of a command: `value` is printed with `--json`, `text` without. */
--- /dev/null
+++ b/packages/cli/src/LogLines.ts
@@ -0,0 +1,172 @@
+/**
+ * Schema of the lines that routing daemons log, by event. Collectors may put text before the JSON
+ * object of a line; docs/OPERATIONS.md says what to do about each event.
+ */
+import * as Either from 'effect/Either';
+import * as ParseResult from 'effect/ParseResult';
+import * as Schema from 'effect/Schema';
+
+const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative());
+
+/** Fields of every line. */
+const COMMON_FIELDS = {
+  daemon: Schema.String,
+  level: Schema.Number,
+  msg: Schema.String,
+  part: Schema.optional(Schema.Literal('duties', 'routing')),
+  /** Time of day of the daemon, in Unix milliseconds. */
+  time: Schema.Number,
+};
+
+const Choice = Schema.Struct({ candidates: Count, costMs: Schema.Number });
+
+const AttemptFailed = Schema.Struct({
+  ...COMMON_FIELDS,
+  choice: Schema.optional(Choice),
+  elapsedMs: Schema.Number,
+  end: Schema.Literal('broken', 'failed', 'misdirected', 'not-run', 'not-sent', 'silent'),
+  lastEventId: Schema.optional(Schema.Union(Schema.Number, Schema.String)),
+  reason: Schema.String,
+  requestId: Schema.String,
+  sends: Count,
+  server: Schema.String,
+  service: Schema.String,
+  suppressed: Count,
+});
+
+const RequestEnded = Schema.Struct({
+  ...COMMON_FIELDS,
+  account: Schema.optional(Schema.String),
+  choice: Schema.optional(Choice),
+  configVersion: Schema.optional(Schema.Number),
+  elapsedMs: Schema.Number,
+  firstMs: Schema.optional(Schema.Number),
+  /** -1 before any proof. */
+  keyProofAgeMs: Schema.Number,
+  lastEventId: Schema.optional(Schema.Union(Schema.Number, Schema.String)),
+  limitMs: Schema.optional(Schema.Number),
+  mayHaveRun: Schema.Boolean,
+  outcome: Schema.String,
+  requestId: Schema.String,
+  route: Schema.optional(Schema.String),
+  sends: Count,
+  server: Schema.optional(Schema.String),
+  service: Schema.optional(Schema.String),
+  status: Schema.optional(Schema.Number),
+  suppressed: Count,
+});
+
+const Failed = Schema.Struct({ ...COMMON_FIELDS, detail: Schema.String });
+const Dependency = { ...COMMON_FIELDS, dependency: Schema.Literal('configuration', 'servers') };
+
+/** Schemas by the event, which is the message without its part. */
+export const EVENT_SCHEMAS = {
+  'append failed': Schema.Struct({
+    ...COMMON_FIELDS, detail: Schema.String, kind: Schema.String,
+  }),
+  'attempt failed': AttemptFailed,
+  'configuration in force': Schema.Struct({
+    ...COMMON_FIELDS,
+    accounts: Schema.optional(Count),
+    routes: Count,
+    version: Schema.Number,
+  }),
+  'dependency lost': Schema.Struct({ ...Dependency, detail: Schema.String }),
+  'dependency regained': Schema.Struct(Dependency),
+  'duties log not read': Failed,
+  'duties lost': Schema.Struct({
+    ...COMMON_FIELDS, fence: Schema.optional(Count), reason: Schema.String,
+  }),
+  'health of a server changed': Schema.Struct({
+    ...COMMON_FIELDS, reason: Schema.Unknown, server: Schema.String, service: Schema.String,
+  }),
+  'holder of the duties changed': Schema.Struct({
+    ...COMMON_FIELDS,
+    fence: Schema.optional(Count),
+    holder: Schema.optional(Schema.String),
+    offset: Count,
+  }),
+  'relay not usable': Schema.Struct({
+    ...COMMON_FIELDS, detail: Schema.String, feed: Schema.String, relay: Schema.String,
+  }),
+  'relay took no usage counts': Schema.Struct({
+    ...COMMON_FIELDS, detail: Schema.String, relay: Schema.String,
+  }),
+  'relays changed': Schema.Struct({
+    ...COMMON_FIELDS,
+    offset: Count,
+    relays: Schema.Record({ key: Schema.String, value: Schema.Array(Schema.String) }),
+  }),
+  'request ended': RequestEnded,
+  'server entry': Schema.Struct({
+    ...COMMON_FIELDS,
+    id: Schema.String,
+    service: Schema.optional(Schema.String),
+    state: Schema.String,
+  }),
+  'servers ordered': Schema.Struct({
+    ...COMMON_FIELDS,
+    answer: Schema.String,
+    count: Count,
+    dataCentre: Schema.String,
+    fence: Count,
+    isReclaimable: Schema.Boolean,
+    service: Schema.String,
+  }),
+  'settings checked; addresses take effect at the next start': Schema.Struct(COMMON_FIELDS),
+  'settings not reloaded': Schema.Struct({ ...COMMON_FIELDS, problems: Schema.Unknown }),
+  started: Schema.Struct({
+    ...COMMON_FIELDS, dataCentre: Schema.String, listen: Schema.Unknown,
+  }),
+  'step of the duties failed': Schema.Struct({ ...COMMON_FIELDS, error: Schema.String }),
+  stopped: Schema.Struct({ ...COMMON_FIELDS, activeRequests: Count }),
+  stopping: Schema.Struct({ ...COMMON_FIELDS, activeRequests: Count }),
+  'usage counts not handed over': Failed,
+  'usage counts not read': Failed,
+  'usage reported': Schema.Struct({
+    ...COMMON_FIELDS,
+    answer: Schema.String,
+    counts: Schema.Record({ key: Schema.String, value: Count }),
+    fence: Count,
+    window: Count,
+  }),
+} as const;
+
+/** Event of a line. */
+export type LogEvent = keyof typeof EVENT_SCHEMAS;
+
+type LineOf<E extends LogEvent> = { readonly event: E } & typeof EVENT_SCHEMAS[E]['Type'];
+
+/** A line, told apart by its event. */
+export type LogLine = { readonly [E in LogEvent]: LineOf<E> }[LogEvent];
+
+/** Line of one event. */
+export type EventLine<E extends LogEvent> = Extract<LogLine, { readonly event: E }>;
+
+const decodeObject = Schema.decodeUnknownEither(
+  Schema.parseJson(Schema.Struct({ msg: Schema.String })),
+);
+
+function isEvent(text: string): text is LogEvent {
+  return Object.hasOwn(EVENT_SCHEMAS, text);
+}
+
+/** Decodes a line; the left side says why it does not follow the schema. */
+export function decodeLogLine(text: string): Either.Either<LogLine, string> {
+  const start = text.indexOf('{');
+  if (start < 0) return Either.left('no JSON object');
+  const json = text.slice(start);
+  const base = decodeObject(json);
+  if (Either.isLeft(base)) return Either.left('no JSON object with a message');
+  const event = base.right.msg.replace(/^[a-z]+: /, '');
+  if (!isEvent(event)) return Either.left(`unknown event "${event}"`);
+  const schema: Schema.Schema<LogLine, unknown> = EVENT_SCHEMAS[event] as never;
+  return Schema.decodeUnknownEither(schema, { onExcessProperty: 'error' })(JSON.parse(json)).pipe(
+    Either.mapBoth({
+      onLeft: (error) => ParseResult.ArrayFormatter.formatErrorSync(error)
+        .map(({ message, path }) => `${event}: ${path.join('.')}: ${message}`)
+        .join('; '),
+      onRight: (line) => ({ ...line, event }) as LogLine,
+    }),
+  );
+}
