Split the hand-over of counts from the duties, and drop unread fields

The rule "may be sent to one more server" stood twice in RoutedRequest and is AttemptRules.canRepeat now. The configuration's fields isEngine, bootMs and reclaimablePriceShare were decoded and read by nothing. No change of behaviour is meant.

--- a/packages/routing/src/AttemptRules.ts
+++ b/packages/routing/src/AttemptRules.ts
@@ -44,6 +44,11 @@
   return kind === 'repeatable' || (kind === 'stream' && isResumable);
 }
 
+/** Checks whether a request that may have run may be sent to one more server. */
+export function canRepeat(route: RoutingConfig.Route, sends: number): boolean {
+  return isRepeatable(route) && sends < route.maxAttempts;
+}
+
 /** Checks whether an attempt with this end may be followed by another one. */
 export function canTryAgain(end: AttemptEnd, state: AttemptState): boolean {
   if (state.leftMs < MIN_LEFT_MS) return false;
--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -13,8 +13,8 @@
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
 import * as RelayPlan from './RelayPlan.js';
-import type * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
+import * as WindowHandOver from './WindowHandOver.js';
 
 /** How often a process looks at what is due. */
 const STEP_MS = 300;
@@ -50,12 +50,6 @@
 /** Time after the end of a window in which daemons hand over their counts. */
 const HAND_OVER_MS = 1_500;
 
-/** Pause after a hand-over that failed; the holder waits for it after an outage of the store. */
-const HAND_OVER_RETRY_MS = 1_000;
-
-/** How often a copy of the current window goes to a relay; a kill loses the counts since then. */
-const COPY_MS = 1_000;
-
 /** Age up to which a window is still sealed and reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
@@ -71,28 +65,14 @@
 const TERM_FACTOR = 1.25;
 
 /** What the duties work with. */
-export interface DutyContext {
-  readonly daemonId: string;
-  readonly dataCentre: string;
-  /** Where this daemon answers other daemons, if it does. */
-  readonly peerAddress: string | undefined;
-  /** Processor cores of this VM. */
-  readonly cores: number;
+export interface DutyContext extends WindowHandOver.WindowContext {
   /** Called with the relays that the holder named last. */
   readonly onRelays: (relays: RelayPlan.RelayRoster) => void;
-  readonly clock: Core.Clock;
   readonly logger: Core.Logger;
-  readonly trueTime: TrueTime.TrueTime;
   readonly leaseMs: Core.Millis;
-  readonly windowMs: Core.Millis;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
-  /** Stores final counts, and tells whether that succeeded. */
-  readonly handOver: (records: readonly CountsRecord.CountsRecord[]) => Promise<boolean>;
-  /** Gives a relay copies of counts that may still grow. */
-  readonly copyCounts: (records: readonly CountsRecord.CountsRecord[]) => void;
   readonly calls: Ports.DutyCalls;
-  readonly book: UsageCounts.UsageBook;
   /** `getTokensPerSecond` gives the prompt tokens that callers ask of a service. */
   readonly listWantedOrders: (
     getTokensPerSecond: (service: string) => number,
@@ -116,7 +96,7 @@
 class DutyProcess implements DutyHolder {
   readonly #context: DutyContext;
 
-  readonly #incarnation: string;
+  readonly #handOver: WindowHandOver.WindowHandOver;
 
   #state = DutyLease.INITIAL_DUTY_STATE;
 
@@ -136,15 +116,6 @@
 
   #countsFrom = 0;
 
-  #nextHandOverMs = -Infinity;
-
-  #nextCopyMs = -Infinity;
-
-  #handingOver: Promise<void> | undefined;
-
-  /** Newest window that was handed over, with or without counts. */
-  #lastHandedOver = -Infinity;
-
   readonly #collection = UsageCounts.createUsageCollection();
 
   readonly #reported = new Set<number>();
@@ -161,7 +132,7 @@
 
   constructor(context: DutyContext) {
     this.#context = context;
-    this.#incarnation = Core.createIncarnation(context.clock);
+    this.#handOver = WindowHandOver.createWindowHandOver(context);
     this.#schedule();
   }
 
@@ -182,8 +153,7 @@
     this.#isStopped = true;
     clearTimeout(this.#timer);
     await this.#running;
-    await this.#handingOver;
-    await this.#handOverCounts(true);
+    await this.#handOver.stop();
   };
 
   #schedule(): void {
@@ -205,10 +175,7 @@
 
   async #step(): Promise<void> {
     // A relay that is silent must not delay the renewal of the lease.
-    this.#handingOver ??= this.#handOverCounts(false).finally(() => {
-      this.#handingOver = undefined;
-    });
-    this.#copyCurrentWindow();
+    this.#handOver.start();
     if (this.#hasResigned) return;
     if (this.#authority !== undefined && this.#computeRemaining() <= 0) {
       this.#loseAuthority('term over');
@@ -469,51 +436,6 @@
     // Orders of different places wait for each other, but not for the next step.
     if (answer === 'accepted') await this.#sendOrders();
   }
-
-  /** Hands over the counts of windows that ended; a daemon that stops adds its current window. */
-  async #handOverCounts(isStopping: boolean): Promise<void> {
-    const nowMs = this.#context.clock.readMonotonic();
-    if (nowMs < this.#nextHandOverMs && !isStopping) return;
-    const current = this.#computeCurrentWindow();
-    const changed = this.#context.book.listChanged().filter(({ window }) => (
-      window < current || isStopping
-    ));
-    // A daemon without requests hands over a window without counts: the holder counts daemons.
-    const isIdle = changed.length === 0 && this.#lastHandedOver < current - 1;
-    const due = isIdle ? [{ counts: {}, tokens: {}, window: current - 1 }] : changed;
-    if (due.length === 0) return;
-    if (await this.#context.handOver(due.map((figures) => this.#createRecord(figures)))) {
-      this.#lastHandedOver = current - 1;
-      changed.forEach(this.#context.book.setHandedOver);
-      return;
-    }
-    this.#nextHandOverMs = this.#context.clock.readMonotonic() + HAND_OVER_RETRY_MS;
-  }
-
-  /** A relay stores the copy of the current window where this process is killed before its end. */
-  #copyCurrentWindow(): void {
-    const nowMs = this.#context.clock.readMonotonic();
-    if (nowMs < this.#nextCopyMs) return;
-    this.#nextCopyMs = nowMs + COPY_MS;
-    const current = this.#computeCurrentWindow();
-    const figures = this.#context.book.listChanged().filter(({ window }) => window === current);
-    if (figures.length === 0) return;
-    this.#context.copyCounts(figures.map((each) => this.#createRecord(each)));
-  }
-
-  #createRecord({ counts, tokens, window }: UsageCounts.OwnCounts): CountsRecord.CountsRecord {
-    return {
-      ...this.#context.peerAddress === undefined ? {} : { address: this.#context.peerAddress },
-      cores: this.#context.cores,
-      counts,
-      daemonId: this.#context.daemonId,
-      dataCentre: this.#context.dataCentre,
-      incarnation: this.#incarnation,
-      tokens,
-      window,
-      writtenMs: Math.round(this.#context.trueTime.read()),
-    };
-  }
 }
 
 /** Starts taking part in the duties. */
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -286,7 +286,7 @@
   }
 
   #computeFirstSilence(route: RoutingConfig.Route): Core.Millis | undefined {
-    if (!AttemptRules.isRepeatable(route) || this.#sends >= route.maxAttempts) return undefined;
+    if (!AttemptRules.canRepeat(route, this.#sends)) return undefined;
     if (route.kind !== 'stream') return this.#computeLeft() * SILENT_SHARE;
     const silenceMs = Math.min(route.targetMs * 2, this.#computeLeft() * SILENT_SHARE);
     return Math.max(MIN_SILENT_MS, silenceMs);
@@ -366,7 +366,7 @@
       ? (events[0] as EventFramer.StreamEvent).bytes
       : Buffer.concat(events.map((event) => event.bytes)));
     const route = this.#route as RoutingConfig.Route;
-    const canResume = AttemptRules.isRepeatable(route) && this.#sends < route.maxAttempts;
+    const canResume = AttemptRules.canRepeat(route, this.#sends);
     this.#watchSilence(canResume
       ? Math.max(MIN_SILENT_MS, route.pauseTargetMs * SILENT_PAUSES)
       : undefined);
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -46,9 +46,6 @@
   /** Bounds for each data centre, both kinds of server together. */
   readonly minServers: number;
   readonly maxServers: number;
-  readonly bootMs: Core.Millis;
-  /** Price of a reclaimable server as a share of the price of a lasting one. */
-  readonly reclaimablePriceShare: number;
   /** Price of a lasting server for each data centre. */
   readonly prices: ReadonlyMap<string, number>;
 }
@@ -58,7 +55,6 @@
   readonly name: string;
   /** Connections that one server accepts from all callers together. */
   readonly maxConnections: number;
-  readonly isEngine: boolean;
   /** Undefined where the pool has a fixed size. */
   readonly purchase: PurchaseTerms | undefined;
 }
--- a/packages/routing/src/__tests__/unit/OrderPlan.test.ts
+++ b/packages/routing/src/__tests__/unit/OrderPlan.test.ts
@@ -2,15 +2,12 @@
 import * as Routing from '../../index.js';
 
 const SERVICE: Routing.Service = {
-  isEngine: true,
   maxConnections: 370,
   name: 'chat',
   purchase: {
-    bootMs: 4_000,
     maxServers: 7,
     minServers: 1,
     prices: new Map([['a', 1], ['b', 0.8], ['c', 1.25], ['d', 0.9]]),
-    reclaimablePriceShare: 0.22,
   },
 };
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,3 +30,4 @@
 export * from './ServerTable.js';
 export * from './TrueTime.js';
 export * from './UsageCounts.js';
+export * from './WindowHandOver.js';
