Let usage windows wait for daemons that are cut off from the store

Change: a window that lacks more than the allowed error is sealed when the missing daemons have handed over, or 1 s before its report is due. Expected are the daemons that counted in one of the three windows before. The counts are read once a second meanwhile, and the lease is renewed, which it was not while the counts could not be read. Due time and allowed error come from the settings.

Tests: a daemon that is cut off over the end of a window failed before; one that stays away delays no window beyond its time.

--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -50,6 +50,12 @@
 /** Time after the end of a window in which daemons hand over their counts. */
 const HAND_OVER_MS = 1_500;
 
+/** Pause between reads of the counts while a window waits for daemons that are missing. */
+const COUNTS_PAUSE_MS = 1_000;
+
+/** Time that a seal and its report need: a step, an append and a call, which take 20 ms each. */
+const SEAL_MARGIN_MS = 1_000;
+
 /** Age up to which a window is still sealed and reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
@@ -70,6 +76,10 @@
   readonly onRelays: (relays: RelayPlan.RelayRoster) => void;
   readonly logger: Core.Logger;
   readonly leaseMs: Core.Millis;
+  /** Time after the end of a window in which its report is due. */
+  readonly usageDueMs: Core.Millis;
+  /** Allowed error of a window's figures. */
+  readonly usageErrorShare: number;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
   readonly calls: Ports.DutyCalls;
@@ -116,6 +126,9 @@
 
   #countsFrom = 0;
 
+  /** True time of the last read of the counts. */
+  #countsReadMs = -Infinity;
+
   readonly #collection = UsageCounts.createUsageCollection();
 
   readonly #reported = new Set<number>();
@@ -277,6 +290,7 @@
       this.#orders = OrderPlan.createOrderBook();
       this.#reported.clear();
       this.#countsFrom = 0;
+      this.#countsReadMs = -Infinity;
     }
     this.#authority = { fence, sentAt, termMs };
   }
@@ -310,7 +324,7 @@
   }
 
   async #actAsHolder(): Promise<void> {
-    const window = this.#findDueWindow();
+    const window = await this.#findSealableWindow();
     const nowMs = this.#context.clock.readMonotonic();
     if (window !== undefined) await this.#sealWindow(window);
     else if (nowMs - this.#lastRenewMs >= RENEW_MS) {
@@ -336,16 +350,39 @@
     return Array.from({ length: count }, (_, index) => current - count + index);
   }
 
-  #findDueWindow(): number | undefined {
+  /** Time from which the counts of a window are expected in the log. */
+  #computeHandOverEnd(window: number): Core.Millis {
+    return (window + 1) * this.#context.windowMs + HAND_OVER_MS;
+  }
+
+  #listDueWindows(): readonly number[] {
+    const nowMs = this.#context.trueTime.read();
+    return this.#listRecentWindows().filter((window) => (
+      !this.#state.seals.has(window) && nowMs >= this.#computeHandOverEnd(window)
+    ));
+  }
+
+  /**
+   * Finds a window to seal. A daemon that is cut off from the store hands its counts over when it
+   * is back, so a window that lacks more than the allowed error waits for it while there is time.
+   */
+  async #findSealableWindow(): Promise<number | undefined> {
+    const due = this.#listDueWindows();
     const nowMs = this.#context.trueTime.read();
-    return this.#listRecentWindows().find((window) => (
-      !this.#state.seals.has(window)
-      && nowMs >= (window + 1) * this.#context.windowMs + HAND_OVER_MS
+    const isUnread = due.some((window) => this.#countsReadMs < this.#computeHandOverEnd(window));
+    if (due.length === 0) return undefined;
+    if (isUnread || nowMs - this.#countsReadMs >= COUNTS_PAUSE_MS) {
+      if (!await this.#readCounts()) return undefined;
+      this.#countsReadMs = nowMs;
+    }
+    const { usageDueMs, usageErrorShare, windowMs } = this.#context;
+    return due.find((window) => (
+      this.#collection.estimateMissing(window) <= usageErrorShare
+      || nowMs >= (window + 1) * windowMs + usageDueMs - SEAL_MARGIN_MS
     ));
   }
 
   async #sealWindow(window: number): Promise<void> {
-    if (!await this.#readCounts()) return;
     this.#lastRenewMs = this.#context.clock.readMonotonic();
     const members = this.#collection.listMembers(window);
     await this.#append({
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -376,6 +376,8 @@
     peerAddress: settings.listen.peers,
     random: Math.random,
     trueTime,
+    usageDueMs: settings.bounds.usageDueS * MS_PER_S,
+    usageErrorShare: settings.bounds.usageErrorShare,
     windowMs,
   });
   logger.info({ dataCentre: settings.dataCentre, listen: settings.listen }, 'started');
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -41,6 +41,10 @@
     graceS: Positive,
     leaseMs: Positive,
     usageWindowS: Positive,
+    /** Time from the end of a window to its report. */
+    usageDueS: Schema.optionalWith(Positive, { default: () => 10 }),
+    /** Allowed error of the figures of a window, as a share. */
+    usageErrorShare: Schema.optionalWith(NonNegative, { default: () => 0.05 }),
   }),
   repeats: Schema.Struct({
     /** Repeats at a service as a share of its requests, over all daemons. */
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -95,6 +95,11 @@
   readonly apply: (counts: WindowCounts) => void;
   /** Sums the counts of a window over all processes. */
   readonly sumWindow: (window: number) => AccountCounts;
+  /**
+   * Estimates the share of a window's requests whose daemons have not handed it over: those that
+   * counted in one of the windows before it, by the newest counts of each.
+   */
+  readonly estimateMissing: (window: number) => number;
   /** Sums the prompt tokens of a service over all processes. */
   readonly sumTokens: (window: number, service: string) => number;
   /** Counts the daemons that handed over counts for a window. */
@@ -103,6 +108,13 @@
   readonly listMembers: (window: number) => readonly RelayPlan.FleetMember[];
 }
 
+/** Windows before one that tell which daemons it should have counts of. */
+const EXPECTED_FROM_WINDOWS = 3;
+
+function sumCounts({ counts }: Pick<WindowCounts, 'counts'>): number {
+  return Object.values(counts).reduce((sum, each) => sum + each, 0);
+}
+
 /** Creates an empty collection. */
 export function createUsageCollection(): UsageCollection {
   const windows = new Map<number, Map<string, WindowCounts>>();
@@ -121,6 +133,27 @@
     countDaemons: (window) => new Set(
       [...windows.get(window)?.values() ?? []].map(({ daemonId }) => daemonId),
     ).size,
+    estimateMissing: (window) => {
+      const present = [...windows.get(window)?.values() ?? []];
+      const handedOver = new Set(present.map(({ daemonId }) => daemonId));
+      const expected = new Map<string, number>();
+      Array.from({ length: EXPECTED_FROM_WINDOWS }, (_, index) => index + 1)
+        .forEach((distance) => {
+          const newest = new Map<string, number>();
+          windows.get(window - distance)?.forEach((process) => {
+            const { daemonId } = process;
+            newest.set(daemonId, (newest.get(daemonId) ?? 0) + sumCounts(process));
+          });
+          newest.forEach((count, daemonId) => {
+            if (!expected.has(daemonId)) expected.set(daemonId, count);
+          });
+        });
+      const missing = [...expected]
+        .filter(([daemonId]) => !handedOver.has(daemonId))
+        .reduce((sum, [, count]) => sum + count, 0);
+      const known = present.reduce((sum, process) => sum + sumCounts(process), 0);
+      return missing === 0 ? 0 : missing / (missing + known);
+    },
     listMembers: (window) => {
       const members = [...windows.get(window)?.values() ?? []].flatMap((process) => (
         process.address === undefined ? [] : [{ ...process, address: process.address }]
--- a/packages/routing/src/__tests__/unit/DutyHolder.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyHolder.test.ts
@@ -56,6 +56,8 @@
       peerAddress: `10.0.0.${index}:7340`,
       random: () => index / count,
       trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+      usageDueMs: REPORT_DUE_MS,
+      usageErrorShare: 0.05,
       windowMs: WINDOW_MS,
     });
     return { book, holder };
@@ -151,6 +153,36 @@
     checkPromises(fleet);
   });
 
+  test('a daemon cut off from the store over the end of a window is waited for', async () => {
+    let isCut = false;
+    fleet = startFleet(6, (daemonId) => (isCut && daemonId === 'vm-5' ? 'refusal' : 'none'));
+    addRequests(fleet.books);
+    await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+    expect(fleet.holders[0]?.getHolder()).not.toBe('vm-5');
+    isCut = true;
+    addRequests(fleet.books);
+    const window = Math.floor(Date.now() / WINDOW_MS);
+    const endMs = (window + 1) * WINDOW_MS;
+    await vi.advanceTimersByTimeAsync(endMs + 6_000 - Date.now());
+    isCut = false;
+    await vi.advanceTimersByTimeAsync(endMs + REPORT_DUE_MS - Date.now());
+    const reports = listReports(fleet).filter((report) => report.window === window);
+    expect(reports.map(({ counts }) => counts)).toEqual(['{"shop":6}']);
+  });
+
+  test('a daemon that does not come back delays no window beyond its time', async () => {
+    let isCut = false;
+    fleet = startFleet(6, (daemonId) => (isCut && daemonId === 'vm-5' ? 'refusal' : 'none'));
+    addRequests(fleet.books);
+    await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+    isCut = true;
+    addRequests(fleet.books);
+    const window = Math.floor(Date.now() / WINDOW_MS);
+    await vi.advanceTimersByTimeAsync((window + 1) * WINDOW_MS + REPORT_DUE_MS - Date.now());
+    const reports = listReports(fleet).filter((report) => report.window === window);
+    expect(reports.map(({ counts }) => counts)).toEqual(['{"shop":5}']);
+  });
+
   test('a planned stop gives the lease away without waiting for its end', async () => {
     fleet = startFleet(3);
     await vi.advanceTimersByTimeAsync(6_000);
--- a/packages/routing/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/routing/src/__tests__/unit/UsageCounts.test.ts
@@ -52,4 +52,27 @@
       },
     ]);
   });
+
+  test('the missing share is that of daemons which counted in one of three windows before', () => {
+    const collection = Routing.createUsageCollection();
+    const add = (daemonId: string, window: number, shop: number): void => collection.apply({
+      address: undefined,
+      cores: 1,
+      counts: { shop },
+      daemonId,
+      dataCentre: 'z',
+      incarnation: 'i',
+      tokens: {},
+      window,
+    });
+    add('a', 6, 60);
+    add('b', 6, 40);
+    expect(collection.estimateMissing(6)).toBe(0);
+    add('a', 7, 60);
+    expect(collection.estimateMissing(7)).toBe(0.4);
+    add('a', 8, 60);
+    expect(collection.estimateMissing(8)).toBe(0.4);
+    add('a', 10, 60);
+    expect(collection.estimateMissing(10)).toBe(0);
+  });
 });
