Compute the suspects and the prompt's hash once for each choice

Cause: the choice of a server stepped the outlier state once for each candidate and looked the cached tokens of the chosen server up a second time, with a second hash of the prompt's shared parts, when it dispatched the request.

Change: one step gives all suspects of a service, and the choice hands on the hash and the cached tokens that it used. Failure and success of an attempt had twin methods; they are one now. A prompt without shared parts and with a negative token count adds no negative wait any more; nothing else changes.

Checked with the 125 tests of routing, type check and lint; not measured.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -217,7 +217,7 @@
     this.#tried.add(server.id);
     this.#choice = chosen;
     this.#sends += 1;
-    const waitingTokens = this.#head.prompt === undefined ? 0 : this.#noteDispatch(chosen);
+    const waitingTokens = this.#noteDispatch(chosen);
     const { pooled } = chosen;
     pooled.inFlight += 1;
     pooled.waitingTokens += waitingTokens;
@@ -259,15 +259,15 @@
   }
 
   /** Remembers the prompt's shared parts at the server; returns the tokens it has to read. */
-  #noteDispatch({ pooled }: ServerChoiceFilter.ChosenServer): number {
-    const prompt = this.#head.prompt as ServerPick.Prompt;
-    const hash = ServerChoiceFilter.hashSharedParts(prompt);
-    if (hash === undefined) return prompt.inputTokens;
-    const { cache, clock } = this.#context;
-    const nowMs = clock.readMonotonic();
-    const cached = cache.estimateCachedTokens(pooled.server.id, hash, nowMs);
-    cache.recordDispatch(pooled.server.id, hash, ServerPick.countSharedTokens(prompt), nowMs);
-    return Math.max(0, prompt.inputTokens - cached);
+  #noteDispatch({ cachedTokens, pooled, sharedHash }: ServerChoiceFilter.ChosenServer): number {
+    const { prompt } = this.#head;
+    if (prompt === undefined) return 0;
+    if (sharedHash !== undefined) {
+      const { cache, clock } = this.#context;
+      const tokens = ServerPick.countSharedTokens(prompt);
+      cache.recordDispatch(pooled.server.id, sharedHash, tokens, clock.readMonotonic());
+    }
+    return Math.max(0, prompt.inputTokens - cachedTokens);
   }
 
   #computeLeft(): Core.Millis {
@@ -409,13 +409,14 @@
       return;
     }
     if (rest.length > 0) this.#relay(rest);
-    this.#observeSuccess(attempt);
+    this.#observeOutcome(attempt, false);
     this.#response.end();
     this.#end('answered', head.status);
   }
 
   #handleWholeAnswer(attempt: Attempt, head: BackendExchange.AnswerHead): void {
-    if (head.status >= STATUS_FIRST_ERROR) {
+    const isFailure = head.status >= STATUS_FIRST_ERROR;
+    if (isFailure) {
       const state = this.#getState();
       const step = AttemptRules.chooseNextStep('failed', state, () => this.#claimRepeat());
       if (step._tag === 'Retry') {
@@ -423,12 +424,12 @@
         this.#dispatch();
         return;
       }
-      this.#observeFailure(attempt);
-    } else this.#observeSuccess(attempt);
+    }
+    this.#observeOutcome(attempt, isFailure);
     const body = Buffer.concat(attempt.chunks);
     this.#writeHead(head, body.length);
     this.#response.end(body);
-    this.#end(head.status >= STATUS_FIRST_ERROR ? 'server_failed' : 'answered', head.status);
+    this.#end(isFailure ? 'server_failed' : 'answered', head.status);
   }
 
   #handleFailure(failure: BackendExchange.ExchangeFailure): void {
@@ -456,7 +457,7 @@
       // A plain request that reached a server most likely began at once.
       if (this.#head.prompt === undefined) this.#countStart();
     }
-    this.#observeFailure(attempt);
+    this.#observeOutcome(attempt, true);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
     const suppressed = this.#context.failedLines.take();
@@ -482,16 +483,11 @@
     this.#attempt = undefined;
   }
 
-  #observeFailure({ chosen }: Attempt): void {
-    const { clock, health } = this.#context;
-    health.observeFailure(this.#service, chosen.pooled.server.id);
-    ServerPool.observeOutcome(chosen.pooled, true, clock.readMonotonic());
-  }
-
-  #observeSuccess({ chosen }: Attempt): void {
+  #observeOutcome({ chosen: { pooled } }: Attempt, isFailure: boolean): void {
     const { clock, health } = this.#context;
-    health.observeSuccess(this.#service, chosen.pooled.server.id);
-    ServerPool.observeOutcome(chosen.pooled, false, clock.readMonotonic());
+    if (isFailure) health.observeFailure(this.#service, pooled.server.id);
+    else health.observeSuccess(this.#service, pooled.server.id);
+    ServerPool.observeOutcome(pooled, isFailure, clock.readMonotonic());
   }
 
   #claimRepeat(): boolean {
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -18,6 +18,10 @@
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
   readonly candidates: number;
+  /** Number under which the prompt's shared parts are remembered; undefined where it has none. */
+  readonly sharedHash: number | undefined;
+  /** Tokens of the shared parts that the server is expected to have cached. */
+  readonly cachedTokens: number;
 }
 
 function computeMedian(values: readonly number[]): number | undefined {
@@ -25,8 +29,7 @@
   return sorted[Math.floor((sorted.length - 1) / 2)];
 }
 
-/** Computes the number under which the cached shared parts of a prompt are remembered. */
-export function hashSharedParts(prompt: ServerPick.Prompt): number | undefined {
+function hashSharedParts(prompt: ServerPick.Prompt): number | undefined {
   const key = ServerPick.getSharedKey(prompt);
   return key === undefined ? undefined : Core.hashText(key);
 }
@@ -40,7 +43,9 @@
 ): ChosenServer | undefined {
   const nowMs = context.clock.readMonotonic();
   const serving = context.servers.listServing(service, nowMs);
-  context.health.observeMembers(service, serving.map(({ id }) => id));
+  const servingIds = serving.map(({ id }) => id);
+  context.health.observeMembers(service, servingIds);
+  const suspects = context.health.selectSuspects(service, servingIds);
   const pooled = serving.filter(({ id }) => !tried.has(id)).map(context.pool.get);
   const times = pooled.flatMap(({ meanTime }) => (meanTime === undefined ? [] : [meanTime]));
   const median = computeMedian(times);
@@ -58,7 +63,7 @@
       failureShare: FailureShare.estimateFailure(failureShare, nowMs),
       id: server.id,
       inFlight,
-      isSuspect: context.health.isSuspect(service, server.id),
+      isSuspect: suspects.has(server.id),
       slowdown: meanTime === undefined || median === undefined || median <= 0
         ? 1
         : Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, meanTime / median)),
@@ -70,10 +75,17 @@
     dataCentre: context.dataCentre,
     random: context.random,
   });
-  const chosen = pooled.find(({ server }) => server.id === pick?.id);
-  if (pick === undefined || chosen === undefined) return undefined;
+  const index = candidates.findIndex(({ id }) => id === pick?.id);
+  const chosen = pooled[index];
+  const candidate = candidates[index];
+  if (pick === undefined || chosen === undefined || candidate === undefined) return undefined;
   const { costMs, unloadedMs } = pick;
   return {
-    candidates: pick.candidates, costMs, pooled: chosen, unloadedMs,
+    cachedTokens: candidate.cachedTokens,
+    candidates: pick.candidates,
+    costMs,
+    pooled: chosen,
+    sharedHash,
+    unloadedMs,
   };
 }
--- a/packages/routing/src/ServerHealth.ts
+++ b/packages/routing/src/ServerHealth.ts
@@ -21,7 +21,10 @@
   readonly observeMembers: (service: string, serverIds: readonly string[]) => void;
   readonly observeSuccess: (service: string, serverId: string) => void;
   readonly observeFailure: (service: string, serverId: string) => void;
-  readonly isSuspect: (service: string, serverId: string) => boolean;
+  /** Selects the servers that are to be left out for now. */
+  readonly selectSuspects: (
+    service: string, serverIds: readonly string[],
+  ) => ReadonlySet<string>;
 }
 
 /** Creates a view in which every server is healthy; `onChange` is told of each change. */
@@ -42,10 +45,6 @@
     return state;
   };
   return {
-    isSuspect: (service, serverId) => {
-      const state = step(service, { _tag: 'Tick' });
-      return Scheduling.getOutlierStatus(state, serverId) === 'ejected';
-    },
     observeFailure: (service, serverId) => {
       step(service, { _tag: 'Failure', serverId });
     },
@@ -56,5 +55,11 @@
     observeSuccess: (service, serverId) => {
       step(service, { _tag: 'Success', serverId });
     },
+    selectSuspects: (service, serverIds) => {
+      const state = step(service, { _tag: 'Tick' });
+      return new Set(serverIds.filter((serverId) => (
+        Scheduling.getOutlierStatus(state, serverId) === 'ejected'
+      )));
+    },
   };
 }
