Use one piece of code for windows, listeners and counts

What the change had written twice or more: the number of a usage window (four times, now computeWindow), the record of counts (a schema and an interface beside it; the interface is inferred now, and a copy of each record that only changed its type is gone), a listener with its closing (status pages and relays, now startInnerListener), a clock reading moved by a time, and the sums of estimateMissing, which follow from the sums by daemon. An append's result that nobody read and a setting equal to the default of Node.js are dropped.

--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -81,7 +81,7 @@
   /** Allowed error of a window's figures. */
   readonly usageErrorShare: number;
   readonly dutyLog: Ports.SharedLog;
-  readonly countsLog: Ports.SharedLog;
+  readonly countsLog: Pick<Ports.SharedLog, 'read'>;
   readonly calls: Ports.DutyCalls;
   /** `getTokensPerSecond` gives the prompt tokens that callers ask of a service. */
   readonly listWantedOrders: (
@@ -297,7 +297,7 @@
 
   async #append(
     part: Pick<DutyLease.DutyRecord, 'daemonCount' | 'fence' | 'kind' | 'relays' | 'seal'>,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const sentAt = this.#readClocks();
     const record: DutyLease.DutyRecord = {
       ...part,
@@ -312,7 +312,7 @@
     );
     if (Either.isRight(result)) {
       this.#applyRecord(result.right, record, this.#readClocks());
-      return true;
+      return;
     }
     const error = result.left;
     if (error._tag === 'StoreUnavailable') {
@@ -320,7 +320,6 @@
     }
     // The append may have taken effect without an answer, or somebody else's came first.
     await this.#readDutyLog();
-    return false;
   }
 
   async #actAsHolder(): Promise<void> {
@@ -341,7 +340,7 @@
   }
 
   #computeCurrentWindow(): number {
-    return Math.floor(this.#context.trueTime.read() / this.#context.windowMs);
+    return UsageCounts.computeWindow(this.#context.trueTime.read(), this.#context.windowMs);
   }
 
   #listRecentWindows(): readonly number[] {
@@ -368,9 +367,9 @@
    */
   async #findSealableWindow(): Promise<number | undefined> {
     const due = this.#listDueWindows();
+    if (due.length === 0) return undefined;
     const nowMs = this.#context.trueTime.read();
     const isUnread = due.some((window) => this.#countsReadMs < this.#computeHandOverEnd(window));
-    if (due.length === 0) return undefined;
     if (isUnread || nowMs - this.#countsReadMs >= COUNTS_PAUSE_MS) {
       if (!await this.#readCounts()) return undefined;
       this.#countsReadMs = nowMs;
@@ -411,9 +410,7 @@
     }
     result.right.records.forEach(({ value }) => {
       const decoded = CountsRecord.decodeCounts(value);
-      if (decoded._tag === 'Some') {
-        this.#collection.apply({ ...decoded.value, address: decoded.value.address });
-      }
+      if (decoded._tag === 'Some') this.#collection.apply(decoded.value);
     });
     this.#countsFrom = result.right.next;
     return true;
--- a/packages/routing/src/EntryListener.ts
+++ b/packages/routing/src/EntryListener.ts
@@ -4,6 +4,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as RoutingConfig from './RoutingConfig.js';
 
 /** Time for the load balancer to notice that the daemon is not ready: two questions, 1 s apart. */
@@ -42,8 +43,7 @@
   return { host: address.slice(0, index), port: Number(address.slice(index + 1)) };
 }
 
-/** Starts listening; fails where the address is taken. */
-export async function listen(server: http.Server, address: string): Promise<void> {
+async function listen(server: http.Server, address: string): Promise<void> {
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -97,20 +97,39 @@
   };
 }
 
+/** A listener that is no entry: its connections are cut when it closes. */
+export interface InnerListener {
+  /** `IP:PORT` that it listens on. */
+  readonly address: string;
+  readonly close: () => void;
+}
+
+/** Starts a listener for other parts of the system; resolves when it listens. */
+export async function startInnerListener(
+  address: string,
+  handleRequest: http.RequestListener,
+): Promise<InnerListener> {
+  const server = http.createServer(handleRequest);
+  await listen(server, address);
+  const { port } = server.address() as net.AddressInfo;
+  return {
+    address: `${splitAddress(address).host}:${port}`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
 /** Starts a listener that answers a GET with a status, and optionally a text. */
-export async function startStatusListener(
+export function startStatusListener(
   address: string,
   answer: () => Promise<{ readonly status: number; readonly text: string }>,
-): Promise<() => void> {
-  const server = http.createServer((request, response) => {
+): Promise<InnerListener> {
+  return startInnerListener(address, (_, response) => {
     answer().then(({ status, text }) => {
       response.writeHead(status, { 'content-type': 'text/plain' });
       response.end(text);
     }, () => response.destroy());
   });
-  await listen(server, address);
-  return () => {
-    server.close();
-    server.closeAllConnections();
-  };
 }
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -7,7 +7,7 @@
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
 import type * as FeedCopy from './FeedCopy.js';
-import type * as KeyProof from './KeyProof.js';
+import * as KeyProof from './KeyProof.js';
 import type * as Ports from './Ports.js';
 
 /** Reads of another daemon's copy of the feed. */
@@ -70,14 +70,7 @@
 ): KeyProof.ClockReading {
   const wasHeld = answeredAt.monotonicMs - sentAt.monotonicMs >= waitMs;
   const heldMs = wasHeld ? Math.max(0, waitMs - HOLD_MARGIN_MS) : 0;
-  return { monotonicMs: sentAt.monotonicMs + heldMs, wallMs: sentAt.wallMs + heldMs };
-}
-
-function addToReading(
-  reading: KeyProof.ClockReading,
-  byMs: Core.Millis,
-): KeyProof.ClockReading {
-  return { monotonicMs: reading.monotonicMs + byMs, wallMs: reading.wallMs + byMs };
+  return KeyProof.addToReading(sentAt, heldMs);
 }
 
 /** Starts following a feed. */
@@ -113,15 +106,14 @@
   };
 
   /** Returns false where there is no usable relay. */
-  const readRelay = async (from: number): Promise<boolean> => {
-    if (options.relay === undefined) return false;
+  const readRelay = async (relay: RelaySource, from: number): Promise<boolean> => {
     const sentAt = options.readClocks();
-    const copied = await Effect.runPromise(options.relay.read(from), { signal: abort.signal });
+    const copied = await Effect.runPromise(relay.read(from), { signal: abort.signal });
     if (copied === undefined) return false;
     const failedMs = sentAt.monotonicMs - (copied.failureAgeMs ?? Infinity);
     if (failedMs > lastProvenMs) options.onRelayFailure?.();
     // The relay answered after the call was sent, so its copy is at most as old as counted here.
-    const provenAt = addToReading(sentAt, -copied.ageMs);
+    const provenAt = KeyProof.addToReading(sentAt, -copied.ageMs);
     applyPage(copied.page, copied.isSnapshot, provenAt, provenAt.monotonicMs);
     return true;
   };
@@ -154,7 +146,7 @@
     const { relay } = options;
     if (relay === undefined || isRefresh || next === undefined) return readStore(waitMs);
     const wasRelayed = isRelayed;
-    isRelayed = await readRelay(next);
+    isRelayed = await readRelay(relay, next);
     if (isRelayed) return relay.pauseMs;
     // What a relay proved is older than what the store would: the first read is not held.
     return readStore(wasRelayed ? 0 : waitMs);
--- a/packages/routing/src/KeyProof.ts
+++ b/packages/routing/src/KeyProof.ts
@@ -23,6 +23,11 @@
   return { monotonicMs: clock.readMonotonic(), wallMs: clock.readWall() };
 }
 
+/** Moves a reading of both clocks by a time. */
+export function addToReading(reading: ClockReading, byMs: Core.Millis): ClockReading {
+  return { monotonicMs: reading.monotonicMs + byMs, wallMs: reading.wallMs + byMs };
+}
+
 /** Checks whether the clocks moved apart between two readings. */
 export function hasDrifted(from: ClockReading, to: ClockReading): boolean {
   const drift = (to.wallMs - from.wallMs) - (to.monotonicMs - from.monotonicMs);
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -7,7 +7,6 @@
 import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import * as CountsRecord from './CountsRecord.js';
 import * as EntryListener from './EntryListener.js';
 import type * as FeedCopy from './FeedCopy.js';
@@ -19,9 +18,6 @@
 /** Connections to one relay: one call of each feed is under way at a time. */
 const MAX_CONNECTIONS = 4;
 
-/** Milliseconds for which an idle connection is kept; readers call several times a second. */
-const KEEP_ALIVE_MS = 5_000;
-
 /** The other daemon did not answer, or has no copy of the feed. */
 export class RelayUnavailable extends Data.TaggedError('RelayUnavailable')<{
   readonly detail: string;
@@ -126,19 +122,12 @@
   });
 }
 
-/** Server for other daemons. */
-export interface RelayListener {
-  /** `IP:PORT` that it listens on. */
-  readonly address: string;
-  readonly close: () => void;
-}
-
 /** Starts answering other daemons; resolves when it listens. */
-export async function startRelayListener(
+export function startRelayListener(
   address: string,
   handlers: RelayHandlers,
-): Promise<RelayListener> {
-  const server = http.createServer(connectNode.connectNodeAdapter({
+): Promise<EntryListener.InnerListener> {
+  return EntryListener.startInnerListener(address, connectNode.connectNodeAdapter({
     routes: (router) => {
       router.service(Relay.RelayService, {
         handOver: async ({ isFinal, records }) => ({
@@ -148,14 +137,4 @@
       });
     },
   }));
-  server.keepAliveTimeout = KEEP_ALIVE_MS;
-  await EntryListener.listen(server, address);
-  const { port } = server.address() as net.AddressInfo;
-  return {
-    address: `${EntryListener.splitAddress(address).host}:${port}`,
-    close: () => {
-      server.close();
-      server.closeAllConnections();
-    },
-  };
 }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -327,14 +327,14 @@
   const isReady = (): boolean => (
     phase === 'running' && active !== undefined && hasServers && areKeysCurrent()
   );
-  const closeReadiness = await EntryListener.startStatusListener(
+  const readiness = await EntryListener.startStatusListener(
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
   );
   const counts = CountsHandOver.createCountsHandOver({
     choice: relayChoice,
     client: relayClient,
-    computeCurrentWindow: () => Math.floor(trueTime.read() / windowMs),
+    computeCurrentWindow: () => UsageCounts.computeWindow(trueTime.read(), windowMs),
     countsLog,
     logger,
   });
@@ -346,7 +346,7 @@
       ),
       takeCounts: counts.takeCounts,
     });
-  const closeMetrics = settings.listen.metrics === undefined
+  const metricsListener = settings.listen.metrics === undefined
     ? undefined
     : await EntryListener.startStatusListener(
       settings.listen.metrics,
@@ -398,9 +398,9 @@
     serverLoop.stop();
     clearInterval(poolCheck);
     pool.close();
-    closeReadiness();
+    readiness.close();
     relayListener?.close();
-    closeMetrics?.();
+    metricsListener?.close();
     logger.info({ activeRequests }, 'stopped');
     log.flush();
   };
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -3,6 +3,7 @@
  * its counts over as cumulative figures, so that a repeated hand-over changes nothing.
  */
 import type * as Core from '@berylyoke/core';
+import type * as CountsRecord from './CountsRecord.js';
 import type * as RelayPlan from './RelayPlan.js';
 
 /** Requests by client account. */
@@ -12,19 +13,7 @@
 export type ServiceTokens = Readonly<Record<string, number>>;
 
 /** Counts of one process for one window. */
-export interface WindowCounts {
-  readonly daemonId: string;
-  readonly dataCentre: string;
-  /** Where the daemon answers other daemons, if it does. */
-  readonly address: string | undefined;
-  /** Processor cores of its VM. */
-  readonly cores: number;
-  /** Distinguishes the starts of a daemon. */
-  readonly incarnation: string;
-  readonly window: number;
-  readonly counts: AccountCounts;
-  readonly tokens: ServiceTokens;
-}
+export type WindowCounts = Omit<CountsRecord.CountsRecord, 'writtenMs'>;
 
 /** Counts of this process for one window. */
 export type OwnCounts = Pick<WindowCounts, 'counts' | 'tokens' | 'window'>;
@@ -40,6 +29,11 @@
   readonly setHandedOver: (figures: OwnCounts) => void;
 }
 
+/** Computes the number of the window in which a moment of true time lies. */
+export function computeWindow(atMs: Core.Millis, windowMs: Core.Millis): number {
+  return Math.floor(atMs / windowMs);
+}
+
 /** Windows that a book keeps; a report is long overdue after that. */
 const MAX_WINDOWS = 12;
 
@@ -48,9 +42,13 @@
   readonly tokens: Map<string, number>;
 }
 
+function sumValues(values: readonly number[]): number {
+  return values.reduce((sum, each) => sum + each, 0);
+}
+
 /** Sums all figures; they only grow, so the sum tells an older copy from a newer one. */
 function sumFigures({ counts, tokens }: Pick<WindowCounts, 'counts' | 'tokens'>): number {
-  return [...Object.values(counts), ...Object.values(tokens)].reduce((sum, each) => sum + each, 0);
+  return sumValues([...Object.values(counts), ...Object.values(tokens)]);
 }
 
 /** Creates an empty book for windows of a length. */
@@ -58,7 +56,7 @@
   const windows = new Map<number, OpenWindow>();
   const handedOver = new Map<number, number>();
   const getWindow = (atMs: Core.Millis): OpenWindow => {
-    const window = Math.floor(atMs / windowMs);
+    const window = computeWindow(atMs, windowMs);
     const known = windows.get(window);
     if (known !== undefined) return known;
     const added = { counts: new Map<string, number>(), tokens: new Map<string, number>() };
@@ -111,13 +109,19 @@
 /** Windows before one that tell which daemons it should have counts of. */
 const EXPECTED_FROM_WINDOWS = 3;
 
-function sumCounts({ counts }: Pick<WindowCounts, 'counts'>): number {
-  return Object.values(counts).reduce((sum, each) => sum + each, 0);
-}
-
 /** Creates an empty collection. */
 export function createUsageCollection(): UsageCollection {
   const windows = new Map<number, Map<string, WindowCounts>>();
+  const listProcesses = (window: number): readonly WindowCounts[] => (
+    [...windows.get(window)?.values() ?? []]
+  );
+  /** Sums the requests of a window by daemon, over all its starts. */
+  const sumByDaemon = (window: number): ReadonlyMap<string, number> => (
+    listProcesses(window).reduce((sums, { counts, daemonId }) => sums.set(
+      daemonId,
+      (sums.get(daemonId) ?? 0) + sumValues(Object.values(counts)),
+    ), new Map<string, number>())
+  );
   return {
     apply: (counts) => {
       const processes = windows.get(counts.window) ?? new Map<string, WindowCounts>();
@@ -130,32 +134,21 @@
       windows.set(counts.window, processes);
       if (windows.size > MAX_WINDOWS) windows.delete(Math.min(...windows.keys()));
     },
-    countDaemons: (window) => new Set(
-      [...windows.get(window)?.values() ?? []].map(({ daemonId }) => daemonId),
-    ).size,
+    countDaemons: (window) => sumByDaemon(window).size,
     estimateMissing: (window) => {
-      const present = [...windows.get(window)?.values() ?? []];
-      const handedOver = new Set(present.map(({ daemonId }) => daemonId));
-      const expected = new Map<string, number>();
-      Array.from({ length: EXPECTED_FROM_WINDOWS }, (_, index) => index + 1)
-        .forEach((distance) => {
-          const newest = new Map<string, number>();
-          windows.get(window - distance)?.forEach((process) => {
-            const { daemonId } = process;
-            newest.set(daemonId, (newest.get(daemonId) ?? 0) + sumCounts(process));
-          });
-          newest.forEach((count, daemonId) => {
-            if (!expected.has(daemonId)) expected.set(daemonId, count);
-          });
-        });
-      const missing = [...expected]
-        .filter(([daemonId]) => !handedOver.has(daemonId))
-        .reduce((sum, [, count]) => sum + count, 0);
-      const known = present.reduce((sum, process) => sum + sumCounts(process), 0);
-      return missing === 0 ? 0 : missing / (missing + known);
+      const handedOver = sumByDaemon(window);
+      // The oldest window comes first, so that the newest counts of a daemon stay.
+      const before = Array.from({ length: EXPECTED_FROM_WINDOWS }, (_, index) => (
+        [...sumByDaemon(window - EXPECTED_FROM_WINDOWS + index)]
+      ));
+      const expected = new Map(before.flat());
+      const missing = sumValues([...expected].flatMap(([daemonId, count]) => (
+        handedOver.has(daemonId) ? [] : [count]
+      )));
+      return missing === 0 ? 0 : missing / (missing + sumValues([...handedOver.values()]));
     },
     listMembers: (window) => {
-      const members = [...windows.get(window)?.values() ?? []].flatMap((process) => (
+      const members = listProcesses(window).flatMap((process) => (
         process.address === undefined ? [] : [{ ...process, address: process.address }]
       ));
       // A daemon that was restarted in the window stands there with each of its starts.
@@ -165,13 +158,12 @@
         address, cores, daemonId, dataCentre,
       }])).values()];
     },
-    sumTokens: (window, service) => [...windows.get(window)?.values() ?? []].reduce(
-      (sum, { tokens }) => sum + (tokens[service] ?? 0),
-      0,
+    sumTokens: (window, service) => sumValues(
+      listProcesses(window).map(({ tokens }) => tokens[service] ?? 0),
     ),
     sumWindow: (window) => {
       const sum: Record<string, number> = {};
-      windows.get(window)?.forEach(({ counts }) => {
+      listProcesses(window).forEach(({ counts }) => {
         Object.entries(counts).forEach(([account, count]) => {
           sum[account] = (sum[account] ?? 0) + count;
         });
--- a/packages/routing/src/WindowHandOver.ts
+++ b/packages/routing/src/WindowHandOver.ts
@@ -5,7 +5,7 @@
 import * as Core from '@berylyoke/core';
 import type * as CountsRecord from './CountsRecord.js';
 import type * as TrueTime from './TrueTime.js';
-import type * as UsageCounts from './UsageCounts.js';
+import * as UsageCounts from './UsageCounts.js';
 
 /** Pause after a hand-over that failed; the holder waits for it after an outage of the store. */
 const RETRY_MS = 1_000;
@@ -63,7 +63,7 @@
     writtenMs: Math.round(context.trueTime.read()),
   });
   const computeCurrentWindow = (): number => (
-    Math.floor(context.trueTime.read() / context.windowMs)
+    UsageCounts.computeWindow(context.trueTime.read(), context.windowMs)
   );
   const handOverEnded = async (isStopping: boolean): Promise<void> => {
     if (clock.readMonotonic() < nextHandOverMs && !isStopping) return;
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -185,7 +185,7 @@
 });
 
 describe('calls between daemons', () => {
-  let listener: Routing.RelayListener | undefined;
+  let listener: Routing.InnerListener | undefined;
   afterEach(() => listener?.close());
 
   test('carry a page as it is', async () => {
