Split what a daemon reads from its start

startRoutingDaemon was a function of 300 lines that held the feeds, the request context, the listeners and the stop at once. DaemonFeeds now holds what the daemon reads and believes: configuration, keys, servers and their copies. A reader that names no feed gets no copy also where the name is that of an inherited property.

--- /dev/null
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -0,0 +1,235 @@
+/**
+ * What a daemon reads to serve: the configuration with its keys, and the server entries. Both come
+ * from a relay where there is one, and stand here as copies for other daemons.
+ */
+import type * as Core from '@berylyoke/core';
+import * as FeedCopy from './FeedCopy.js';
+import * as FeedLoop from './FeedLoop.js';
+import * as KeyProof from './KeyProof.js';
+import type * as PathContext from './PathContext.js';
+import type * as Ports from './Ports.js';
+import type * as RelayCalls from './RelayCalls.js';
+import * as RelayChoice from './RelayChoice.js';
+import * as RouteTable from './RouteTable.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+import type * as RoutingMetrics from './RoutingMetrics.js';
+import type * as RoutingSettings from './RoutingSettings.js';
+import * as ServerTable from './ServerTable.js';
+
+/**
+ * Time for which the store holds a read of the configuration, as a share of the bound on withdrawn
+ * keys: a proof is at most a wait old, and a second wait and a failed read must fit in besides.
+ */
+const CONFIG_WAIT_SHARE = 0.38;
+
+/**
+ * Pause between reads of the server entries, as a share of the bound on leaving servers. Entries
+ * change many times a second, so a read that waits for a change would return at once.
+ */
+const SERVERS_PAUSE_SHARE = 0.4;
+
+/** The same for a daemon that reads for others, whose reads come on top. */
+const RELAY_PAUSE_SHARE = 0.25;
+
+/** Pause between reads of a relay's copy, as a share of the bound on leaving servers. */
+const RELAYED_PAUSE_SHARE = 0.2;
+
+/** Age of a copy of the server entries up to which it is used, as a share of the same bound. */
+const MAX_COPY_AGE_SHARE = 0.5;
+
+/** Time that the newest proof of a relay's configuration may be older than the store's hold. */
+const RELAY_SLACK_MS = 600;
+
+/** Pause after a failed read of the configuration, whose proof of keys decides about serving. */
+const CONFIG_RETRY_MS = 400;
+
+/** Pause after a failed read of the entries; those that lapsed in an outage are kept for 2 s. */
+const SERVERS_RETRY_MS = 800;
+
+/** Part of the bound on withdrawn keys that is kept for requests on their way. */
+const KEY_MARGIN_MS = 500;
+
+/** Time that a request waits for a proof that its key is current. */
+const KEY_RENEWAL_MS = 300;
+
+/** Ports that the feeds come from. */
+export interface FeedSources {
+  readonly configFeed: Ports.KeyedFeed;
+  readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.RoutingConfig | undefined;
+  readonly serverFeed: Ports.KeyedFeed;
+  readonly decodeServer: (key: string, raw: Buffer) => ServerTable.BackendServer | undefined;
+}
+
+/** What the feeds of a daemon work with. */
+export interface FeedsContext extends FeedSources {
+  readonly bounds: RoutingSettings.RoutingSettings['bounds'];
+  readonly clock: Core.Clock;
+  readonly logger: Core.Logger;
+  readonly metrics: RoutingMetrics.RoutingMetrics;
+  readonly readRelay: RelayCalls.RelayClient['read'];
+  readonly relayChoice: RelayChoice.RelayChoice;
+  /** Called when a configuration comes into force. */
+  readonly onConfig: (config: RoutingConfig.RoutingConfig) => void;
+}
+
+/** Feeds of a daemon. */
+export interface DaemonFeeds extends Pick<
+  PathContext.PathContext,
+  'areKeysCurrent' | 'getActiveConfig' | 'getKeyProofAge' | 'renewKeys' | 'servers'
+> {
+  /** Whether configuration and servers are known and the keys are current. */
+  readonly isComplete: () => boolean;
+  readonly readCopy: RelayCalls.RelayHandlers['readCopy'];
+  readonly stop: () => void;
+}
+
+/** Handlers that log when a dependency is lost and regained. */
+function createContactHandlers(
+  { logger, metrics }: FeedsContext,
+  dependency: string,
+): {
+  readonly onContact: () => void;
+  readonly onFailure: (error: Ports.StoreUnavailable) => void;
+} {
+  let isLost = false;
+  return {
+    onContact: () => {
+      if (isLost) logger.info({ dependency }, 'dependency regained');
+      isLost = false;
+      metrics.addDependency(dependency, 'ok');
+    },
+    onFailure: (error) => {
+      if (!isLost) logger.warn({ dependency, detail: error.message }, 'dependency lost');
+      isLost = true;
+      metrics.addDependency(dependency, 'failed');
+    },
+  };
+}
+
+/** Starts reading the feeds. */
+export function startDaemonFeeds(context: FeedsContext): DaemonFeeds {
+  const {
+    bounds, clock, configFeed, decodeConfig, decodeServer, logger, readRelay, relayChoice,
+    serverFeed,
+  } = context;
+  const readClocks = (): KeyProof.ClockReading => KeyProof.readClocks(clock);
+  const servers = ServerTable.createServerTable();
+  const copies = {
+    configuration: FeedCopy.createFeedCopy<RoutingConfig.RoutingConfig>(),
+    servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
+  };
+  let active: PathContext.ActiveConfig | undefined;
+  let hasServers = false;
+  let keyProof: KeyProof.ClockReading | undefined;
+
+  const areKeysCurrent = (): boolean => KeyProof.isProofValid(
+    keyProof,
+    readClocks(),
+    bounds.keyWithdrawalMs - KEY_MARGIN_MS,
+  );
+  const applyConfig = (
+    changes: readonly FeedCopy.DecodedChange<RoutingConfig.RoutingConfig>[],
+  ): void => {
+    changes.forEach(({ value }) => {
+      if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
+        return;
+      }
+      active = { config: value, routes: RouteTable.buildRouteTable(value.routes) };
+      context.onConfig(value);
+      logger.info({
+        accounts: value.accountsByKeyDigest?.size,
+        routes: value.routes.length,
+        version: value.version,
+      }, 'configuration in force');
+    });
+  };
+  const createRelaySource = (
+    feed: keyof typeof copies,
+    maxAgeMs: Core.Millis,
+  ): FeedLoop.RelaySource => ({
+    pauseMs: bounds.drainMs * RELAYED_PAUSE_SHARE,
+    read: (from) => RelayChoice.readFromRelay({
+      choice: relayChoice, feed, from, logger, maxAgeMs, read: readRelay,
+    }),
+  });
+
+  const configWaitMs = Math.round(bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE);
+  const configContact = createContactHandlers(context, 'configuration');
+  const configLoop = FeedLoop.startFeed({
+    copy: copies.configuration,
+    decode: decodeConfig,
+    feed: configFeed,
+    getPauseMs: () => 0,
+    onChanges: applyConfig,
+    onContact: (provenAt) => {
+      keyProof = provenAt;
+      configContact.onContact();
+    },
+    onFailure: configContact.onFailure,
+    onSnapshot: applyConfig,
+    readClocks,
+    relay: createRelaySource('configuration', configWaitMs + RELAY_SLACK_MS),
+    retryMs: CONFIG_RETRY_MS,
+    waitMs: configWaitMs,
+  });
+  const serverContact = createContactHandlers(context, 'servers');
+  const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
+    logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
+  };
+  const serverLoop = FeedLoop.startFeed({
+    copy: copies.servers,
+    decode: decodeServer,
+    feed: serverFeed,
+    getPauseMs: () => bounds.drainMs * (
+      relayChoice.isRelay() ? RELAY_PAUSE_SHARE : SERVERS_PAUSE_SHARE
+    ),
+    onChanges: (changes) => changes.forEach(({ key, value }) => {
+      logEntry(key, value);
+      servers.applyEntry(key, value, clock.readMonotonic());
+    }),
+    onContact: (_, contactMs) => {
+      hasServers = true;
+      servers.observeContact(contactMs);
+      serverContact.onContact();
+    },
+    onFailure: (error) => {
+      servers.observeFailure();
+      serverContact.onFailure(error);
+    },
+    onRelayFailure: servers.observeFailure,
+    onSnapshot: (changes) => servers.applySnapshot(
+      changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
+      clock.readMonotonic(),
+    ),
+    readClocks,
+    relay: createRelaySource('servers', bounds.drainMs * MAX_COPY_AGE_SHARE),
+    retryMs: SERVERS_RETRY_MS,
+    waitMs: 0,
+  });
+
+  return {
+    areKeysCurrent,
+    getActiveConfig: () => active,
+    getKeyProofAge: () => (
+      keyProof === undefined ? undefined : clock.readMonotonic() - keyProof.monotonicMs
+    ),
+    isComplete: () => active !== undefined && hasServers && areKeysCurrent(),
+    readCopy: (feed, from) => (
+      Object.hasOwn(copies, feed)
+        ? copies[feed as keyof typeof copies].read(from, readClocks())
+        : undefined
+    ),
+    renewKeys: async () => {
+      const limit = new Promise<void>((resolve) => {
+        setTimeout(resolve, KEY_RENEWAL_MS);
+      });
+      await Promise.race([configLoop.refresh(), limit]);
+      return areKeysCurrent();
+    },
+    servers,
+    stop: () => {
+      configLoop.stop();
+      serverLoop.stop();
+    },
+  };
+}
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -5,10 +5,9 @@
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
 import * as CountsHandOver from './CountsHandOver.js';
+import * as DaemonFeeds from './DaemonFeeds.js';
 import * as DutyHolder from './DutyHolder.js';
 import * as EntryListener from './EntryListener.js';
-import * as FeedCopy from './FeedCopy.js';
-import * as FeedLoop from './FeedLoop.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as KeyProof from './KeyProof.js';
 import * as LineBudget from './LineBudget.js';
@@ -17,53 +16,14 @@
 import type * as Ports from './Ports.js';
 import * as RelayCalls from './RelayCalls.js';
 import * as RelayChoice from './RelayChoice.js';
-import * as RouteTable from './RouteTable.js';
 import * as RoutedRequest from './RoutedRequest.js';
-import type * as RoutingConfig from './RoutingConfig.js';
 import * as RoutingMetrics from './RoutingMetrics.js';
 import type * as RoutingSettings from './RoutingSettings.js';
 import * as ServerHealth from './ServerHealth.js';
 import * as ServerPool from './ServerPool.js';
-import * as ServerTable from './ServerTable.js';
 import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 
-/**
- * Time for which the store holds a read of the configuration, as a share of the bound on withdrawn
- * keys: a proof is at most a wait old, and a second wait and a failed read must fit in besides.
- */
-const CONFIG_WAIT_SHARE = 0.38;
-
-/**
- * Pause between reads of the server entries, as a share of the bound on leaving servers. Entries
- * change many times a second, so a read that waits for a change would return at once.
- */
-const SERVERS_PAUSE_SHARE = 0.4;
-
-/** The same for a daemon that reads for others, whose reads come on top. */
-const RELAY_PAUSE_SHARE = 0.25;
-
-/** Pause between reads of a relay's copy, as a share of the bound on leaving servers. */
-const RELAYED_PAUSE_SHARE = 0.2;
-
-/** Age of a copy of the server entries up to which it is used, as a share of the same bound. */
-const MAX_COPY_AGE_SHARE = 0.5;
-
-/** Time that the newest proof of a relay's configuration may be older than the store's hold. */
-const RELAY_SLACK_MS = 600;
-
-/** Pause after a failed read of the configuration, whose proof of keys decides about serving. */
-const CONFIG_RETRY_MS = 400;
-
-/** Pause after a failed read of the entries; those that lapsed in an outage are kept for 2 s. */
-const SERVERS_RETRY_MS = 800;
-
-/** Part of the bound on withdrawn keys that is kept for requests on their way. */
-const KEY_MARGIN_MS = 500;
-
-/** Time that a request waits for a proof that its key is current. */
-const KEY_RENEWAL_MS = 300;
-
 /** Part of a bound over all daemons that they share out, because the count of daemons lags. */
 const SHARED_BOUND_SHARE = 0.7;
 
@@ -80,15 +40,11 @@
 const MS_PER_S = 1_000;
 
 /** What a daemon needs from its adapter. */
-export interface DaemonOptions {
+export interface DaemonOptions extends DaemonFeeds.FeedSources {
   readonly settings: RoutingSettings.RoutingSettings;
   readonly names: HeaderRules.HeaderNames;
   readonly clock: Core.Clock;
   readonly log: Core.BufferedLogger;
-  readonly configFeed: Ports.KeyedFeed;
-  readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.RoutingConfig | undefined;
-  readonly serverFeed: Ports.KeyedFeed;
-  readonly decodeServer: (key: string, raw: Buffer) => ServerTable.BackendServer | undefined;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
   readonly calls: Ports.DutyCalls;
@@ -136,14 +92,9 @@
     serverFeed, settings,
   } = options;
   const logger = Core.getPartLogger(log.logger, 'routing');
-  const readClocks = (): KeyProof.ClockReading => KeyProof.readClocks(clock);
-  const trueTime = TrueTime.createTrueTime(readClocks);
-  const servers = ServerTable.createServerTable();
+  const trueTime = TrueTime.createTrueTime(() => KeyProof.readClocks(clock));
   const windowMs = settings.bounds.usageWindowS * MS_PER_S;
   const book = UsageCounts.createUsageBook(windowMs);
-  let active: PathContext.ActiveConfig | undefined;
-  let hasServers = false;
-  let keyProof: KeyProof.ClockReading | undefined;
   let phase: PathContext.Phase = 'running';
   let activeRequests = 0;
   let entry: EntryListener.EntryListener | undefined;
@@ -155,144 +106,36 @@
   const countDaemons = (): number => (
     Math.max(1, duties?.countDaemons() ?? DutyHolder.INITIAL_DAEMON_COUNT)
   );
-  const areKeysCurrent = (): boolean => KeyProof.isProofValid(
-    keyProof,
-    readClocks(),
-    settings.bounds.keyWithdrawalMs - KEY_MARGIN_MS,
-  );
-
-  const applyConfig = (
-    changes: readonly FeedCopy.DecodedChange<RoutingConfig.RoutingConfig>[],
-  ): void => {
-    changes.forEach(({ value }) => {
-      if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
-        return;
-      }
-      active = { config: value, routes: RouteTable.buildRouteTable(value.routes) };
-      entry?.setLimits(value.limits);
-      logger.info({
-        accounts: value.accountsByKeyDigest?.size,
-        routes: value.routes.length,
-        version: value.version,
-      }, 'configuration in force');
-    });
-  };
-  const reportContact = (dependency: string): {
-    readonly onContact: () => void;
-    readonly onFailure: (error: Ports.StoreUnavailable) => void;
-  } => {
-    let isLost = false;
-    return {
-      onContact: () => {
-        if (isLost) logger.info({ dependency }, 'dependency regained');
-        isLost = false;
-        metrics.addDependency(dependency, 'ok');
-      },
-      onFailure: (error) => {
-        if (!isLost) logger.warn({ dependency, detail: error.message }, 'dependency lost');
-        isLost = true;
-        metrics.addDependency(dependency, 'failed');
-      },
-    };
-  };
-  const copies = {
-    configuration: FeedCopy.createFeedCopy<RoutingConfig.RoutingConfig>(),
-    servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
-  };
   const relayChoice = RelayChoice.createRelayChoice(clock, {
     address: settings.listen.peers,
     daemonId: settings.daemonId,
     dataCentre: settings.dataCentre,
   });
   const relayClient = RelayCalls.createRelayClient();
-  const createRelaySource = (
-    feed: keyof typeof copies,
-    pauseMs: Core.Millis,
-    maxAgeMs: Core.Millis,
-  ): FeedLoop.RelaySource => ({
-    pauseMs,
-    read: (from) => RelayChoice.readFromRelay({
-      choice: relayChoice, feed, from, logger, maxAgeMs, read: relayClient.read,
-    }),
-  });
-  const configWaitMs = Math.round(settings.bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE);
-  const configContact = reportContact('configuration');
-  const configLoop = FeedLoop.startFeed({
-    copy: copies.configuration,
-    decode: decodeConfig,
-    feed: configFeed,
-    getPauseMs: () => 0,
-    onChanges: applyConfig,
-    onContact: (provenAt) => {
-      keyProof = provenAt;
-      configContact.onContact();
-    },
-    onFailure: configContact.onFailure,
-    onSnapshot: applyConfig,
-    readClocks,
-    relay: createRelaySource(
-      'configuration',
-      settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
-      configWaitMs + RELAY_SLACK_MS,
-    ),
-    retryMs: CONFIG_RETRY_MS,
-    waitMs: configWaitMs,
-  });
-  const serverContact = reportContact('servers');
-  const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
-    logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
-  };
-  const serverLoop = FeedLoop.startFeed({
-    copy: copies.servers,
-    decode: decodeServer,
-    feed: serverFeed,
-    getPauseMs: () => settings.bounds.drainMs * (
-      relayChoice.isRelay() ? RELAY_PAUSE_SHARE : SERVERS_PAUSE_SHARE
-    ),
-    onChanges: (changes) => changes.forEach(({ key, value }) => {
-      logEntry(key, value);
-      servers.applyEntry(key, value, clock.readMonotonic());
-    }),
-    onContact: (_, contactMs) => {
-      hasServers = true;
-      servers.observeContact(contactMs);
-      serverContact.onContact();
-    },
-    onFailure: (error) => {
-      servers.observeFailure();
-      serverContact.onFailure(error);
-    },
-    onRelayFailure: servers.observeFailure,
-    onSnapshot: (changes) => servers.applySnapshot(
-      changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
-      clock.readMonotonic(),
-    ),
-    readClocks,
-    relay: createRelaySource(
-      'servers',
-      settings.bounds.drainMs * RELAYED_PAUSE_SHARE,
-      settings.bounds.drainMs * MAX_COPY_AGE_SHARE,
-    ),
-    retryMs: SERVERS_RETRY_MS,
-    waitMs: 0,
+  const feeds = DaemonFeeds.startDaemonFeeds({
+    bounds: settings.bounds,
+    clock,
+    configFeed,
+    decodeConfig,
+    decodeServer,
+    logger,
+    metrics,
+    onConfig: ({ limits }) => entry?.setLimits(limits),
+    readRelay: relayClient.read,
+    relayChoice,
+    serverFeed,
   });
-  const renewKeys = async (): Promise<boolean> => {
-    const limit = new Promise<void>((resolve) => {
-      setTimeout(resolve, KEY_RENEWAL_MS);
-    });
-    await Promise.race([configLoop.refresh(), limit]);
-    return areKeysCurrent();
-  };
+  const { getActiveConfig, servers } = feeds;
 
   const pool = ServerPool.createServerPool((service) => {
-    const max = active?.config.services.get(service)?.maxConnections ?? Infinity;
+    const max = getActiveConfig()?.config.services.get(service)?.maxConnections ?? Infinity;
     return Math.max(1, Math.floor((max * SHARED_BOUND_SHARE) / countDaemons()));
   });
   const poolCheck = setInterval(() => pool.closeUnlisted(servers.listAll()), POOL_CHECK_MS);
   const context: PathContext.PathContext = {
     ...createRepeatBudgets(settings, countDaemons),
     answeredLines: LineBudget.createLineBudget(clock, ANSWERED_LINES_PER_S),
-    areKeysCurrent,
+    areKeysCurrent: feeds.areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
     clock,
     countDaemons,
@@ -300,10 +143,8 @@
     countStart: (account) => book.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
     failedLines: LineBudget.createLineBudget(clock, FAILED_LINES_PER_S),
-    getActiveConfig: () => active,
-    getKeyProofAge: () => (
-      keyProof === undefined ? undefined : clock.readMonotonic() - keyProof.monotonicMs
-    ),
+    getActiveConfig,
+    getKeyProofAge: feeds.getKeyProofAge,
     getPhase: () => phase,
     health: ServerHealth.createServerHealth(clock, (service, { reason, serverId }) => {
       logger.info({ reason, server: serverId, service }, 'health of a server changed');
@@ -313,7 +154,7 @@
     names,
     pool,
     random: Math.random,
-    renewKeys,
+    renewKeys: feeds.renewKeys,
     servers,
   };
 
@@ -323,10 +164,9 @@
       activeRequests -= 1;
     }).start();
   });
-  if (active !== undefined) entry.setLimits((active).config.limits);
-  const isReady = (): boolean => (
-    phase === 'running' && active !== undefined && hasServers && areKeysCurrent()
-  );
+  const limits = getActiveConfig()?.config.limits;
+  if (limits !== undefined) entry.setLimits(limits);
+  const isReady = (): boolean => phase === 'running' && feeds.isComplete();
   const readiness = await EntryListener.startStatusListener(
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
@@ -341,9 +181,7 @@
   const relayListener = settings.listen.peers === undefined
     ? undefined
     : await RelayCalls.startRelayListener(settings.listen.peers, {
-      readCopy: (feed, from) => (
-        feed in copies ? copies[feed as keyof typeof copies].read(from, readClocks()) : undefined
-      ),
+      readCopy: feeds.readCopy,
       takeCounts: counts.takeCounts,
     });
   const metricsListener = settings.listen.metrics === undefined
@@ -365,11 +203,13 @@
     handOver: counts.handOver,
     leaseMs: settings.bounds.leaseMs,
     listWantedOrders: (getTokensPerSecond) => (
-      [...active?.config.services.values() ?? []].flatMap((service) => OrderPlan.planOrders({
-        servers: servers.listAll(),
-        service,
-        tokensPerSecond: getTokensPerSecond(service.name),
-      }))
+      [...getActiveConfig()?.config.services.values() ?? []].flatMap((service) => (
+        OrderPlan.planOrders({
+          servers: servers.listAll(),
+          service,
+          tokensPerSecond: getTokensPerSecond(service.name),
+        })
+      ))
     ),
     logger: Core.getPartLogger(log.logger, 'duties'),
     onRelays: relayChoice.setRoster,
@@ -394,8 +234,7 @@
     }, settings.bounds.graceS * MS_PER_S - EXIT_MARGIN_MS);
     await resigned;
     await stopDuties();
-    configLoop.stop();
-    serverLoop.stop();
+    feeds.stop();
     clearInterval(poolCheck);
     pool.close();
     readiness.close();
