--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -62,7 +62,7 @@
         })
         .check(({ base }) => {
           if (base === undefined || (Number.isInteger(base) && base >= 0)) return true;
-          throw new Error('--base takes a whole number from 0');
+          throw new CliError.BadInputError({ message: '--base takes a whole number from 0' });
         })
         .example(`${PROGRAM} --settings s.toml config publish lists.toml`, '')
         .example(`${PROGRAM} --settings s.toml config publish lists.toml --base 7`, ''),
@@ -114,7 +114,7 @@
     .option('logs', { array: true, describe: 'files of log lines', type: 'string' })
     .check(({ logs, requestId }) => {
       if (requestId !== undefined || (logs?.length ?? 0) > 1) return true;
-      throw new Error('name the request id');
+      throw new CliError.BadInputError({ message: 'name the request id' });
     })
     .example(`${PROGRAM} --settings s.toml explain 5f0c6b1d`, 'asks the daemons')
     .example(`${PROGRAM} explain --logs vm-1.log vm-2.log 5f0c6b1d`, 'reads their logs');
