Send nothing to servers that leave or ask for a pause in their answers

Cause: servers say in their answers that they leave, and a 503 may name a time for which its server wants nothing. Neither was read: the entry alone decided, which may still say "ready" or be read again. A refusal marked as not run counted as a failure of its server, closed its connection and could eject a server that was only full.

The choice leaves such servers out, for first sends, repeats and resumed streams alike. Where all servers of a service want a pause, callers learn when it ends. A full server keeps its connection (the rest of its refusal is read up to 16 KiB or 500 ms) and is passed over for 250 ms, doubled with each refusal in a row.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -104,6 +104,14 @@
     service: Schema.optional(Schema.String),
     state: Schema.String,
   }),
+  'server wants no requests': Schema.Struct({
+    ...COMMON_FIELDS,
+    isLeaving: Schema.Boolean,
+    pauseMs: Schema.optional(Schema.Number),
+    requestId: Schema.String,
+    server: Schema.String,
+    service: Schema.String,
+  }),
   'servers ordered': Schema.Struct({
     ...COMMON_FIELDS,
     answer: Schema.String,
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -9,6 +9,10 @@
 /** Time for a new connection; data centres are milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Rest of an answer that nobody needs up to which its connection is kept: a short message. */
+const MAX_DISCARDED_BYTES = 16 * 1_024;
+const MAX_DISCARD_MS = 500;
+
 /** Request to a backend server. */
 export interface BackendRequest {
   readonly agent: http.Agent;
@@ -58,10 +62,24 @@
 export interface Exchange {
   /** Closes the connection; no handler is called any more. */
   readonly cancel: () => void;
+  /** Takes no more of the answer and keeps the connection if the rest of it is short. */
+  readonly discard: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
 }
 
+/** Reads the rest of an answer for its connection's sake; closes one whose answer goes on. */
+function discardRest(request: http.ClientRequest, answer: http.IncomingMessage): void {
+  const timer = setTimeout(() => request.destroy(), MAX_DISCARD_MS);
+  let bytes = 0;
+  answer.on('data', ({ length }: Buffer) => {
+    bytes += length;
+    if (bytes > MAX_DISCARDED_BYTES) request.destroy();
+  });
+  answer.once('close', () => clearTimeout(timer));
+  answer.resume();
+}
+
 function readReason(error: Error): string {
   return (error as NodeJS.ErrnoException).code ?? error.name;
 }
@@ -157,6 +175,11 @@
       finish();
       request.destroy();
     },
+    discard: () => {
+      finish();
+      if (response === undefined) request.destroy();
+      else discardRest(request, response);
+    },
     pause: () => response?.pause(),
     resume: () => response?.resume(),
   };
--- a/packages/routing/src/HeaderRules.ts
+++ b/packages/routing/src/HeaderRules.ts
@@ -12,6 +12,8 @@
   readonly serverSignature: string;
   /** Present on an answer of a backend server that did not run the request. */
   readonly notRun: string;
+  /** Present on every answer of a backend server that is about to leave. */
+  readonly leaving: string;
   /** Backend server that alone may take the request. */
   readonly expectedServer: string;
   readonly account: string;
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -7,6 +7,7 @@
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
 import type * as ServerHealth from './ServerHealth.js';
+import type * as ServerNotices from './ServerNotices.js';
 import type * as ServerPool from './ServerPool.js';
 import type * as ServerTable from './ServerTable.js';
 
@@ -42,6 +43,7 @@
   readonly servers: ServerTable.ServerTable;
   readonly pool: ServerPool.ServerPool;
   readonly health: ServerHealth.ServerHealth;
+  readonly notices: ServerNotices.ServerNotices;
   readonly cache: Scheduling.CacheIndex;
   /** Takes a repeat at a service from the budget that all daemons share. */
   readonly claimRepeat: (service: string) => boolean;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -16,6 +16,7 @@
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
 import * as ServerChoiceFilter from './ServerChoiceFilter.js';
+import * as ServerNotices from './ServerNotices.js';
 import * as ServerPick from './ServerPick.js';
 import * as ServerPool from './ServerPool.js';
 
@@ -32,6 +33,7 @@
 const MIN_SILENT_MS = 900;
 
 const STATUS_MISDIRECTED = 421;
+const STATUS_UNAVAILABLE = 503;
 const STATUS_FIRST_ERROR = 500;
 
 /** The attempt in progress. */
@@ -305,14 +307,20 @@
     const attempt = this.#attempt as Attempt;
     const { names } = this.#context;
     attempt.head = head;
+    this.#noteNotice(attempt, head);
     if (head.status === STATUS_MISDIRECTED || head.headers[names.notRun] !== undefined) {
       // Without the id, an answer on a used connection may be a late one to an earlier request.
       const isOwn = head.hasRequestId || !head.isReusedConnection;
-      attempt.exchange.cancel();
-      if (!isOwn) this.#handleAttemptEnd('broken', 'unidentified-refusal');
-      else if (head.status === STATUS_MISDIRECTED) {
+      if (!isOwn) {
+        attempt.exchange.cancel();
+        this.#handleAttemptEnd('broken', 'unidentified-refusal');
+      } else if (head.status === STATUS_MISDIRECTED) {
+        attempt.exchange.cancel();
         this.#handleAttemptEnd('misdirected', 'misdirected');
-      } else this.#handleAttemptEnd('not-run', `not-run-${head.status}`);
+      } else {
+        attempt.exchange.discard();
+        this.#handleAttemptEnd('not-run', `not-run-${head.status}`);
+      }
       return;
     }
     const isSuccess = head.status >= 200 && head.status < 300;
@@ -324,11 +332,36 @@
       return;
     }
     this.#mayHaveRun = true;
+    ServerPool.observeAcceptance(attempt.chosen.pooled);
     if (isSuccess && this.#route?.kind === 'stream') {
       attempt.framer = EventFramer.createEventFramer();
     } else this.#noteStart(attempt);
   }
 
+  /** Takes from an answer to this request what the server says of itself. */
+  #noteNotice({ chosen }: Attempt, { hasRequestId, headers, status }: BackendExchange.AnswerHead) {
+    if (!hasRequestId) return;
+    const { clock, names, notices } = this.#context;
+    const { server } = chosen.pooled;
+    const notice: ServerNotices.AnswerNotice = {
+      isLeaving: headers[names.leaving] !== undefined,
+      pauseMs: status === STATUS_UNAVAILABLE
+        ? ServerNotices.parsePause(headers['retry-after'])
+        : undefined,
+    };
+    const nowMs = clock.readMonotonic();
+    const couldTake = notices.canTake(server, nowMs);
+    notices.observeAnswer(server, notice, nowMs);
+    if (!couldTake || notices.canTake(server, nowMs)) return;
+    this.#context.logger.info({
+      isLeaving: notice.isLeaving,
+      pauseMs: notice.pauseMs,
+      requestId: this.#head.requestId,
+      server: server.id,
+      service: this.#service,
+    }, 'server wants no requests');
+  }
+
   /** Counts the beginning of the run, once for a request however often it is resumed. */
   #noteStart(attempt: Attempt): void {
     if (attempt.hasStarted) return;
@@ -457,7 +490,10 @@
       // A plain request that reached a server most likely began at once.
       if (this.#head.prompt === undefined) this.#countStart();
     }
-    this.#observeOutcome(attempt, true);
+    // A server that is full is not broken; one that is misdirected is no longer there.
+    if (end === 'not-run') {
+      ServerPool.observeRefusal(attempt.chosen.pooled, this.#context.clock.readMonotonic());
+    } else this.#observeOutcome(attempt, true);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
     const suppressed = this.#context.failedLines.take();
@@ -524,8 +560,11 @@
     const body = Refusals.buildRefusalBody(code);
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
     if (refusal.retryAfterMs !== undefined) {
+      const pauseMs = code === 'no_server'
+        ? ServerChoiceFilter.computePause(this.#context, this.#service)
+        : 0;
       const afterMs = Refusals.computeRetryAfter(
-        refusal.retryAfterMs,
+        Math.max(refusal.retryAfterMs, pauseMs),
         this.#computeLeft(),
         this.#context.random,
       );
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -20,6 +20,7 @@
 import * as RoutingMetrics from './RoutingMetrics.js';
 import type * as RoutingSettings from './RoutingSettings.js';
 import * as ServerHealth from './ServerHealth.js';
+import * as ServerNotices from './ServerNotices.js';
 import * as ServerPool from './ServerPool.js';
 import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
@@ -152,6 +153,7 @@
     logger,
     metrics,
     names,
+    notices: ServerNotices.createServerNotices(),
     pool,
     random: Math.random,
     renewKeys: feeds.renewKeys,
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -46,7 +46,9 @@
   const servingIds = serving.map(({ id }) => id);
   context.health.observeMembers(service, servingIds);
   const suspects = context.health.selectSuspects(service, servingIds);
-  const pooled = serving.filter(({ id }) => !tried.has(id)).map(context.pool.get);
+  const pooled = serving
+    .filter((server) => !tried.has(server.id) && context.notices.canTake(server, nowMs))
+    .map(context.pool.get);
   const times = pooled.flatMap(({ meanTime }) => (meanTime === undefined ? [] : [meanTime]));
   const median = computeMedian(times);
   const sharedHash = prompt === undefined ? undefined : hashSharedParts(prompt);
@@ -63,6 +65,7 @@
       failureShare: FailureShare.estimateFailure(failureShare, nowMs),
       id: server.id,
       inFlight,
+      isFull: each.fullUntilMs > nowMs,
       isSuspect: suspects.has(server.id),
       slowdown: meanTime === undefined || median === undefined || median <= 0
         ? 1
@@ -89,3 +92,10 @@
     unloadedMs,
   };
 }
+
+/** Computes how long all servers of a service want no requests of this VM; 0 where one does. */
+export function computePause(context: PathContext.PathContext, service: string): Core.Millis {
+  const nowMs = context.clock.readMonotonic();
+  const serving = context.servers.listServing(service, nowMs);
+  return serving.length === 0 ? 0 : context.notices.computeWait(serving, nowMs) ?? 0;
+}
--- a/packages/routing/src/ServerPick.ts
+++ b/packages/routing/src/ServerPick.ts
@@ -39,6 +39,8 @@
   readonly failureShare: number;
   /** Failed lately; used only when no other server is left. */
   readonly isSuspect: boolean;
+  /** Turned a request away a moment ago; used only when no other sound server is left. */
+  readonly isFull: boolean;
 }
 
 /** Circumstances of a choice. */
@@ -167,7 +169,8 @@
   context: PickContext,
 ): Pick | undefined {
   const sound = candidates.filter(({ isSuspect }) => !isSuspect);
-  const pool = sound.length > 0 ? sound : candidates;
+  const free = sound.filter(({ isFull }) => !isFull);
+  const pool = [free, sound, candidates].find(({ length }) => length > 0) ?? [];
   const engineCosts = prompt === undefined
     ? undefined
     : estimateEngineCosts(pool, prompt, context);
--- a/packages/routing/src/ServerPool.ts
+++ b/packages/routing/src/ServerPool.ts
@@ -6,7 +6,7 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 import * as FailureShare from './FailureShare.js';
-import type * as ServerTable from './ServerTable.js';
+import * as ServerTable from './ServerTable.js';
 
 /** Weight of the newest observation in the mean time of a server. */
 const NEWEST_WEIGHT = 0.2;
@@ -17,6 +17,14 @@
 /** Age at which an observed delay counts half: queues of engines change within seconds. */
 const DELAY_HALF_LIFE_MS = 1_500;
 
+/**
+ * Time for which others are preferred to a server that turned a request away, doubled with each
+ * further one in a row: queues drain within some hundred ms, and a server that is stuck must not
+ * attract requests by refusing them quickly.
+ */
+const FULL_MS = 250;
+const MAX_FULL_MS = 2_000;
+
 /** Time after which an unused connection is not used again, well below usual idle timeouts. */
 const MAX_IDLE_MS = 4_000;
 
@@ -57,6 +65,10 @@
   delayMs: Core.Millis;
   delayAtMs: Core.Millis;
   failureShare: FailureShare.FailureShare;
+  /** Requests that it turned away since it took one. */
+  refusalsInRow: number;
+  /** Time until which others are preferred because it turned a request away. */
+  fullUntilMs: Core.Millis;
 }
 
 /** All backend servers in use. */
@@ -67,17 +79,13 @@
   readonly close: () => void;
 }
 
-function getName({ bornMs, id }: ServerTable.BackendServer): string {
-  return `${id}@${bornMs}`;
-}
-
 /** Creates an empty pool; `getMaxConnections` bounds the connections to one server of a service. */
 export function createServerPool(getMaxConnections: (service: string) => number): ServerPool {
   const pooled = new Map<string, PooledServer>();
   return {
     close: () => pooled.forEach(({ agent }) => agent.destroy()),
     closeUnlisted: (servers) => {
-      const listed = new Set(servers.map(getName));
+      const listed = new Set(servers.map(ServerTable.formatLife));
       pooled.forEach(({ agent, inFlight }, name) => {
         if (listed.has(name) || inFlight > 0) return;
         agent.destroy();
@@ -85,7 +93,7 @@
       });
     },
     get: (server) => {
-      const name = getName(server);
+      const name = ServerTable.formatLife(server);
       const known = pooled.get(name);
       if (known !== undefined) return known;
       const added: PooledServer = {
@@ -98,8 +106,10 @@
         delayAtMs: 0,
         delayMs: 0,
         failureShare: FailureShare.INITIAL_FAILURE_SHARE,
+        fullUntilMs: 0,
         inFlight: 0,
         meanTime: undefined,
+        refusalsInRow: 0,
         server,
         waitingTokens: 0,
       };
@@ -138,6 +148,20 @@
   /* eslint-enable no-param-reassign */
 }
 
+/** Notes that a server turned a request away because it is full. */
+export function observeRefusal(pooled: PooledServer, nowMs: Core.Millis): void {
+  /* eslint-disable no-param-reassign */
+  pooled.fullUntilMs = nowMs + Math.min(MAX_FULL_MS, FULL_MS * 2 ** pooled.refusalsInRow);
+  pooled.refusalsInRow += 1;
+  /* eslint-enable no-param-reassign */
+}
+
+/** Notes that a server took a request. */
+export function observeAcceptance(pooled: PooledServer): void {
+  // eslint-disable-next-line no-param-reassign
+  pooled.refusalsInRow = 0;
+}
+
 /** Adds the outcome of a request at a server. */
 export function observeOutcome(
   pooled: PooledServer,
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -23,6 +23,11 @@
   readonly isReclaimable: boolean;
 }
 
+/** Formats the name of one life of a server: its id alone names another one after a restart. */
+export function formatLife({ bornMs, id }: Pick<BackendServer, 'bornMs' | 'id'>): string {
+  return `${id}@${bornMs}`;
+}
+
 /** Time after the store's return in which living servers have renewed their entries. */
 const RENEWAL_GRACE_MS = 2_000;
 
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -8,12 +8,14 @@
 import * as LineBudget from '../../LineBudget.js';
 import * as Routing from '../../index.js';
 import * as RoutingMetrics from '../../RoutingMetrics.js';
+import * as ServerNotices from '../../ServerNotices.js';
 import * as ServerPool from '../../ServerPool.js';
 
 export const NAMES: Routing.HeaderNames = {
   account: 'x-account',
   expectedServer: 'x-server',
   lastEventId: 'last-event-id',
+  leaving: 'x-leaving',
   notRun: 'x-not-run',
   priority: 'x-priority',
   promptParts: 'x-parts',
@@ -120,7 +122,11 @@
     readonly chunks?: readonly string[];
   }) => Promise<CallerAnswer>;
   readonly starts: readonly string[];
+  /** Lists the servers that are left out because they failed. */
+  readonly listSuspects: () => readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
+  /** Writes the entry of a server again, as a read of the entries does. */
+  readonly applyServer: (index: number, extra?: Partial<Routing.BackendServer>) => void;
   readonly close: () => void;
 }
 
@@ -132,18 +138,22 @@
   route: Routing.Route,
 ): Promise<PathHarness> {
   const servers = Routing.createServerTable();
-  ports.forEach((port, index) => servers.applyEntry(`s${index}`, {
-    bornMs: 0,
-    dataCentre: index === 0 ? 'a' : 'b',
-    host: '127.0.0.1',
-    id: `s${index}`,
-    isReclaimable: false,
-    port,
-    service: 's',
-    slots: 4,
-    state: 'ready',
-    version: 'v1',
-  }, 0));
+  const applyServer: PathHarness['applyServer'] = (index, extra = {}) => (
+    servers.applyEntry(`s${index}`, {
+      bornMs: 0,
+      dataCentre: index === 0 ? 'a' : 'b',
+      host: '127.0.0.1',
+      id: `s${index}`,
+      isReclaimable: false,
+      port: ports[index] as number,
+      service: 's',
+      slots: 4,
+      state: 'ready',
+      version: 'v1',
+      ...extra,
+    }, 0)
+  );
+  ports.forEach((_, index) => applyServer(index));
   const config: Routing.RoutingConfig = {
     accountsByKeyDigest: new Map([
       [Routing.hashKey('good'), { name: 'shop', priority: undefined }],
@@ -179,6 +189,7 @@
       countActive: () => 0, countDroppedLogs: () => 0,
     }),
     names: NAMES,
+    notices: ServerNotices.createServerNotices(),
     pool,
     random: () => 0,
     renewKeys: async () => areKeysCurrent,
@@ -192,6 +203,7 @@
   });
   const { port } = listener.address() as net.AddressInfo;
   return {
+    applyServer,
     call: ({
       chunks: body = ['body'], headers = {}, key = 'good', leaveAfterMs, requestId = 'r1',
     } = {}) => new Promise((resolve) => {
@@ -231,6 +243,9 @@
       listener.close();
       listener.closeAllConnections();
     },
+    listSuspects: () => [
+      ...context.health.selectSuspects('s', ports.map((_, index) => `s${index}`)),
+    ],
     setKeysCurrent: (areCurrent) => {
       areKeysCurrent = areCurrent;
     },
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -210,3 +210,120 @@
     await expect.poll(() => servers[0]?.countClosed()).toBe(1);
   });
 });
+
+describe('a server that says in an answer that it leaves', () => {
+  const LEAVING = 'X-Signature: s\r\nX-Leaving: 1\r\n';
+  const answerLeaving: PathHarness.RawAnswer = (socket, id) => (
+    PathHarness.writeAnswer(socket, id, `for ${id}`, LEAVING)
+  );
+
+  test('gets nothing new, also after its entry was read again as ready', async () => {
+    const { path, servers } = await setUp([answerLeaving, answerPlain]);
+    expect(await path.call()).toMatchObject({ body: 'for r1', status: 200 });
+    path.applyServer(0);
+    const ids = ['r2', 'r3', 'r4', 'r5'];
+    const answers = await Promise.all(ids.map((requestId) => path.call({ requestId })));
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+    expect(servers.map(({ heads }) => heads.length)).toEqual([1, 4]);
+  });
+
+  test('is another server when it has started again', async () => {
+    const { path, servers } = await setUp([answerLeaving]);
+    await path.call();
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ status: 503 });
+    path.applyServer(0, { bornMs: 1 });
+    expect(await path.call({ requestId: 'r3' })).toMatchObject({ status: 200 });
+    expect(servers[0]?.heads).toHaveLength(2);
+  });
+
+  test('gets no stream that is resumed and no repeat', async () => {
+    const stream = { isResumable: true, kind: 'stream' as const, maxAttempts: 3 };
+    const { path, servers } = await setUp([
+      (socket, id, count) => {
+        if (count === 1) PathHarness.writeAnswer(socket, id, 'id: 1\ndata: a\n\n', LEAVING);
+        else socket.destroy();
+      },
+      (socket, id) => {
+        writeEvents(socket, id, 'id: 1\ndata: a\n\n', false);
+        setTimeout(() => socket.destroy(), 50);
+      },
+      (socket, id) => writeEvents(socket, id, 'id: 2\ndata: b\n\n', true),
+    ], stream);
+    await path.call();
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ isCut: false, status: 200 });
+    expect(servers[0]?.heads).toHaveLength(1);
+  });
+
+  test('is believed when it refuses a request, and only in an answer to that request', async () => {
+    const { path, servers } = await setUp([(socket, id, count) => {
+      if (count === 1) PathHarness.writeAnswer(socket, 'other', 'wrong', LEAVING);
+      else if (count === 2) PathHarness.writeAnswer(socket, id, 'own');
+      else {
+        socket.write(`HTTP/1.1 503 Busy\r\nX-Id: ${id}\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\n`
+          + 'Content-Length: 0\r\n\r\n');
+      }
+    }]);
+    expect(await path.call()).toMatchObject({ status: 502 });
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ body: 'own' });
+    expect(await path.call({ requestId: 'r3' })).toMatchObject({ status: 503 });
+    expect(await path.call({ requestId: 'r4' })).toMatchObject({ status: 503 });
+    expect(servers[0]?.heads).toHaveLength(3);
+  });
+});
+
+describe('a server that turns requests away', () => {
+  const refuse = (extra: string): PathHarness.RawAnswer => (socket, id) => {
+    socket.write(`HTTP/1.1 503 Busy\r\nX-Id: ${id}\r\nX-Not-Run: 1\r\n${extra}`
+      + 'Content-Length: 4\r\n\r\nfull');
+  };
+
+  test('gets nothing for the time that it names, and callers learn when to return', async () => {
+    const { path, servers } = await setUp([refuse('Retry-After: 0.4\r\n')]);
+    await path.call();
+    const answer = await path.call({ headers: { 'x-left': '5000' }, requestId: 'r2' });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0.3);
+    expect(servers[0]?.heads).toHaveLength(1);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 450);
+    });
+    await path.call({ requestId: 'r3' });
+    expect(servers[0]?.heads).toHaveLength(2);
+  });
+
+  test('keeps its connection and is not left out as broken', async () => {
+    const { path, servers } = await setUp([refuse('')], { maxAttempts: 1 });
+    const callInTurn = async (count: number): Promise<void> => {
+      if (count === 0) return;
+      await path.call({ requestId: `r${count}` });
+      await callInTurn(count - 1);
+    };
+    await callInTurn(6);
+    expect(servers[0]?.heads).toHaveLength(6);
+    expect(servers[0]?.countClosed()).toBe(0);
+    expect(path.listSuspects()).toEqual([]);
+  });
+
+  test('is passed over for a moment while others have room', async () => {
+    const { path, servers } = await setUp([refuse(''), answerPlain], { maxAttempts: 2 });
+    const ids = ['r1', 'r2', 'r3', 'r4'];
+    const callInTurn = async ([requestId, ...rest]: readonly string[]): Promise<void> => {
+      if (requestId === undefined) return;
+      expect(await path.call({ requestId })).toMatchObject({ status: 200 });
+      await callInTurn(rest);
+    };
+    await callInTurn(ids);
+    expect(servers[0]?.heads.length).toBeLessThanOrEqual(1);
+    expect(servers[1]?.heads).toHaveLength(4);
+  });
+
+  test('is cut off when its refusal has no end', async () => {
+    const { path, servers } = await setUp([(socket, id) => {
+      socket.write(`HTTP/1.1 503 Busy\r\nX-Id: ${id}\r\nX-Not-Run: 1\r\n\r\n`);
+      const timer = setInterval(() => socket.write('x'.repeat(10_000)), 1);
+      socket.on('close', () => clearInterval(timer));
+    }]);
+    expect(await path.call()).toMatchObject({ status: 503 });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+});
--- a/packages/routing/src/__tests__/unit/ServerPick.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerPick.test.ts
@@ -11,6 +11,7 @@
     failureShare: 0.02,
     id,
     inFlight: 0,
+    isFull: false,
     isSuspect: false,
     slowdown: 1,
     waitingTokens: 0,
