Bound the bytes of answers, keep slow streams, and survive unexpected errors

Cause: nothing bounded an event or a plain answer. Any event, also a comment, counted as progress. A silent server was cancelled before it was known whether another one could take the request, so a slow but sound stream was cut where the budget of repeats was used up or no other server was left. An unexpected error in a callback ended the process with all its requests.

Ruled out: heads, trailers and chunk extensions without end were already ended by the HTTP parser; tests keep that so, and name its bound.

Change: one growing buffer up to a bound for events, plain answers and callers' bodies (ByteCollector), a bound over all held answers (ByteBudget), settings `[answers]` with defaults; informational answers are bounded to eight. Only events with data are progress. A silent server is given up only where another one takes the request at once.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -129,6 +129,12 @@
   'step of the duties failed': Schema.Struct({ ...COMMON_FIELDS, error: Schema.String }),
   stopped: Schema.Struct({ ...COMMON_FIELDS, activeRequests: Count }),
   stopping: Schema.Struct({ ...COMMON_FIELDS, activeRequests: Count }),
+  'unexpected error': Schema.Struct({
+    ...COMMON_FIELDS,
+    error: Schema.String,
+    isFatal: Schema.Boolean,
+    requestId: Schema.optional(Schema.String),
+  }),
   'usage counts not handed over': Failed,
   'usage counts not read': Failed,
   'usage reported': Schema.Struct({
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -13,6 +13,12 @@
 const MAX_DISCARDED_BYTES = 16 * 1_024;
 const MAX_DISCARD_MS = 500;
 
+/** Informational answers (1xx) before the answer itself; a server sends one or two. */
+const MAX_INFORMATIONAL = 8;
+
+/** Bytes of the head of an answer, and of its trailers. */
+const MAX_HEAD_BYTES = 16 * 1_024;
+
 /** Request to a backend server. */
 export interface BackendRequest {
   readonly agent: http.Agent;
@@ -112,6 +118,7 @@
     agent: options.agent,
     headers: options.headers as string[],
     host: options.host,
+    maxHeaderSize: MAX_HEAD_BYTES,
     method: options.method,
     path: options.path,
     port: options.port,
@@ -140,6 +147,11 @@
   });
   request.on('error', (error) => fail(readReason(error)));
   request.on('close', () => fail('closed'));
+  let informational = 0;
+  request.on('information', () => {
+    informational += 1;
+    if (informational > MAX_INFORMATIONAL) fail('informational-answers');
+  });
   request.on('response', (answer) => {
     if (isOver) {
       answer.destroy();
--- a/packages/routing/src/EventFramer.ts
+++ b/packages/routing/src/EventFramer.ts
@@ -1,58 +1,91 @@
 /**
  * Cuts a stream of server-sent events into whole events, so that half an event is never passed on
  * and a resumed stream can be joined after the last delivered one. Bytes are passed on unchanged.
+ * Every byte is looked at once, however the stream is cut into chunks.
  */
+import * as ByteCollector from './ByteCollector.js';
 
 /** One whole event with the empty line that ends it. */
 export interface StreamEvent {
   /** Value of the event's `id` field, if it is a whole number. */
   readonly id: number | undefined;
+  /** Whether the event carries data; comments keep a connection open and are no progress. */
+  readonly hasData: boolean;
   readonly bytes: Buffer;
 }
 
+/** What bytes of a stream completed. */
+export interface FramedEvents {
+  readonly events: readonly StreamEvent[];
+  /** Whether the event in progress is larger than the bound; nothing more may be pushed. */
+  readonly isTooLong: boolean;
+}
+
 /** Framer of one stream. */
 export interface EventFramer {
   /** Adds bytes and returns the events that are whole now. */
-  readonly push: (bytes: Buffer) => readonly StreamEvent[];
-  /** Bytes after the last whole event. */
-  readonly getRest: () => Buffer;
+  readonly push: (bytes: Buffer) => FramedEvents;
+  /** Takes the bytes after the last whole event. */
+  readonly takeRest: () => Buffer;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_LINE = /^id: ?(\d+)\r?$/m;
-
-/** Finds the end of the first whole event from an offset; -1 where there is none. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  const end = bytes.indexOf(LINE_FEED, from);
-  if (end < 0 || end + 1 >= bytes.length) return -1;
-  if (bytes[end + 1] === LINE_FEED) return end + 2;
-  if (bytes[end + 1] === CARRIAGE_RETURN && bytes[end + 2] === LINE_FEED) return end + 3;
-  return findEventEnd(bytes, end + 1);
-}
+const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
+const DATA_LINE = /^data(:|\r?$)/m;
 
 function parseEvent(bytes: Buffer): StreamEvent {
-  const id = ID_LINE.exec(bytes.toString('latin1'))?.[1];
-  return { bytes, id: id === undefined ? undefined : Number(id) };
+  const text = bytes.toString('latin1');
+  const id = ID_LINE.exec(text)?.[1];
+  return { bytes, hasData: DATA_LINE.test(text), id: id === undefined ? undefined : Number(id) };
 }
 
-/** Creates a framer without bytes. */
-export function createEventFramer(): EventFramer {
-  let rest: Buffer = Buffer.alloc(0);
+/** Creates a framer without bytes; `maxEventBytes` bounds one event. */
+export function createEventFramer(maxEventBytes: number): EventFramer {
+  const pending = ByteCollector.createByteCollector(maxEventBytes);
+  /** Bytes of the line in progress, and whether they are a single carriage return. */
+  let lineBytes = 0;
+  let isReturnOnly = false;
+  /** Whether the event in progress has a line that is not empty. */
+  let hasLine = false;
+
+  /** Finds the offset after the next whole event; -1 where none ends in these bytes. */
+  const findEventEnd = (bytes: Buffer, from: number): number => {
+    let start = from;
+    while (start < bytes.length) {
+      const feed = bytes.indexOf(LINE_FEED, start);
+      const end = feed < 0 ? bytes.length : feed;
+      if (lineBytes === 0 && end > start) isReturnOnly = bytes[start] === CARRIAGE_RETURN;
+      lineBytes += end - start;
+      if (feed < 0) return -1;
+      const isEmpty = lineBytes === 0 || (lineBytes === 1 && isReturnOnly);
+      const isEnd = isEmpty && hasLine;
+      lineBytes = 0;
+      hasLine = !isEnd && (hasLine || !isEmpty);
+      start = feed + 1;
+      if (isEnd) return start;
+    }
+    return -1;
+  };
+  const takeEvent = (bytes: Buffer): StreamEvent | undefined => {
+    if (pending.getLength() === 0 && bytes.length <= maxEventBytes) return parseEvent(bytes);
+    return pending.append(bytes) ? parseEvent(pending.take()) : undefined;
+  };
+
   return {
-    getRest: () => rest,
     push: (bytes) => {
-      const all = rest.length === 0 ? bytes : Buffer.concat([rest, bytes]);
       const events: StreamEvent[] = [];
       let start = 0;
-      let end = findEventEnd(all, start);
+      let end = findEventEnd(bytes, start);
       while (end >= 0) {
-        events.push(parseEvent(all.subarray(start, end)));
+        const event = takeEvent(bytes.subarray(start, end));
+        if (event === undefined) return { events, isTooLong: true };
+        events.push(event);
         start = end;
-        end = findEventEnd(all, start);
+        end = findEventEnd(bytes, start);
       }
-      rest = all.subarray(start);
-      return events;
+      return { events, isTooLong: !pending.append(bytes.subarray(start)) };
     },
+    takeRest: pending.take,
   };
 }
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -1,11 +1,13 @@
 /** What the request path of a daemon works with. */
 import type * as Core from '@berylyoke/core';
 import type * as Scheduling from '@berylyoke/scheduling';
+import type * as ByteBudget from './ByteBudget.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LineBudget from './LineBudget.js';
 import type * as RouteTable from './RouteTable.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
+import type * as RoutingSettings from './RoutingSettings.js';
 import type * as ServerHealth from './ServerHealth.js';
 import type * as ServerNotices from './ServerNotices.js';
 import type * as ServerPool from './ServerPool.js';
@@ -29,6 +31,11 @@
   readonly answeredLines: LineBudget.LineBudget;
   readonly failedLines: LineBudget.LineBudget;
   readonly metrics: RoutingMetrics.RoutingMetrics;
+  /** Bounds of one answer, and of all that are held until they are whole. */
+  readonly answers: RoutingSettings.RoutingSettings['answers'];
+  readonly heldBytes: ByteBudget.ByteBudget;
+  /** Logs and counts an unexpected error; a broken invariant ends the process. */
+  readonly handleDefect: (error: unknown, requestId: string) => void;
   readonly dataCentre: string;
   readonly getActiveConfig: () => ActiveConfig | undefined;
   /** Version of the configuration is fixed per request; the phase is read at each use. */
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -16,6 +16,14 @@
 export const REFUSALS = {
   body_too_large: { message: 'the body is larger than the limit', status: 413 },
   headers_too_large: { message: 'the headers are larger than the limit', status: 431 },
+  internal_error: {
+    message: 'an unexpected error ended the request; it may have run', status: 502,
+  },
+  internal_error_not_run: {
+    message: 'an unexpected error ended the request before it was sent',
+    retryAfterMs: 250,
+    status: 503,
+  },
   invalid_key: { message: 'the key is missing or not valid', status: 401 },
   keys_not_current: {
     message: 'the list of keys is not known to be current', retryAfterMs: 300, status: 503,
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -8,6 +8,7 @@
 import * as AttemptRules from './AttemptRules.js';
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
+import * as ByteCollector from './ByteCollector.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
@@ -44,7 +45,8 @@
   readonly waitingTokens: number;
   head: BackendExchange.AnswerHead | undefined;
   framer: EventFramer.EventFramer | undefined;
-  chunks: Buffer[];
+  /** Bytes of an answer that is no stream, until it is whole. */
+  readonly held: ByteCollector.ByteCollector;
   hasStarted: boolean;
 }
 
@@ -118,12 +120,39 @@
 
   /** Takes the request through the path. */
   start(): void {
-    this.#response.on('close', () => {
+    this.#response.on('close', this.#protect(() => {
       if (!this.#isOver) this.#end('caller_left', undefined);
-    });
+    }));
     this.#request.on('error', () => {
       // The connection broke; `close` of the response ends the request.
     });
+    this.#protect(() => this.#admit())();
+  }
+
+  /** Makes a callback whose unexpected errors end this request and nothing else. */
+  #protect<Values extends readonly unknown[]>(
+    handle: (...values: Values) => void,
+  ): (...values: Values) => void {
+    return (...values) => {
+      try {
+        handle(...values);
+      } catch (error) {
+        this.#handleDefect(error);
+      }
+    };
+  }
+
+  #handleDefect(error: unknown): void {
+    this.#context.handleDefect(error, this.#head.requestId);
+    if (this.#isOver) return;
+    if (this.#attempt !== undefined) this.#mayHaveRun = true;
+    if (this.#isAnswering) {
+      this.#response.destroy();
+      this.#end('internal_error', undefined);
+    } else this.#refuse(this.#mayHaveRun ? 'internal_error' : 'internal_error_not_run');
+  }
+
+  #admit(): void {
     if (this.#context.getPhase() === 'refusing') {
       this.#refuse('stopping');
       return;
@@ -151,24 +180,20 @@
     this.#route = route;
     this.#service = RouteTable.chooseService(route, this.#head.requestId) ?? '';
     this.#limitMs = Math.min(this.#head.callerTimeMs ?? Infinity, route.timeoutMs);
-    this.#limitTimer = setTimeout(() => this.#handleLimit(), this.#limitMs);
+    this.#limitTimer = setTimeout(this.#protect(() => this.#handleLimit()), this.#limitMs);
     this.#readBody(config.limits.maxBodyBytes, () => this.#identify(route, config));
   }
 
   #readBody(maxBytes: number, onBody: () => void): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    this.#request.on('data', (chunk: Buffer) => {
+    const body = ByteCollector.createByteCollector(maxBytes);
+    this.#request.on('data', this.#protect((chunk: Buffer) => {
+      if (!this.#isOver && !body.append(chunk)) this.#refuse('body_too_large');
+    }));
+    this.#request.on('end', this.#protect(() => {
       if (this.#isOver) return;
-      bytes += chunk.length;
-      if (bytes > maxBytes) this.#refuse('body_too_large');
-      else chunks.push(chunk);
-    });
-    this.#request.on('end', () => {
-      if (this.#isOver) return;
-      this.#body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks);
+      this.#body = body.take();
       onBody();
-    });
+    }));
   }
 
   #identify(route: RoutingConfig.Route, config: RoutingConfig.RoutingConfig): void {
@@ -189,12 +214,14 @@
 
   /** A key is trusted by the newest list, which may be newer than the version of the route. */
   #renewKeys(route: RoutingConfig.Route): void {
-    this.#context.renewKeys().then((isCurrent) => {
+    this.#context.renewKeys().then(this.#protect((isCurrent: boolean) => {
       if (this.#isOver) return;
       const active = this.#context.getActiveConfig();
       if (!isCurrent || active === undefined) this.#refuse('keys_not_current');
       else this.#identify(route, active.config);
-    });
+    }), this.#protect((error: unknown) => {
+      throw error;
+    }));
   }
 
   #dispatch(): void {
@@ -203,14 +230,18 @@
       this.#context.countRequest(this.#service);
       this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
     }
-    const chosen = ServerChoiceFilter.chooseServer(
+    const chosen = this.#chooseServer();
+    if (chosen === undefined) this.#follow(AttemptRules.chooseRefusal(undefined, this.#getState()));
+    else this.#forward(chosen, this.#route);
+  }
+
+  #chooseServer(): ServerChoiceFilter.ChosenServer | undefined {
+    return ServerChoiceFilter.chooseServer(
       this.#context,
       this.#service,
       this.#head.prompt,
       this.#tried,
     );
-    if (chosen === undefined) this.#follow(AttemptRules.chooseRefusal(undefined, this.#getState()));
-    else this.#forward(chosen, this.#route);
   }
 
   #forward(chosen: ServerChoiceFilter.ChosenServer, route: RoutingConfig.Route): void {
@@ -242,18 +273,20 @@
       port: server.port,
       requestId: this.#head.requestId,
     }, {
-      onData: (bytes) => this.#handleData(bytes),
-      onEnd: () => this.#handleEnd(),
-      onFailure: (failure) => this.#handleFailure(failure),
-      onHead: (head) => this.#handleHead(head),
+      onData: this.#protect((bytes: Buffer) => this.#handleData(bytes)),
+      onEnd: this.#protect(() => this.#handleEnd()),
+      onFailure: this.#protect((failure: BackendExchange.ExchangeFailure) => (
+        this.#handleFailure(failure)
+      )),
+      onHead: this.#protect((head: BackendExchange.AnswerHead) => this.#handleHead(head)),
     });
     this.#attempt = {
       chosen,
-      chunks: [],
       exchange,
       framer: undefined,
       hasStarted: false,
       head: undefined,
+      held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#context.clock.readMonotonic(),
       waitingTokens,
     };
@@ -297,10 +330,28 @@
   #watchSilence(silenceMs: Core.Millis | undefined): void {
     clearTimeout(this.#silenceTimer);
     if (silenceMs === undefined) return;
-    this.#silenceTimer = setTimeout(() => {
-      this.#attempt?.exchange.cancel();
-      this.#handleAttemptEnd('silent', 'silent');
-    }, silenceMs);
+    this.#silenceTimer = setTimeout(
+      this.#protect(() => this.#handleSilence(silenceMs)),
+      silenceMs,
+    );
+  }
+
+  /**
+   * A silent server is given up only where another one takes the request at once; otherwise its
+   * answer may still come.
+   */
+  #handleSilence(silenceMs: Core.Millis): void {
+    const chosen = this.#chooseServer();
+    const canMove = chosen !== undefined
+      && AttemptRules.canTryAgain('silent', this.#getState())
+      && this.#claimRepeat();
+    if (!canMove) {
+      this.#watchSilence(silenceMs);
+      return;
+    }
+    this.#attempt?.exchange.cancel();
+    this.#closeAttempt('silent', 'silent');
+    this.#forward(chosen, this.#route as RoutingConfig.Route);
   }
 
   #handleHead(head: BackendExchange.AnswerHead): void {
@@ -334,7 +385,9 @@
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
     if (isSuccess && this.#route?.kind === 'stream') {
-      attempt.framer = EventFramer.createEventFramer();
+      attempt.framer = EventFramer.createEventFramer(
+        this.#context.answers.maxEventBytes,
+      );
     } else this.#noteStart(attempt);
   }
 
@@ -386,18 +439,39 @@
   #handleData(bytes: Buffer): void {
     const attempt = this.#attempt as Attempt;
     if (attempt.framer === undefined) {
-      attempt.chunks.push(bytes);
+      this.#holdBytes(attempt, bytes);
       return;
     }
-    const events = attempt.framer.push(bytes).filter(({ id }) => (
+    const framed = attempt.framer.push(bytes);
+    this.#handleEvents(attempt, framed.events.filter(({ id }) => (
       id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
-    ));
+    )));
+    if (framed.isTooLong) this.#giveUpAnswer(attempt, 'event-too-long');
+  }
+
+  #holdBytes(attempt: Attempt, bytes: Buffer): void {
+    if (!this.#context.heldBytes.claim(bytes.length)) {
+      this.#giveUpAnswer(attempt, 'no-room-for-answer');
+    } else if (!attempt.held.append(bytes)) {
+      this.#context.heldBytes.release(bytes.length);
+      this.#giveUpAnswer(attempt, 'answer-too-long');
+    }
+  }
+
+  #giveUpAnswer(attempt: Attempt, reason: string): void {
+    attempt.exchange.cancel();
+    this.#handleAttemptEnd('broken', reason);
+  }
+
+  #handleEvents(attempt: Attempt, events: readonly EventFramer.StreamEvent[]): void {
     if (events.length === 0) return;
-    this.#noteStart(attempt);
-    this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
     this.#relay(events.length === 1
       ? (events[0] as EventFramer.StreamEvent).bytes
       : Buffer.concat(events.map((event) => event.bytes)));
+    // Comments and events without data show a connection that is open, not a server that works.
+    if (!events.some(({ hasData }) => hasData)) return;
+    this.#noteStart(attempt);
+    this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
     const route = this.#route as RoutingConfig.Route;
     const canResume = AttemptRules.canRepeat(route, this.#sends);
     this.#watchSilence(canResume
@@ -410,7 +484,7 @@
     if (!this.#isAnswering) this.#writeHead(attempt.head as BackendExchange.AnswerHead, undefined);
     if (this.#response.write(bytes)) return;
     attempt.exchange.pause();
-    this.#response.once('drain', () => this.#attempt?.exchange.resume());
+    this.#response.once('drain', this.#protect(() => this.#attempt?.exchange.resume()));
   }
 
   #writeHead(head: BackendExchange.AnswerHead, length: number | undefined): void {
@@ -436,7 +510,7 @@
       this.#handleWholeAnswer(attempt, head);
       return;
     }
-    const rest = attempt.framer.getRest();
+    const rest = attempt.framer.takeRest();
     if (!this.#isAnswering && rest.length === 0) {
       this.#handleAttemptEnd('broken', 'empty-stream');
       return;
@@ -459,7 +533,8 @@
       }
     }
     this.#observeOutcome(attempt, isFailure);
-    const body = Buffer.concat(attempt.chunks);
+    this.#context.heldBytes.release(attempt.held.getLength());
+    const body = attempt.held.take();
     this.#writeHead(head, body.length);
     this.#response.end(body);
     this.#end(isFailure ? 'server_failed' : 'answered', head.status);
@@ -514,6 +589,7 @@
 
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
+    this.#context.heldBytes.release(attempt.held.getLength());
     pooled.inFlight -= 1;
     if (!attempt.hasStarted) pooled.waitingTokens -= attempt.waitingTokens;
     this.#attempt = undefined;
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -4,12 +4,14 @@
  */
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import * as ByteBudget from './ByteBudget.js';
 import * as CountsHandOver from './CountsHandOver.js';
 import * as DaemonFeeds from './DaemonFeeds.js';
 import * as DutyHolder from './DutyHolder.js';
 import * as EntryListener from './EntryListener.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as KeyProof from './KeyProof.js';
+import * as LastResort from './LastResort.js';
 import * as LineBudget from './LineBudget.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as PathContext from './PathContext.js';
@@ -37,6 +39,9 @@
 /** Lines a second about attempts and requests that failed. */
 const FAILED_LINES_PER_S = 100;
 
+/** Status of a process that a broken invariant ended. */
+const EXIT_DEFECT = 70;
+
 const POOL_CHECK_MS = 2_000;
 const MS_PER_S = 1_000;
 
@@ -104,6 +109,15 @@
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests, countDroppedLogs: log.countDropped,
   });
+  const endProcess = (): void => {
+    log.flush();
+    // The state that requests share is broken; a restarted daemon reads it anew.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(EXIT_DEFECT);
+  };
+  const { handleDefect, unregister } = LastResort.registerLastResort({
+    clock, endProcess, logger, onDefect: metrics.addDefect,
+  });
   const countDaemons = (): number => (
     Math.max(1, duties?.countDaemons() ?? DutyHolder.INITIAL_DAEMON_COUNT)
   );
@@ -135,6 +149,7 @@
   const poolCheck = setInterval(() => pool.closeUnlisted(servers.listAll()), POOL_CHECK_MS);
   const context: PathContext.PathContext = {
     ...createRepeatBudgets(settings, countDaemons),
+    answers: settings.answers,
     answeredLines: LineBudget.createLineBudget(clock, ANSWERED_LINES_PER_S),
     areKeysCurrent: feeds.areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
@@ -147,9 +162,11 @@
     getActiveConfig,
     getKeyProofAge: feeds.getKeyProofAge,
     getPhase: () => phase,
+    handleDefect,
     health: ServerHealth.createServerHealth(clock, (service, { reason, serverId }) => {
       logger.info({ reason, server: serverId, service }, 'health of a server changed');
     }),
+    heldBytes: ByteBudget.createByteBudget(settings.answers.maxHeldBytes),
     logger,
     metrics,
     names,
@@ -240,6 +257,7 @@
     clearInterval(poolCheck);
     pool.close();
     readiness.close();
+    unregister();
     relayListener?.close();
     metricsListener?.close();
     logger.info({ activeRequests }, 'stopped');
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -21,6 +21,7 @@
 export interface RoutingMetrics {
   readonly addRequest: (service: string, outcome: string) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
+  readonly addDefect: () => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
   readonly render: () => Promise<string>;
@@ -48,6 +49,11 @@
     name: 'berylyoke_attempt_failures_total',
     registers,
   });
+  const defects = new PromClient.Counter({
+    help: 'Unexpected errors of the daemon itself',
+    name: 'berylyoke_unexpected_errors_total',
+    registers,
+  });
   const dependencies = new PromClient.Counter({
     help: 'Calls to the platform by dependency and outcome',
     labelNames: ['dependency', 'outcome'],
@@ -98,6 +104,7 @@
   registry.registerMetric(latencies);
   return {
     addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
+    addDefect: () => defects.inc(),
     addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
     addRequest: (service, outcome) => requests.inc({ outcome, service }),
     observe: (latency, service, valueMs) => {
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -6,6 +6,15 @@
 
 const Positive = Schema.Number.pipe(Schema.positive());
 const NonNegative = Schema.Number.pipe(Schema.nonNegative());
+/** An event holds a few tokens or one tool call; a megabyte is far beyond either. */
+const DEFAULT_MAX_EVENT_BYTES = 1_048_576;
+
+/** Plain answers are held until they are whole, so each one takes its size of memory. */
+const DEFAULT_MAX_PLAIN_BYTES = 8_388_608;
+
+/** A fifth of the smallest VM that is served, 250 MB. */
+const DEFAULT_MAX_HELD_BYTES = 50_000_000;
+
 /** `IP:PORT`. */
 const Address = Schema.String.pipe(Schema.pattern(/^[\d.]+:\d+$/));
 
@@ -13,6 +22,11 @@
 export const RoutingSettings = Schema.Struct({
   daemonId: Schema.NonEmptyString,
   dataCentre: Schema.NonEmptyString,
+  /** Region of each data centre; the small ones of a region share relays. */
+  regions: Schema.optionalWith(
+    Schema.Record({ key: Schema.String, value: Schema.String }),
+    { default: () => ({}) },
+  ),
   logLevel: Schema.optionalWith(
     Schema.Literal('debug', 'error', 'info', 'warn'),
     { default: () => 'info' as const },
@@ -46,6 +60,21 @@
     /** Allowed error of the figures of a window, as a share. */
     usageErrorShare: Schema.optionalWith(NonNegative, { default: () => 0.05 }),
   }),
+  /** What an answer of a backend server may hold; a server in trouble may send without end. */
+  answers: Schema.optionalWith(Schema.Struct({
+    /** Bytes of one event of a stream. */
+    maxEventBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_EVENT_BYTES }),
+    /** Bytes of one answer that is no stream. */
+    maxPlainBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_PLAIN_BYTES }),
+    /** Bytes of all answers that are held until they are whole. */
+    maxHeldBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_HELD_BYTES }),
+  }), {
+    default: () => ({
+      maxEventBytes: DEFAULT_MAX_EVENT_BYTES,
+      maxHeldBytes: DEFAULT_MAX_HELD_BYTES,
+      maxPlainBytes: DEFAULT_MAX_PLAIN_BYTES,
+    }),
+  }),
   repeats: Schema.Struct({
     /** Repeats at a service as a share of its requests, over all daemons. */
     share: NonNegative,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -5,6 +5,7 @@
 import * as net from 'node:net';
 import * as RoutedRequest from '../../RoutedRequest.js';
 import type * as PathContext from '../../PathContext.js';
+import * as ByteBudget from '../../ByteBudget.js';
 import * as LineBudget from '../../LineBudget.js';
 import * as Routing from '../../index.js';
 import * as RoutingMetrics from '../../RoutingMetrics.js';
@@ -122,6 +123,12 @@
     readonly chunks?: readonly string[];
   }) => Promise<CallerAnswer>;
   readonly starts: readonly string[];
+  /** Unexpected errors. */
+  readonly defects: readonly unknown[];
+  /** Lets or does not let repeats be claimed from the budget. */
+  readonly setCanRepeat: (can: boolean) => void;
+  /** Makes the count of starts throw an unexpected error once. */
+  readonly failOnce: () => void;
   /** Lists the servers that are left out because they failed. */
   readonly listSuspects: () => readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
@@ -166,24 +173,36 @@
     version: 1,
   };
   const starts: string[] = [];
+  const defects: unknown[] = [];
+  let canRepeat = true;
+  let isFailing = false;
   let areKeysCurrent = true;
   const pool = ServerPool.createServerPool(() => 8);
   const context: PathContext.PathContext = {
+    answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLines: LineBudget.createLineBudget(Core.systemClock, 1),
     areKeysCurrent: () => areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
-    claimRepeat: () => true,
+    claimRepeat: () => canRepeat,
     clock: Core.systemClock,
     countDaemons: () => 1,
     countDemand: () => undefined,
     countRequest: () => undefined,
-    countStart: (account) => starts.push(account),
+    countStart: (account) => {
+      if (isFailing) {
+        isFailing = false;
+        throw new TypeError('unexpected');
+      }
+      starts.push(account);
+    },
     dataCentre: 'a',
     failedLines: LineBudget.createLineBudget(Core.systemClock, 1),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
     getKeyProofAge: () => 0,
     getPhase: () => 'running',
+    handleDefect: (error) => defects.push(error),
     health: Routing.createServerHealth(Core.systemClock, () => undefined),
+    heldBytes: ByteBudget.createByteBudget(10_000),
     logger: silent,
     metrics: RoutingMetrics.createRoutingMetrics({
       countActive: () => 0, countDroppedLogs: () => 0,
@@ -243,12 +262,19 @@
       listener.close();
       listener.closeAllConnections();
     },
+    defects,
+    failOnce: () => {
+      isFailing = true;
+    },
     listSuspects: () => [
       ...context.health.selectSuspects('s', ports.map((_, index) => `s${index}`)),
     ],
     setKeysCurrent: (areCurrent) => {
       areKeysCurrent = areCurrent;
     },
+    setCanRepeat: (can) => {
+      canRepeat = can;
+    },
     starts,
   };
 }
--- a/packages/routing/src/__tests__/unit/Path.test.ts
+++ b/packages/routing/src/__tests__/unit/Path.test.ts
@@ -84,9 +84,10 @@
 
 describe('events of a stream', () => {
   const push = (text: string[]): string[] => {
-    const framer = Routing.createEventFramer();
+    const framer = Routing.createEventFramer(1_000);
     return text.flatMap((part) => (
-      framer.push(Buffer.from(part)).map(({ bytes, id }) => `${id}:${bytes.toString().length}`)
+      framer.push(Buffer.from(part)).events
+        .map(({ bytes, id }) => `${id}:${bytes.toString().length}`)
     ));
   };
 
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -327,3 +327,144 @@
     await expect.poll(() => servers[0]?.countClosed()).toBe(1);
   });
 });
+
+/** Writes the same bytes again and again until the connection is closed. */
+function writeWithoutEnd(socket: net.Socket, head: string, bytes: string): void {
+  socket.write(head);
+  const timer = setInterval(() => socket.write(bytes), 1);
+  socket.on('close', () => clearInterval(timer));
+}
+
+describe('a server whose bytes have no end', () => {
+  const createHead = (id: string, extra: string): string => (
+    `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n${extra}\r\n`
+  );
+  const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+  const endless: Record<string, (socket: net.Socket, id: string) => void> = {
+    'in a chunk extension': (socket, id) => (
+      writeWithoutEnd(socket, `${createHead(id, CHUNKED)}5;x=`, 'x'.repeat(9_000))
+    ),
+    'in a head': (socket, id) => (
+      writeWithoutEnd(socket, `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\n`, `X-A: ${'x'.repeat(900)}\r\n`)
+    ),
+    'in a plain body': (socket, id) => (
+      writeWithoutEnd(socket, createHead(id, 'Content-Length: 999999999\r\n'), 'x'.repeat(900))
+    ),
+    'in a plain body of one-byte chunks': (socket, id) => (
+      writeWithoutEnd(socket, createHead(id, CHUNKED), '1\r\nx\r\n'.repeat(900))
+    ),
+    'in a plain body without length': (socket, id) => (
+      writeWithoutEnd(socket, createHead(id, ''), 'x'.repeat(900))
+    ),
+    'in a trailer': (socket, id) => writeWithoutEnd(
+      socket,
+      `${createHead(id, CHUNKED)}1\r\nx\r\n0\r\n`,
+      `X-A: ${'x'.repeat(900)}\r\n`,
+    ),
+    'in informational answers': (socket) => (
+      writeWithoutEnd(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(20))
+    ),
+    'that are no answer': (socket) => writeWithoutEnd(socket, '', '\u0000garbage'),
+  };
+  Object.entries(endless).forEach(([name, write]) => test(`${name} is cut off early`, async () => {
+    const { path, servers } = await setUp([(socket, id) => write(socket, id), answerPlain], {
+      kind: 'repeatable', timeoutMs: 8_000,
+    });
+    const startMs = performance.now();
+    const headers = { 'x-left': '8000' };
+    expect(await path.call({ headers })).toMatchObject({ body: 'for r1', status: 200 });
+    // The time limit of a silent server would end it after 3.6 s.
+    expect(performance.now() - startMs).toBeLessThan(3_000);
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  }));
+
+  test('in one event of a stream is cut off, and the stream goes on elsewhere', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => writeWithoutEnd(
+        socket,
+        `${createHead(id, '')}id: 1\ndata: a\n\n`,
+        'data: x\n'.repeat(50),
+      ),
+      (socket, id) => writeEvents(socket, id, 'id: 2\ndata: b\n\n', true),
+    ], { isResumable: true, kind: 'stream', timeoutMs: 8_000 });
+    expect(await path.call({ headers: { 'x-left': '8000' } })).toMatchObject({
+      body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', isCut: false,
+    });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+
+  test('does not take the room of answers to other requests for good', async () => {
+    const { path } = await setUp([(socket, id, count) => {
+      if (count <= 6) {
+        writeWithoutEnd(socket, createHead(id, 'Content-Length: 999999\r\n'), 'x'.repeat(900));
+      } else PathHarness.writeAnswer(socket, id, 'x'.repeat(3_900));
+    }]);
+    const ids = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6'];
+    const answers = await Promise.all(ids.map((requestId) => path.call({ requestId })));
+    expect(answers.map(({ status }) => status)).toEqual(ids.map(() => 502));
+    expect(await path.call({ requestId: 'r7' })).toMatchObject({ status: 200 });
+  });
+});
+
+describe('a slow stream', () => {
+  const route = {
+    isResumable: true, kind: 'stream' as const, pauseTargetMs: 100, timeoutMs: 4_000,
+  };
+  const headers = { 'x-left': '4000' };
+  /** Sends an event after each pause. */
+  const writeSlowly = (pauseMs: number, count: number): PathHarness.RawAnswer => (socket, id) => {
+    socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\n`);
+    Array.from({ length: count }, (_, index) => setTimeout(() => {
+      socket.write(`id: ${index + 1}\ndata: a\n\n`);
+      if (index + 1 === count) socket.end();
+    }, pauseMs * (index + 1)));
+  };
+  const countEvents = (body: string): number => body.split('data: a').length - 1;
+
+  test('that no other server can take over is not cut', async () => {
+    const { path } = await setUp([writeSlowly(1_100, 3)], route);
+    const answer = await path.call({ headers });
+    expect([answer.isCut, countEvents(answer.body)]).toEqual([false, 3]);
+  });
+
+  test('is not cut where the budget of repeats is used up', async () => {
+    const { path, servers } = await setUp([writeSlowly(1_100, 3), answerPlain], route);
+    path.setCanRepeat(false);
+    const answer = await path.call({ headers });
+    expect([answer.isCut, countEvents(answer.body)]).toEqual([false, 3]);
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('that is kept open by comments and single bytes is taken over elsewhere', async () => {
+    const { path } = await setUp([
+      (socket, id) => {
+        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\n`);
+        const timer = setInterval(() => socket.write(': ping\n\n'), 100);
+        socket.on('close', () => clearInterval(timer));
+      },
+      writeSlowly(10, 2),
+    ], route);
+    const answer = await path.call({ headers });
+    expect([answer.isCut, countEvents(answer.body)]).toEqual([false, 2]);
+  });
+
+  test('that makes no progress and may not be resumed ends at its time limit', async () => {
+    const { path, servers } = await setUp([(socket, id) => writeWithoutEnd(
+      socket,
+      `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\n`,
+      ': ping\n\n',
+    )], { kind: 'stream', timeoutMs: 400 });
+    expect(await path.call({ headers })).toMatchObject({ isCut: true });
+    await expect.poll(() => servers[0]?.countClosed()).toBe(1);
+  });
+});
+
+describe('an unexpected error', () => {
+  test('ends its request, and the others go on', async () => {
+    const { path } = await setUp([answerPlain]);
+    path.failOnce();
+    expect(await path.call()).toMatchObject({ status: 502 });
+    expect(path.defects).toHaveLength(1);
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ status: 200 });
+  });
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 /** Routing daemon: request path, choice of servers, duties; its ports and settings. */
 export * from './AttemptRules.js';
 export * from './BackendExchange.js';
+export * from './ByteCollector.js';
 export * from './CountsHandOver.js';
 export * from './CountsRecord.js';
 export * from './DutyHolder.js';
@@ -26,6 +27,7 @@
 export * from './RoutingDaemon.js';
 export * from './RoutingSettings.js';
 export * from './ServerHealth.js';
+export * from './ServerNotices.js';
 export * from './ServerPick.js';
 export * from './ServerTable.js';
 export * from './TrueTime.js';
