Accept what came in before a listener closes

A timer that is due runs before the event loop accepts connections, so a close from a timer resets all that came in while the loop was busy; and a turn of the loop accepts only one.

Ruled out: kept connections (each caller opened a new one), a stream cut in the middle (no byte of an answer had come).

Change: drainListener in core waits for a short turn without a new connection, closes then, and closes idle connections only after what has arrived was read. Both daemons use it; two copies of the same steps go.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Clock, identifiers, typed errors, rendezvous hashing, undo helpers and log prefixes. */
 export * from './Clock.js';
+export * from './DrainListener.js';
 export * from './HttpJson.js';
 export * from './Identifiers.js';
 export * from './Invariant.js';
--- a/packages/daemon/src/HttpServer.ts
+++ b/packages/daemon/src/HttpServer.ts
@@ -1,11 +1,8 @@
 /** An HTTP server on one address, with a graceful close. */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
-/** How often connections that became idle are closed during a drain, in milliseconds. */
-const IDLE_CHECK_MS = 50;
-
 /** A running HTTP interface. */
 export interface RunningServer {
   readonly url: string;
@@ -27,17 +24,7 @@
   });
   const address = server.address() as net.AddressInfo;
   return {
-    close: async (timeoutMs) => {
-      const closed = new Promise((resolve) => {
-        server.close(resolve);
-      });
-      // An answer whose head was sent before the drain leaves its connection open.
-      const idle = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS);
-      const deadline = setTimeout(() => server.closeAllConnections(), timeoutMs);
-      await closed;
-      clearInterval(idle);
-      clearTimeout(deadline);
-    },
+    close: (timeoutMs) => Core.drainListener(server, timeoutMs),
     url: `http://${host}:${address.port}`,
   };
 }
--- a/packages/routing/src/EntryListener.ts
+++ b/packages/routing/src/EntryListener.ts
@@ -2,7 +2,7 @@
  * Listeners of a daemon: callers, readiness, metrics. A planned stop first turns readiness off
  * while requests still come, then closes the entry, and ends when every answer in progress is out.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as RoutingConfig from './RoutingConfig.js';
@@ -10,9 +10,6 @@
 /** Time for the load balancer to notice that the daemon is not ready: two questions, 1 s apart. */
 const NOTICE_MS = 2_600;
 
-/** How often idle connections are closed while answers are finished. */
-const IDLE_CHECK_MS = 100;
-
 /** Largest header block; the limit of the configuration is checked on top of it. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
@@ -85,14 +82,7 @@
     stop: async (onNoticeOver, limitMs) => {
       await waitFor(NOTICE_MS);
       onNoticeOver();
-      const closed = new Promise((resolve) => {
-        server.close(resolve);
-      });
-      const idle = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS);
-      const cut = setTimeout(() => server.closeAllConnections(), limitMs - NOTICE_MS);
-      await closed;
-      clearInterval(idle);
-      clearTimeout(cut);
+      await Core.drainListener(server, limitMs - NOTICE_MS);
     },
   };
 }
