Start the daemon from a cache of its compiled code

Most of it was compiling 1.9 MB of bundle (66 ms at once, more when functions first ran) and loading yargs (50 ms).

A cache that does not fit is not used, and the line "program loaded" says so.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -86,6 +86,9 @@
     holder: Schema.optional(Schema.String),
     offset: Count,
   }),
+  'program loaded': Schema.Struct({
+    ...COMMON_FIELDS, codeCache: Schema.Literal('not used', 'used'),
+  }),
   'relay not usable': Schema.Struct({
     ...COMMON_FIELDS, detail: Schema.String, feed: Schema.String, relay: Schema.String,
   }),
