Let the relays of a large region read from the few that read the store

Cause: at 195 VMs eighteen relays read the store for the others: about 27 of the fleet's calls a second, beside twelve standbys that read the duties log eight times a second.

Change: where a region has six relays or more, one for every eight reads the store and the others read its copies; every daemon derives them from the roster alike. A failed read of the store is told on, so that readers two steps away keep entries that lapsed in the outage. Three standbys for such a region; the other daemons read the duties log once a second together.

Tests: Relays.test.ts (sources, spread, at 2,600 daemons at most eight relays a source), FeedLoop.test.ts (a failure is told to readers; the earlier code keeps it).

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -34,6 +34,9 @@
 /** Pause between reads of a relay's copy, as a share of the bound on leaving servers. */
 const RELAYED_PAUSE_SHARE = 0.2;
 
+/** Pause of a relay between reads of another one's copy: its own readers' pauses come on top. */
+const SOURCE_PAUSE_SHARE = 0.1;
+
 /** Age of a copy of the server entries up to which it is used, as a share of the same bound. */
 const MAX_COPY_AGE_SHARE = 0.5;
 
@@ -147,7 +150,9 @@
     feed: keyof typeof copies,
     maxAgeMs: Core.Millis,
   ): FeedLoop.RelaySource => ({
-    pauseMs: bounds.drainMs * RELAYED_PAUSE_SHARE,
+    getPauseMs: () => bounds.drainMs * (
+      relayChoice.isRelay() ? SOURCE_PAUSE_SHARE : RELAYED_PAUSE_SHARE
+    ),
     read: (from) => RelayChoice.readFromRelay({
       choice: relayChoice, feed, from, logger, maxAgeMs, read: readRelay,
     }),
@@ -168,7 +173,10 @@
     onFailure: configContact.onFailure,
     onSnapshot: applyConfig,
     readClocks,
-    relay: createRelaySource('configuration', configWaitMs + RELAY_SLACK_MS),
+    relay: createRelaySource(
+      'configuration',
+      configWaitMs + RELAY_SLACK_MS + bounds.drainMs * SOURCE_PAUSE_SHARE,
+    ),
     retryMs: CONFIG_RETRY_MS,
     waitMs: configWaitMs,
   });
--- a/packages/routing/src/DutyHolder.ts
+++ b/packages/routing/src/DutyHolder.ts
@@ -25,8 +25,11 @@
 /** Relays of each data centre that stand by to succeed the holder, which may be one of them. */
 const STANDBYS = 2;
 
+/** Those of a whole region with many relays; two of them may be lost with their data centres. */
+const REGION_STANDBYS = 3;
+
 /** Reads of the duties log by all other daemons together, where relays stand by. */
-const READER_POLLS_PER_S = 2;
+const READER_POLLS_PER_S = 1;
 
 /**
  * Shortest time between two reads by a daemon that does not suspect the holder. A claim needs a
@@ -72,6 +75,8 @@
 
 /** What the duties work with. */
 export interface DutyContext extends WindowHandOver.WindowContext {
+  /** Data centres of this daemon's region, in an order that is alike everywhere. */
+  readonly regionCentres: readonly string[];
   /** Called with the relays that the holder named last. */
   readonly onRelays: (relays: RelayPlan.RelayRoster) => void;
   readonly logger: Core.Logger;
@@ -232,7 +237,10 @@
       return Math.max(STEP_MS, termMs + DutyLease.LEASE_MARGIN_MS - passedMs);
     }
     const { daemonCount, relays } = this.#state;
-    const standbys = Object.values(relays).flatMap((each) => each.slice(0, STANDBYS));
+    const sources = RelayPlan.listSources(relays, this.#context.regionCentres);
+    const standbys = sources.length > 0
+      ? sources.slice(0, REGION_STANDBYS)
+      : Object.values(relays).flatMap((each) => each.slice(0, STANDBYS));
     if (standbys.some((address) => address === this.#context.peerAddress)) return MIN_POLL_MS;
     const pollsPerS = standbys.length > 0 ? READER_POLLS_PER_S : FLEET_POLLS_PER_S;
     const daemons = daemonCount ?? INITIAL_DAEMON_COUNT;
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -14,8 +14,8 @@
 export interface RelaySource {
   /** Gives undefined where no relay is usable; the store is read then. */
   readonly read: (from: number) => Effect.Effect<FeedCopy.CopyPage | undefined>;
-  /** Pause between two reads of a relay. */
-  readonly pauseMs: Core.Millis;
+  /** Gives the pause between two reads of a relay. */
+  readonly getPauseMs: () => Core.Millis;
 }
 
 /** What a feed does for its owner. */
@@ -111,7 +111,11 @@
     const copied = await Effect.runPromise(relay.read(from), { signal: abort.signal });
     if (copied === undefined) return false;
     const failedMs = sentAt.monotonicMs - (copied.failureAgeMs ?? Infinity);
-    if (failedMs > lastProvenMs) options.onRelayFailure?.();
+    if (failedMs > lastProvenMs) {
+      // Readers of this copy have to learn of the failure as well.
+      options.copy.observeFailure(KeyProof.addToReading(sentAt, failedMs - sentAt.monotonicMs));
+      options.onRelayFailure?.();
+    }
     // The relay answered after the call was sent, so its copy is at most as old as counted here.
     const provenAt = KeyProof.addToReading(sentAt, -copied.ageMs);
     applyPage(copied.page, copied.isSnapshot, provenAt, provenAt.monotonicMs);
@@ -147,7 +151,7 @@
     if (relay === undefined || isRefresh || next === undefined) return readStore(waitMs);
     const wasRelayed = isRelayed;
     isRelayed = await readRelay(relay, next);
-    if (isRelayed) return relay.pauseMs;
+    if (isRelayed) return relay.getPauseMs();
     // What a relay proved is older than what the store would: the first read is not held.
     return readStore(wasRelayed ? 0 : waitMs);
   };
--- a/packages/routing/src/RelayChoice.ts
+++ b/packages/routing/src/RelayChoice.ts
@@ -1,13 +1,14 @@
 /**
  * Chooses the relay that this daemon reads from. Readers spread over the relays of their data
- * centre; a relay that fails or is out of touch with the store is left for a while. Without a
- * usable relay a daemon reads from the store itself.
+ * centre, and relays over the few of their region that read the store; one that fails or is out of
+ * touch with the store is left for a while. Without a usable relay a daemon reads from the store
+ * itself.
  */
 import * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
 import type * as FeedCopy from './FeedCopy.js';
 import type * as RelayCalls from './RelayCalls.js';
-import type * as RelayPlan from './RelayPlan.js';
+import * as RelayPlan from './RelayPlan.js';
 
 /** Time for which a relay that failed is not asked: about the length of a short store outage. */
 const SUSPENSION_MS = 4_000;
@@ -17,8 +18,10 @@
   readonly setRoster: (roster: RelayPlan.RelayRoster) => void;
   /** Whether other daemons read from this one. */
   readonly isRelay: () => boolean;
-  /** Address of the relay to ask now. */
+  /** Address of the relay that takes this daemon's counts now; undefined for a relay. */
   readonly choose: () => string | undefined;
+  /** Address of the daemon whose copies of the feeds this one reads now. */
+  readonly chooseSource: () => string | undefined;
   /** Leaves a relay for a while. */
   readonly observeFailure: (address: string) => void;
 }
@@ -27,23 +30,37 @@
 export function createRelayChoice(
   clock: Core.Clock,
   self: {
-    readonly daemonId: string; readonly dataCentre: string; readonly address: string | undefined;
+    readonly daemonId: string;
+    readonly dataCentre: string;
+    /** Data centres of the region, this one among them, in an order that is alike everywhere. */
+    readonly regionCentres: readonly string[];
+    readonly address: string | undefined;
   },
 ): RelayChoice {
   let relays: readonly string[] = [];
+  let sources: readonly string[] = [];
   const suspendedUntil = new Map<string, Core.Millis>();
   const isRelay = (): boolean => self.address !== undefined && relays.includes(self.address);
+  const findUsable = (addresses: readonly string[]): string | undefined => {
+    const nowMs = clock.readMonotonic();
+    return addresses.find((address) => nowMs >= (suspendedUntil.get(address) ?? -Infinity));
+  };
+  const choose = (): string | undefined => (isRelay() ? undefined : findUsable(relays));
   return {
-    choose: () => {
-      if (isRelay()) return undefined;
-      const nowMs = clock.readMonotonic();
-      return relays.find((address) => nowMs >= (suspendedUntil.get(address) ?? -Infinity));
+    choose,
+    chooseSource: () => {
+      if (!isRelay()) return choose();
+      return sources.includes(self.address as string) ? undefined : findUsable(sources);
     },
     isRelay,
     setRoster: (roster) => {
       relays = Core.rankCandidates(self.daemonId, roster[self.dataCentre] ?? []);
+      sources = Core.rankCandidates(
+        self.daemonId,
+        RelayPlan.listSources(roster, self.regionCentres),
+      );
       [...suspendedUntil.keys()]
-        .filter((address) => !relays.includes(address))
+        .filter((address) => !relays.includes(address) && !sources.includes(address))
         .forEach((address) => suspendedUntil.delete(address));
     },
     observeFailure: (address) => {
@@ -67,7 +84,7 @@
 export function readFromRelay({
   choice, feed, from, logger, maxAgeMs, read,
 }: RelayRead): Effect.Effect<FeedCopy.CopyPage | undefined> {
-  const address = choice.choose();
+  const address = choice.chooseSource();
   if (address === undefined) return Effect.succeed(undefined);
   const leaveRelay = (detail: string): undefined => {
     choice.observeFailure(address);
--- a/packages/routing/src/RelayPlan.ts
+++ b/packages/routing/src/RelayPlan.ts
@@ -97,3 +97,27 @@
     return group.dataCentres.map((dataCentre) => [dataCentre, relays]);
   }));
 }
+
+/** Relays of a region from which some of them read the store for the others. */
+const MIN_RELAYS_FOR_SOURCES = 6;
+
+/** Relays that one source serves beside its own readers: about 40 calls a second. */
+const RELAYS_PER_SOURCE = 8;
+
+/**
+ * Lists the relays of a region that read the store; the other relays read from these. Every daemon
+ * derives them alike from the roster, in different data centres first.
+ */
+export function listSources(
+  roster: RelayRoster,
+  dataCentres: readonly string[],
+): readonly string[] {
+  const places = dataCentres.flatMap((dataCentre) => (
+    (roster[dataCentre] ?? []).map((address, index) => ({ address, index }))
+  ));
+  const ranked = [...new Set(
+    [...places].sort((a, b) => a.index - b.index).map(({ address }) => address),
+  )];
+  if (ranked.length < MIN_RELAYS_FOR_SOURCES) return [];
+  return ranked.slice(0, Math.max(MIN_RELAYS, Math.ceil(ranked.length / RELAYS_PER_SOURCE)));
+}
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -121,10 +121,14 @@
   const countDaemons = (): number => (
     Math.max(1, duties?.countDaemons() ?? DutyHolder.INITIAL_DAEMON_COUNT)
   );
+  const region = settings.regions[settings.dataCentre];
+  const regionCentres = Object.keys(settings.regions)
+    .filter((dataCentre) => settings.regions[dataCentre] === region).sort();
   const relayChoice = RelayChoice.createRelayChoice(clock, {
     address: settings.listen.peers,
     daemonId: settings.daemonId,
     dataCentre: settings.dataCentre,
+    regionCentres,
   });
   const relayClient = RelayCalls.createRelayClient();
   const feeds = DaemonFeeds.startDaemonFeeds({
@@ -234,7 +238,8 @@
     onRelays: relayChoice.setRoster,
     peerAddress: settings.listen.peers,
     random: Math.random,
-    region: settings.regions[settings.dataCentre],
+    region,
+    regionCentres,
     trueTime,
     usageDueMs: settings.bounds.usageDueS * MS_PER_S,
     usageErrorShare: settings.bounds.usageErrorShare,
--- a/packages/routing/src/__tests__/unit/DutyHolder.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyHolder.test.ts
@@ -55,6 +55,7 @@
       },
       peerAddress: `10.0.0.${index}:7340`,
       region: undefined,
+      regionCentres: ['a'],
       random: () => index / count,
       trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
       usageDueMs: REPORT_DUE_MS,
--- a/packages/routing/src/__tests__/unit/FeedLoop.test.ts
+++ b/packages/routing/src/__tests__/unit/FeedLoop.test.ts
@@ -154,6 +154,8 @@
     readonly contacts: readonly number[];
     readonly storeWaits: readonly number[];
     readonly failures: number;
+    /** What this daemon tells its own readers in the end. */
+    readonly copied: Routing.CopyPage | undefined;
   }
 
   /** Follows until the relay and the store have given every answer. */
@@ -162,9 +164,11 @@
     const storeWaits: number[] = [];
     let failures = 0;
     let nowMs = 10_000;
+    const copy = Routing.createFeedCopy<string>();
     const left = [...copied];
     await new Promise<void>((resolve) => {
       const loop = Routing.startFeed(createOptions({
+        copy,
         feed: {
           readChanges: (_, waitMs) => {
             storeWaits.push(waitMs);
@@ -178,7 +182,7 @@
         },
         readClocks: () => at(nowMs),
         relay: {
-          pauseMs: 1,
+          getPauseMs: () => 1,
           read: () => Effect.sync(() => {
             nowMs += 500;
             if (left.length === 0) {
@@ -190,7 +194,9 @@
         },
       }));
     });
-    return { contacts, failures, storeWaits };
+    return {
+      contacts, copied: copy.read(1, at(nowMs)), failures, storeWaits,
+    };
   };
 
   test('a relayed page counts from when the call was sent, less its age', async () => {
@@ -214,4 +220,12 @@
     ]);
     expect(failures).toBe(1);
   });
+
+  // Guards against readers two steps from the store that drop entries which lapsed in its outage.
+  test('a failed read of the relay is told to the readers of this daemon', async () => {
+    const { copied } = await follow([
+      createCopied({ ageMs: 100 }), createCopied({ ageMs: 50, failureAgeMs: 200 }),
+    ]);
+    expect(copied?.failureAgeMs).toBe(1_200);
+  });
 });
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -95,16 +95,16 @@
   });
 });
 
-describe('plan of the relays', () => {
-  const createMembers = (count: number, dataCentre: string): Routing.FleetMember[] => (
-    Array.from({ length: count }, (_, index) => ({
-      address: `${dataCentre}${index}:1`,
-      cores: index % 3 === 0 ? 1.35 : 0.324,
-      daemonId: `${dataCentre}-${String(index).padStart(4, '0')}`,
-      dataCentre,
-    }))
-  );
+const createMembers = (count: number, dataCentre: string): Routing.FleetMember[] => (
+  Array.from({ length: count }, (_, index) => ({
+    address: `${dataCentre}${index}:1`,
+    cores: index % 3 === 0 ? 1.35 : 0.324,
+    daemonId: `${dataCentre}-${String(index).padStart(4, '0')}`,
+    dataCentre,
+  }))
+);
 
+describe('plan of the relays', () => {
   test('a large data centre has relays on its larger VMs, a small one none', () => {
     const roster = Routing.planRelays([...createMembers(22, 'a'), ...createMembers(4, 'b')], {});
     expect(roster).toEqual({ a: ['a0:1', 'a3:1'] });
@@ -155,7 +155,9 @@
 });
 
 describe('choice of a relay', () => {
-  const self = { address: 'me:1', daemonId: 'd', dataCentre: 'a' };
+  const self = {
+    address: 'me:1', daemonId: 'd', dataCentre: 'a', regionCentres: ['a', 'b'],
+  };
 
   test('a relay that failed is left for the other one, then for the store, for a while', () => {
     const clock = Core.createManualClock();
@@ -179,6 +181,48 @@
     expect(choice.choose()).toBeUndefined();
   });
 
+  // Eighteen relays of one region made 27 of its 35 calls a second to the store.
+  test('relays of a large region read from the few that read the store', () => {
+    const roster = {
+      a: ['me:1', 'p:1', 'q:1'], b: ['r:1', 's:1', 't:1'], elsewhere: ['u:1', 'v:1'],
+    };
+    const clock = Core.createManualClock();
+    const choice = Routing.createRelayChoice(clock, { ...self, address: 'p:1' });
+    choice.setRoster(roster);
+    expect(Routing.listSources(roster, ['a', 'b'])).toEqual(['me:1', 'r:1']);
+    expect(choice.choose()).toBeUndefined();
+    const first = choice.chooseSource() as string;
+    choice.observeFailure(first);
+    const second = choice.chooseSource() as string;
+    expect([first, second].sort()).toEqual(['me:1', 'r:1']);
+    choice.observeFailure(second);
+    expect(choice.chooseSource()).toBeUndefined();
+    clock.advance(4_000);
+    expect(choice.chooseSource()).toBe(first);
+  });
+
+  test('a source reads the store, and a reader its own relay', () => {
+    const roster = { a: ['me:1', 'p:1', 'q:1'], b: ['r:1', 's:1', 't:1'] };
+    const source = Routing.createRelayChoice(Core.createManualClock(), self);
+    source.setRoster(roster);
+    expect(source.chooseSource()).toBeUndefined();
+    const reader = Routing.createRelayChoice(
+      Core.createManualClock(),
+      { ...self, address: 'x:1', daemonId: 'x' },
+    );
+    reader.setRoster(roster);
+    expect(roster.a).toContain(reader.chooseSource());
+  });
+
+  test('no source serves more than eight relays, at 2,600 daemons in ten data centres', () => {
+    const members = Array.from({ length: 10 }, (_, index) => createMembers(260, `z${index}-`));
+    const roster = Routing.planRelays(members.flat(), {});
+    const relays = Object.values(roster).flat();
+    const sources = Routing.listSources(roster, Object.keys(roster));
+    expect(relays.length / sources.length).toBeLessThanOrEqual(8);
+    expect(new Set(sources.slice(0, 10).map((each) => each.split('-')[0])).size).toBe(10);
+  });
+
   test('readers spread over the relays', () => {
     const chosen = Array.from({ length: 40 }, (_, index) => {
       const choice = Routing.createRelayChoice(
@@ -325,7 +369,9 @@
     const appended: unknown[] = [];
     const choice = Routing.createRelayChoice(
       Core.createManualClock(),
-      { address: 'me:1', daemonId: 'd', dataCentre: 'a' },
+      {
+        address: 'me:1', daemonId: 'd', dataCentre: 'a', regionCentres: ['a'],
+      },
     );
     choice.setRoster({ a: ['p:1'] });
     const { handOver } = Routing.createCountsHandOver({
