--- a/packages/duties/src/__tests__/process/startWorker.ts
+++ b/packages/duties/src/__tests__/process/startWorker.ts
@@ -12,6 +12,8 @@
   readonly reports: readonly LeaseWorker.WorkerReport[];
   /** Whether the kernel shows the process as stopped. */
   readonly isStopped: () => Promise<boolean>;
+  /** State of each thread and the signals that wait, for the message of a test that fails. */
+  readonly describeProcess: () => Promise<string>;
   readonly signal: (name: 'SIGCONT' | 'SIGTERM') => void;
   readonly waitForExit: () => Promise<void>;
   readonly close: () => Promise<void>;
@@ -36,6 +38,17 @@
       child.kill('SIGKILL');
       await exit;
     },
+    describeProcess: async () => {
+      const folder = `/proc/${child.pid}/task`;
+      const threads = await fs.readdir(folder).catch(() => []);
+      const texts = await Promise.all(threads.map((thread) => (
+        fs.readFile(`${folder}/${thread}/status`, 'utf8').catch(() => 'gone')
+      )));
+      const lines = texts.map((text) => (
+        text.split('\n').filter((line) => /^(State|SigPnd|ShdPnd):/.test(line)).join(' ')
+      ));
+      return `exit ${child.exitCode ?? child.signalCode}; threads: ${lines.join('; ')}`;
+    },
     isStopped: async () => {
       const stat = await fs.readFile(`/proc/${child.pid}/stat`, 'utf8');
       return stat.slice(stat.lastIndexOf(')') + 2).startsWith('T');
--- a/packages/duties/src/__tests__/unit/FrozenHolder.test.ts
+++ b/packages/duties/src/__tests__/unit/FrozenHolder.test.ts
@@ -61,7 +61,11 @@
   await waitFor(() => expect(system.countOrders('next')).toBeGreaterThan(0));
   const ordersBefore = system.countOrders('next');
   frozen.signal('SIGCONT');
-  await waitFor(() => expect(frozen.reports).toContainEqual({ kind: 'woken' }));
+  await waitFor(async () => {
+    const isWoken = frozen.reports.some(({ kind }) => kind === 'woken');
+    expect(frozen.reports, isWoken ? '' : await frozen.describeProcess())
+      .toContainEqual({ kind: 'woken' });
+  });
   // An order of the woken process ends with a report; a claim of it shows up in the log.
   await waitFor(() => {
     if (step === 'claim') {
