Tell the fleet what each daemon observes, and pass over silent servers

A server whose running streams have had no event for half a second, or whose plain requests are overdue, is passed over until its next byte and told of as a failure once; a stream that its caller holds up does not count. What a daemon observes of servers moved from RoutedRequest into ServerObservation.

Ruled out for now: subsets of servers, reports of engines, owners of prompts.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -107,6 +107,13 @@
     service: Schema.optional(Schema.String),
     state: Schema.String,
   }),
+  'server is silent': Schema.Struct({
+    ...COMMON_FIELDS,
+    inFlight: Count,
+    server: Schema.String,
+    service: Schema.String,
+    silentMs: Count,
+  }),
   'server wants no requests': Schema.Struct({
     ...COMMON_FIELDS,
     isLeaving: Schema.Boolean,
--- a/packages/routing/src/FailureShare.ts
+++ b/packages/routing/src/FailureShare.ts
@@ -39,8 +39,13 @@
   };
 }
 
-/** Estimates the probability that the next request fails. */
-export function estimateFailure(share: FailureShare, nowMs: Core.Millis): number {
+/** Estimates the probability that the next request fails; `others` are outcomes of the fleet. */
+export function estimateFailure(
+  share: FailureShare,
+  nowMs: Core.Millis,
+  others: Pick<FailureShare, 'failures' | 'requests'> = INITIAL_FAILURE_SHARE,
+): number {
   const decay = computeDecay(share, nowMs);
-  return (share.failures * decay + PRIOR_FAILURES) / (share.requests * decay + PRIOR_REQUESTS);
+  return (share.failures * decay + others.failures + PRIOR_FAILURES)
+    / (share.requests * decay + others.requests + PRIOR_REQUESTS);
 }
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -4,6 +4,7 @@
 import type * as ByteBudget from './ByteBudget.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LineBudget from './LineBudget.js';
+import type * as OutcomeExchange from './OutcomeExchange.js';
 import type * as RouteTable from './RouteTable.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
@@ -51,6 +52,8 @@
   readonly pool: ServerPool.ServerPool;
   readonly health: ServerHealth.ServerHealth;
   readonly notices: ServerNotices.ServerNotices;
+  /** Outcomes at servers, told to and by other daemons. */
+  readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   readonly cache: Scheduling.CacheIndex;
   /** Takes a repeat at a service from the budget that all daemons share. */
   readonly claimRepeat: (service: string) => boolean;
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -10,6 +10,7 @@
 import * as CountsRecord from './CountsRecord.js';
 import * as EntryListener from './EntryListener.js';
 import type * as FeedCopy from './FeedCopy.js';
+import type * as FleetOutcomes from './FleetOutcomes.js';
 import * as Relay from './gen/berylyoke/relay/v1/relay_pb.js';
 
 /** Time limit of a call in milliseconds: a small VM may take 100 ms to get its processor. */
@@ -39,8 +40,15 @@
   readonly handOver: (
     address: string, records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
   ) => Effect.Effect<void, RelayUnavailable>;
+  /** Tells what this daemon observed, and returns what many did. */
+  readonly exchangeOutcomes: (
+    address: string, outcomes: readonly FleetOutcomes.ServerOutcomes[],
+  ) => Effect.Effect<readonly FleetOutcomes.ServerOutcomes[], RelayUnavailable>;
 }
 
+/** Time limit of an exchange of outcomes in milliseconds; the next one follows soon. */
+const EXCHANGE_TIMEOUT_MS = 400;
+
 /** What a daemon does for others. */
 export interface RelayHandlers {
   readonly readCopy: (feed: string, from: number) => FeedCopy.CopyPage | undefined;
@@ -48,6 +56,9 @@
   readonly takeCounts: (
     records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
   ) => Promise<boolean>;
+  readonly takeOutcomes: (
+    outcomes: readonly FleetOutcomes.ServerOutcomes[],
+  ) => readonly FleetOutcomes.ServerOutcomes[];
 }
 
 const decodeCountsText = Schema.decodeUnknownOption(Schema.parseJson(CountsRecord.CountsRecord));
@@ -98,6 +109,10 @@
     try: (signal) => send({ signal, timeoutMs }),
   });
   return {
+    exchangeOutcomes: (address, outcomes) => request(
+      (options) => getClient(address).exchangeOutcomes({ outcomes: [...outcomes] }, options),
+      EXCHANGE_TIMEOUT_MS,
+    ).pipe(Effect.map((response) => response.outcomes)),
     handOver: (address, records, isFinal) => request((options) => getClient(address).handOver({
       isFinal, records: records.map((record) => Buffer.from(JSON.stringify(record))),
     }, options), HAND_OVER_TIMEOUT_MS).pipe(Effect.flatMap(({ isStored }) => (
@@ -133,6 +148,7 @@
         handOver: async ({ isFinal, records }) => ({
           isStored: await handlers.takeCounts(decodeRecords(records), isFinal),
         }),
+        exchangeOutcomes: ({ outcomes }) => ({ outcomes: [...handlers.takeOutcomes(outcomes)] }),
         readFeed: ({ feed, from }) => encodePage(handlers.readCopy(feed, from)),
       });
     },
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -17,7 +17,7 @@
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
 import * as ServerChoiceFilter from './ServerChoiceFilter.js';
-import * as ServerNotices from './ServerNotices.js';
+import * as ServerObservation from './ServerObservation.js';
 import * as ServerPick from './ServerPick.js';
 import * as ServerPool from './ServerPool.js';
 
@@ -34,7 +34,6 @@
 const MIN_SILENT_MS = 900;
 
 const STATUS_MISDIRECTED = 421;
-const STATUS_UNAVAILABLE = 503;
 const STATUS_FIRST_ERROR = 500;
 
 /** The attempt in progress. */
@@ -48,6 +47,8 @@
   /** Bytes of an answer that is no stream, until it is whole. */
   readonly held: ByteCollector.ByteCollector;
   hasStarted: boolean;
+  /** Whether the next event is awaited from the server, and not held up by the caller. */
+  isStreaming: boolean;
 }
 
 /** A request in progress. */
@@ -252,6 +253,9 @@
     this.#sends += 1;
     const waitingTokens = this.#noteDispatch(chosen);
     const { pooled } = chosen;
+    if (pooled.inFlight === 0) {
+      ServerPool.observeSign(pooled, this.#context.clock.readMonotonic());
+    }
     pooled.inFlight += 1;
     pooled.waitingTokens += waitingTokens;
     const exchange = BackendExchange.startExchange({
@@ -286,6 +290,7 @@
       framer: undefined,
       hasStarted: false,
       head: undefined,
+      isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#context.clock.readMonotonic(),
       waitingTokens,
@@ -358,7 +363,13 @@
     const attempt = this.#attempt as Attempt;
     const { names } = this.#context;
     attempt.head = head;
-    this.#noteNotice(attempt, head);
+    ServerPool.observeSign(attempt.chosen.pooled, this.#context.clock.readMonotonic());
+    ServerObservation.observeNotice(
+      this.#context,
+      attempt.chosen.pooled,
+      head,
+      this.#head.requestId,
+    );
     if (head.status === STATUS_MISDIRECTED || head.headers[names.notRun] !== undefined) {
       // Without the id, an answer on a used connection may be a late one to an earlier request.
       const isOwn = head.hasRequestId || !head.isReusedConnection;
@@ -391,41 +402,21 @@
     } else this.#noteStart(attempt);
   }
 
-  /** Takes from an answer to this request what the server says of itself. */
-  #noteNotice({ chosen }: Attempt, { hasRequestId, headers, status }: BackendExchange.AnswerHead) {
-    if (!hasRequestId) return;
-    const { clock, names, notices } = this.#context;
-    const { server } = chosen.pooled;
-    const notice: ServerNotices.AnswerNotice = {
-      isLeaving: headers[names.leaving] !== undefined,
-      pauseMs: status === STATUS_UNAVAILABLE
-        ? ServerNotices.parsePause(headers['retry-after'])
-        : undefined,
-    };
-    const nowMs = clock.readMonotonic();
-    const couldTake = notices.canTake(server, nowMs);
-    notices.observeAnswer(server, notice, nowMs);
-    if (!couldTake || notices.canTake(server, nowMs)) return;
-    this.#context.logger.info({
-      isLeaving: notice.isLeaving,
-      pauseMs: notice.pauseMs,
-      requestId: this.#head.requestId,
-      server: server.id,
-      service: this.#service,
-    }, 'server wants no requests');
-  }
-
   /** Counts the beginning of the run, once for a request however often it is resumed. */
   #noteStart(attempt: Attempt): void {
     if (attempt.hasStarted) return;
     const nowMs = this.#context.clock.readMonotonic();
-    const { pooled, unloadedMs } = attempt.chosen;
+    const { pooled } = attempt.chosen;
     // eslint-disable-next-line no-param-reassign
     attempt.hasStarted = true;
     pooled.waitingTokens -= attempt.waitingTokens;
-    const elapsedMs = nowMs - attempt.startedMs;
-    if (this.#head.prompt === undefined) ServerPool.observeTime(pooled, elapsedMs);
-    else ServerPool.observeDelay(pooled, elapsedMs - unloadedMs, nowMs);
+    if (attempt.framer !== undefined) this.#setStreaming(attempt, true);
+    ServerObservation.observeStart(
+      this.#context,
+      attempt.chosen,
+      nowMs - attempt.startedMs,
+      this.#head.prompt !== undefined,
+    );
     this.#firstMs ??= nowMs;
     this.#countStart();
   }
@@ -438,6 +429,7 @@
 
   #handleData(bytes: Buffer): void {
     const attempt = this.#attempt as Attempt;
+    ServerPool.observeSign(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     if (attempt.framer === undefined) {
       this.#holdBytes(attempt, bytes);
       return;
@@ -484,7 +476,22 @@
     if (!this.#isAnswering) this.#writeHead(attempt.head as BackendExchange.AnswerHead, undefined);
     if (this.#response.write(bytes)) return;
     attempt.exchange.pause();
-    this.#response.once('drain', this.#protect(() => this.#attempt?.exchange.resume()));
+    this.#setStreaming(attempt, false);
+    this.#response.once('drain', this.#protect(() => {
+      if (this.#attempt === undefined) return;
+      this.#attempt.exchange.resume();
+      if (this.#attempt.hasStarted) this.#setStreaming(this.#attempt, true);
+    }));
+  }
+
+  /** A stream that its caller holds up says nothing of the silence of its server. */
+  #setStreaming(attempt: Attempt, isStreaming: boolean): void {
+    if (attempt.isStreaming === isStreaming) return;
+    const { pooled } = attempt.chosen;
+    // eslint-disable-next-line no-param-reassign
+    attempt.isStreaming = isStreaming;
+    pooled.streaming += isStreaming ? 1 : -1;
+    if (isStreaming) ServerPool.observeSign(pooled, this.#context.clock.readMonotonic());
   }
 
   #writeHead(head: BackendExchange.AnswerHead, length: number | undefined): void {
@@ -516,7 +523,7 @@
       return;
     }
     if (rest.length > 0) this.#relay(rest);
-    this.#observeOutcome(attempt, false);
+    ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
     this.#end('answered', head.status);
   }
@@ -532,7 +539,7 @@
         return;
       }
     }
-    this.#observeOutcome(attempt, isFailure);
+    ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, isFailure);
     this.#context.heldBytes.release(attempt.held.getLength());
     const body = attempt.held.take();
     this.#writeHead(head, body.length);
@@ -568,7 +575,7 @@
     // A server that is full is not broken; one that is misdirected is no longer there.
     if (end === 'not-run') {
       ServerPool.observeRefusal(attempt.chosen.pooled, this.#context.clock.readMonotonic());
-    } else this.#observeOutcome(attempt, true);
+    } else ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, true);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
     const suppressed = this.#context.failedLines.take();
@@ -592,16 +599,10 @@
     this.#context.heldBytes.release(attempt.held.getLength());
     pooled.inFlight -= 1;
     if (!attempt.hasStarted) pooled.waitingTokens -= attempt.waitingTokens;
+    this.#setStreaming(attempt, false);
     this.#attempt = undefined;
   }
 
-  #observeOutcome({ chosen: { pooled } }: Attempt, isFailure: boolean): void {
-    const { clock, health } = this.#context;
-    if (isFailure) health.observeFailure(this.#service, pooled.server.id);
-    else health.observeSuccess(this.#service, pooled.server.id);
-    ServerPool.observeOutcome(pooled, isFailure, clock.readMonotonic());
-  }
-
   #claimRepeat(): boolean {
     return this.#context.claimRepeat(this.#service);
   }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -14,6 +14,7 @@
 import * as LastResort from './LastResort.js';
 import * as LineBudget from './LineBudget.js';
 import * as OrderPlan from './OrderPlan.js';
+import * as OutcomeExchange from './OutcomeExchange.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
 import * as RelayCalls from './RelayCalls.js';
@@ -145,6 +146,9 @@
     serverFeed,
   });
   const { getActiveConfig, servers } = feeds;
+  const outcomes = OutcomeExchange.startOutcomeExchange({
+    choice: relayChoice, client: relayClient, clock, logger,
+  });
 
   const pool = ServerPool.createServerPool((service) => {
     const max = getActiveConfig()?.config.services.get(service)?.maxConnections ?? Infinity;
@@ -175,6 +179,7 @@
     metrics,
     names,
     notices: ServerNotices.createServerNotices(),
+    outcomes,
     pool,
     random: Math.random,
     renewKeys: feeds.renewKeys,
@@ -206,6 +211,7 @@
     : await RelayCalls.startRelayListener(settings.listen.peers, {
       readCopy: feeds.readCopy,
       takeCounts: counts.takeCounts,
+      takeOutcomes: outcomes.takeOutcomes,
     });
   const metricsListener = settings.listen.metrics === undefined
     ? undefined
@@ -260,6 +266,7 @@
     await resigned;
     await stopDuties();
     feeds.stop();
+    outcomes.stop();
     clearInterval(poolCheck);
     pool.close();
     readiness.close();
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -1,9 +1,12 @@
 /** Filter `choose` of the request path: the backend server for the next attempt of a request. */
 import * as Core from '@berylyoke/core';
 import * as FailureShare from './FailureShare.js';
+import * as FleetOutcomes from './FleetOutcomes.js';
 import type * as PathContext from './PathContext.js';
+import * as ServerObservation from './ServerObservation.js';
 import * as ServerPool from './ServerPool.js';
 import * as ServerPick from './ServerPick.js';
+import * as ServerTable from './ServerTable.js';
 
 /** Expected time of a plain request before any was observed. */
 const DEFAULT_PLAIN_MS = 20;
@@ -56,17 +59,22 @@
     const {
       failureShare, inFlight, meanTime, server, waitingTokens,
     } = each;
+    const others = context.outcomes.getOutcomes(ServerTable.formatLife(server));
     return {
       cachedTokens: sharedHash === undefined
         ? 0
         : context.cache.estimateCachedTokens(server.id, sharedHash, nowMs),
       dataCentre: server.dataCentre,
-      delayMs: ServerPool.getDelay(each, nowMs),
-      failureShare: FailureShare.estimateFailure(failureShare, nowMs),
+      delayMs: Math.max(
+        ServerPool.getDelay(each, nowMs),
+        FleetOutcomes.estimateDelay(others),
+      ),
+      failureShare: FailureShare.estimateFailure(failureShare, nowMs, others),
       id: server.id,
       inFlight,
       isFull: each.fullUntilMs > nowMs,
-      isSuspect: suspects.has(server.id),
+      isSuspect: suspects.has(server.id)
+        || ServerObservation.checkSilence(context, each, nowMs),
       slowdown: meanTime === undefined || median === undefined || median <= 0
         ? 1
         : Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, meanTime / median)),
--- /dev/null
+++ b/packages/routing/src/ServerObservation.ts
@@ -0,0 +1,112 @@
+/**
+ * What a daemon learns of a backend server from its own requests there: notices, delays, failures
+ * and silence. The same goes to the other daemons of the fleet.
+ */
+import type * as Core from '@berylyoke/core';
+import type * as BackendExchange from './BackendExchange.js';
+import type * as FleetOutcomes from './FleetOutcomes.js';
+import type * as PathContext from './PathContext.js';
+import type * as ServerChoiceFilter from './ServerChoiceFilter.js';
+import * as ServerNotices from './ServerNotices.js';
+import * as ServerPool from './ServerPool.js';
+import * as ServerSilence from './ServerSilence.js';
+import * as ServerTable from './ServerTable.js';
+
+const STATUS_UNAVAILABLE = 503;
+
+type Context = PathContext.PathContext;
+
+function tellFleet(
+  { outcomes }: Context,
+  { server }: ServerPool.PooledServer,
+  observed: Partial<FleetOutcomes.ServerOutcomes>,
+): void {
+  outcomes.observe({
+    delaySumMs: 0,
+    delays: 0,
+    failures: 0,
+    requests: 0,
+    server: ServerTable.formatLife(server),
+    ...observed,
+  });
+}
+
+/** Takes from the head of an answer what the server says of itself. */
+export function observeNotice(
+  context: Context,
+  { server }: ServerPool.PooledServer,
+  { hasRequestId, headers, status }: BackendExchange.AnswerHead,
+  requestId: string,
+): void {
+  // Without the id the answer may be another server's, or belong to an earlier request.
+  if (!hasRequestId) return;
+  const {
+    clock, logger, names, notices,
+  } = context;
+  const notice: ServerNotices.AnswerNotice = {
+    isLeaving: headers[names.leaving] !== undefined,
+    pauseMs: status === STATUS_UNAVAILABLE
+      ? ServerNotices.parsePause(headers['retry-after'])
+      : undefined,
+  };
+  const nowMs = clock.readMonotonic();
+  const couldTake = notices.canTake(server, nowMs);
+  notices.observeAnswer(server, notice, nowMs);
+  if (!couldTake || notices.canTake(server, nowMs)) return;
+  logger.info({
+    isLeaving: notice.isLeaving,
+    pauseMs: notice.pauseMs,
+    requestId,
+    server: server.id,
+    service: server.service,
+  }, 'server wants no requests');
+}
+
+/** Notes the first token of a prompt, or the whole answer of a plain request. */
+export function observeStart(
+  context: Context,
+  { pooled, unloadedMs }: ServerChoiceFilter.ChosenServer,
+  elapsedMs: Core.Millis,
+  hasPrompt: boolean,
+): void {
+  if (!hasPrompt) {
+    ServerPool.observeTime(pooled, elapsedMs);
+    return;
+  }
+  ServerPool.observeDelay(pooled, elapsedMs - unloadedMs, context.clock.readMonotonic());
+  tellFleet(context, pooled, { delaySumMs: Math.max(0, elapsedMs - unloadedMs), delays: 1 });
+}
+
+/** Notes how a request ended that the server took. */
+export function observeOutcome(
+  context: Context,
+  pooled: ServerPool.PooledServer,
+  isFailure: boolean,
+): void {
+  const { clock, health } = context;
+  const { id, service } = pooled.server;
+  if (isFailure) health.observeFailure(service, id);
+  else health.observeSuccess(service, id);
+  ServerPool.observeOutcome(pooled, isFailure, clock.readMonotonic());
+  tellFleet(context, pooled, { failures: isFailure ? 1 : 0, requests: 1 });
+}
+
+/** Checks whether a server went dark, and tells the fleet of each silence once. */
+export function checkSilence(
+  context: Context,
+  pooled: ServerPool.PooledServer,
+  nowMs: Core.Millis,
+): boolean {
+  if (!ServerSilence.isSilent(pooled, nowMs)) return false;
+  if (pooled.isSilenceTold) return true;
+  // eslint-disable-next-line no-param-reassign
+  pooled.isSilenceTold = true;
+  tellFleet(context, pooled, { failures: 1, requests: 1 });
+  context.logger.info({
+    inFlight: pooled.inFlight,
+    server: pooled.server.id,
+    service: pooled.server.service,
+    silentMs: Math.round(nowMs - pooled.heardMs),
+  }, 'server is silent');
+  return true;
+}
--- a/packages/routing/src/ServerPool.ts
+++ b/packages/routing/src/ServerPool.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 import * as FailureShare from './FailureShare.js';
+import type * as ServerSilence from './ServerSilence.js';
 import * as ServerTable from './ServerTable.js';
 
 /** Weight of the newest observation in the mean time of a server. */
@@ -53,10 +54,14 @@
 }
 
 /** A backend server in use. */
-export interface PooledServer {
+export interface PooledServer extends ServerSilence.ServerActivity {
   readonly server: ServerTable.BackendServer;
   readonly agent: http.Agent;
   inFlight: number;
+  streaming: number;
+  heardMs: Core.Millis;
+  /** Whether the silence since the newest byte was told to the fleet. */
+  isSilenceTold: boolean;
   /** Prompt tokens sent there whose first token has not come. */
   waitingTokens: number;
   /** Mean of observed times; undefined before the first one. */
@@ -107,10 +112,13 @@
         delayMs: 0,
         failureShare: FailureShare.INITIAL_FAILURE_SHARE,
         fullUntilMs: 0,
+        heardMs: 0,
         inFlight: 0,
+        isSilenceTold: false,
         meanTime: undefined,
         refusalsInRow: 0,
         server,
+        streaming: 0,
         waitingTokens: 0,
       };
       pooled.set(name, added);
@@ -148,6 +156,14 @@
   /* eslint-enable no-param-reassign */
 }
 
+/** Notes a byte from a server, or that something is expected of it again. */
+export function observeSign(pooled: PooledServer, nowMs: Core.Millis): void {
+  /* eslint-disable no-param-reassign */
+  pooled.heardMs = nowMs;
+  pooled.isSilenceTold = false;
+  /* eslint-enable no-param-reassign */
+}
+
 /** Notes that a server turned a request away because it is full. */
 export function observeRefusal(pooled: PooledServer, nowMs: Core.Millis): void {
   /* eslint-disable no-param-reassign */
--- /dev/null
+++ b/packages/routing/src/ServerSilence.ts
@@ -0,0 +1,40 @@
+/**
+ * Tells a server that went dark from one that works. A crashed server keeps its entry for seconds
+ * and its kept connections take requests without an answer. Streams show it first: an engine that
+ * works sends the next event of one of them every few ten milliseconds.
+ */
+import type * as Core from '@berylyoke/core';
+
+/** What this daemon has under way at a server. */
+export interface ServerActivity {
+  readonly inFlight: number;
+  /** Streams of which an event has come and whose end has not. */
+  readonly streaming: number;
+  /** Newest byte from the server, or start of the first request after nothing was under way. */
+  readonly heardMs: Core.Millis;
+  /** Mean time of whole answers; undefined before the first one. */
+  readonly meanTime: Core.Millis | undefined;
+}
+
+/**
+ * Silence of running streams: several times the pause that reading a long prompt beside them makes.
+ * A server that is taken for dark wrongly is passed over until its next byte.
+ */
+const SILENT_STREAM_MS = 500;
+
+/** Silence of plain requests, in mean times of an answer, and at least. */
+const SILENT_MEAN_TIMES = 8;
+const MIN_SILENT_MS = 300;
+
+/** Checks whether a server has been silent for longer than one that works. */
+export function isSilent(
+  {
+    heardMs, inFlight, meanTime, streaming,
+  }: ServerActivity,
+  nowMs: Core.Millis,
+): boolean {
+  const silentMs = nowMs - heardMs;
+  if (streaming > 0) return silentMs > SILENT_STREAM_MS;
+  if (inFlight === 0 || meanTime === undefined) return false;
+  return silentMs > Math.max(MIN_SILENT_MS, meanTime * SILENT_MEAN_TIMES);
+}
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -122,6 +122,15 @@
     /** Parts of the body, each sent as a chunk of its own. */
     readonly chunks?: readonly string[];
   }) => Promise<CallerAnswer>;
+  /** Outcomes that this daemon observed since the last call. */
+  readonly takeObserved: () => readonly Routing.ServerOutcomes[];
+  /** Sets what the fleet observed. */
+  readonly setFleetOutcomes: (outcomes: readonly Routing.ServerOutcomes[]) => void;
+  /** Sends a request whose answer is never read. */
+  readonly open: (options?: {
+    readonly requestId?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+  }) => http.ClientRequest;
   readonly starts: readonly string[];
   /** Unexpected errors. */
   readonly defects: readonly unknown[];
@@ -178,6 +187,8 @@
   let isFailing = false;
   let areKeysCurrent = true;
   const pool = ServerPool.createServerPool(() => 8);
+  const fleet = Routing.createFleetView();
+  const observed = Routing.createOutcomeLedger();
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLines: LineBudget.createLineBudget(Core.systemClock, 1),
@@ -209,6 +220,7 @@
     }),
     names: NAMES,
     notices: ServerNotices.createServerNotices(),
+    outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
     pool,
     random: () => 0,
     renewKeys: async () => areKeysCurrent,
@@ -221,25 +233,30 @@
     listener.listen(0, '127.0.0.1', resolve);
   });
   const { port } = listener.address() as net.AddressInfo;
+  const createRequest = (
+    requestId: string,
+    key: string,
+    headers: Readonly<Record<string, string>>,
+  ): http.ClientRequest => http.request({
+    agent: false,
+    headers: {
+      authorization: `Bearer ${key}`,
+      host: 'shop.example',
+      'x-id': requestId,
+      'x-left': '1000',
+      ...headers,
+    },
+    host: '127.0.0.1',
+    method: 'POST',
+    path: '/a/b',
+    port,
+  });
   return {
     applyServer,
     call: ({
       chunks: body = ['body'], headers = {}, key = 'good', leaveAfterMs, requestId = 'r1',
     } = {}) => new Promise((resolve) => {
-      const request = http.request({
-        agent: false,
-        headers: {
-          authorization: `Bearer ${key}`,
-          host: 'shop.example',
-          'x-id': requestId,
-          'x-left': '1000',
-          ...headers,
-        },
-        host: '127.0.0.1',
-        method: 'POST',
-        path: '/a/b',
-        port,
-      });
+      const request = createRequest(requestId, key, headers);
       const chunks: Buffer[] = [];
       const answer = (response: http.IncomingMessage | undefined, isCut: boolean): void => resolve({
         body: Buffer.concat(chunks).toString(),
@@ -269,12 +286,22 @@
     listSuspects: () => [
       ...context.health.selectSuspects('s', ports.map((_, index) => `s${index}`)),
     ],
+    setFleetOutcomes: (outcomes) => fleet.set(outcomes, 0),
     setKeysCurrent: (areCurrent) => {
       areKeysCurrent = areCurrent;
     },
+    open: ({ headers = {}, requestId = 'r1' } = {}) => {
+      const request = createRequest(requestId, 'good', headers);
+      // The answer is paused at its first byte and fills the buffers between.
+      request.on('response', (response) => response.pause());
+      request.on('error', () => undefined);
+      request.end('body');
+      return request;
+    },
     setCanRepeat: (can) => {
       canRepeat = can;
     },
     starts,
+    takeObserved: observed.take,
   };
 }
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
@@ -0,0 +1,175 @@
+import * as fc from 'fast-check';
+import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import {
+  afterEach, beforeEach, describe, expect, test, vi,
+} from 'vitest';
+import * as Routing from '../../index.js';
+
+const createOutcomes = (
+  server: string,
+  extra: Partial<Routing.ServerOutcomes> = {},
+): Routing.ServerOutcomes => ({
+  delaySumMs: 0, delays: 0, failures: 0, requests: 0, server, ...extra,
+});
+
+describe('sums of outcomes', () => {
+  test('do not depend on the order and the grouping in which daemons tell', () => {
+    const outcome = fc.record({
+      failures: fc.nat(3), more: fc.nat(5), server: fc.constantFrom('a', 'b', 'c'),
+    }).map(({ failures, more, server }) => createOutcomes(server, {
+      delaySumMs: more * 10, delays: more, failures, requests: failures + more,
+    }));
+    fc.assert(fc.property(fc.array(outcome, { maxLength: 20 }), fc.nat(20), (list, cut) => {
+      const sum = (parts: readonly (readonly Routing.ServerOutcomes[])[]): unknown => {
+        const sums = Routing.createOutcomeSums();
+        parts.forEach((part) => sums.add(part, 0));
+        return [...sums.list(0)].sort((a, b) => (a.server < b.server ? -1 : 1));
+      };
+      expect(sum([list])).toEqual(sum([list.slice(cut), list.slice(0, cut).reverse()]));
+    }));
+  });
+
+  test('lose weight with age, and are forgotten in the end', () => {
+    const sums = Routing.createOutcomeSums();
+    sums.add([createOutcomes('a', {
+      delaySumMs: 100, delays: 1, failures: 2, requests: 4,
+    })], 0);
+    const [faded] = sums.list(6_000);
+    expect(faded).toMatchObject({ failures: 1, requests: 2 });
+    expect(faded?.delays).toBeCloseTo(1 / 8);
+    expect(sums.list(120_000)).toEqual([]);
+  });
+
+  test.each([
+    ['more failures than requests', { failures: 2, requests: 1 }],
+    ['a negative figure', { delays: -1 }],
+    ['no number', { requests: NaN }],
+    ['an infinite delay', { delaySumMs: Infinity, delays: 1 }],
+    ['an absurd number of requests', { requests: 1e9 }],
+  ])('leave out %s', (_, extra) => {
+    const sums = Routing.createOutcomeSums();
+    sums.add([createOutcomes('a', extra)], 0);
+    expect(sums.list(0)).toEqual([]);
+    const view = Routing.createFleetView();
+    view.set([createOutcomes('a', extra)], 0);
+    expect(view.list(0)).toEqual([]);
+  });
+
+  test('and ledgers are bounded, whatever names come', () => {
+    const ledger = Routing.createOutcomeLedger();
+    const sums = Routing.createOutcomeSums();
+    Array.from({ length: 2_000 }, (_, index) => {
+      ledger.add(createOutcomes(`s${index}`, { requests: 1 }));
+      return sums.add([createOutcomes(`s${index}`, { requests: 1 })], 0);
+    });
+    expect(ledger.take()).toHaveLength(512);
+    expect(sums.list(0)).toHaveLength(512);
+  });
+});
+
+test('a view is worth nothing five seconds after it was told', () => {
+  const view = Routing.createFleetView();
+  view.set([createOutcomes('a', { failures: 5, requests: 5 })], 0);
+  expect(view.get('a', 4_999).failures).toBeGreaterThan(2);
+  expect(view.get('a', 5_000)).toEqual(createOutcomes('a'));
+});
+
+/** Load pattern: each of many daemons sends each server one request in some ten seconds. */
+describe('daemons of a large fleet', () => {
+  const DAEMONS = 192;
+  const RELAYS = 12;
+  const SOURCES = 2;
+  const SERVERS = 6;
+  const REQUESTS_PER_S = 0.4;
+
+  interface Fleet {
+    readonly daemons: readonly Routing.OutcomeExchange[];
+    readonly broken: Set<string>;
+    /** Sends requests for some seconds; server 0 fails half of them. */
+    readonly run: (seconds: number) => Promise<void>;
+    readonly listShares: (server: number) => readonly number[];
+  }
+
+  const chooseTarget = (index: number): string | undefined => {
+    if (index < SOURCES) return undefined;
+    return index < RELAYS ? `d${index % SOURCES}` : `d${index % RELAYS}`;
+  };
+  const startFleet = (): Fleet => {
+    const daemons: Routing.OutcomeExchange[] = [];
+    const broken = new Set<string>();
+    Array.from({ length: DAEMONS }, (_, index) => daemons.push(Routing.startOutcomeExchange({
+      choice: { chooseSource: () => chooseTarget(index), isRelay: () => index < RELAYS },
+      client: {
+        exchangeOutcomes: (address, outcomes) => Effect.suspend(() => (
+          broken.has(address)
+            ? Effect.fail(new Routing.RelayUnavailable({ detail: 'away' }))
+            : Effect.succeed(daemons[Number(address.slice(1))]?.takeOutcomes(outcomes) ?? [])
+        )),
+      },
+      clock: Core.systemClock,
+      logger: Core.createLogger('silent', {}),
+    })));
+    let sent = 0;
+    const run = async (seconds: number): Promise<void> => {
+      if (seconds <= 0) return;
+      Array.from({ length: Math.round(DAEMONS * REQUESTS_PER_S * 0.1) }, () => {
+        sent += 1;
+        const server = sent % SERVERS;
+        const isFailure = server === 0 && Math.floor(sent / SERVERS) % 2 === 0;
+        const daemon = daemons[Core.hashText(`request ${sent}`) % DAEMONS];
+        return daemon?.observe(createOutcomes(`s${server}`, {
+          failures: isFailure ? 1 : 0, requests: 1,
+        }));
+      });
+      await vi.advanceTimersByTimeAsync(100);
+      await run(seconds - 0.1);
+    };
+    return {
+      broken,
+      daemons,
+      listShares: (server) => daemons.map((daemon) => Routing.estimateFailure(
+        Routing.INITIAL_FAILURE_SHARE,
+        performance.now(),
+        daemon.getOutcomes(`s${server}`),
+      )),
+      run,
+    };
+  };
+  let fleet: Fleet;
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['Date', 'clearTimeout', 'performance', 'setTimeout'] });
+    fleet = startFleet();
+  });
+  afterEach(() => {
+    fleet.daemons.forEach(({ stop }) => stop());
+    vi.useRealTimers();
+  });
+
+  test('all know a server that fails half of its requests within three seconds', async () => {
+    await fleet.run(3);
+    expect(Math.min(...fleet.listShares(0))).toBeGreaterThan(0.2);
+    expect(Math.max(...fleet.listShares(1))).toBeLessThan(0.05);
+  });
+
+  test('know it from the other relays when one is away, and forget what it told', async () => {
+    await fleet.run(3);
+    fleet.broken.add('d5');
+    await fleet.run(6);
+    const shares = fleet.listShares(0);
+    const served = shares.filter((_, index) => index % RELAYS !== 5 || index < RELAYS);
+    expect(Math.min(...served)).toBeGreaterThan(0.2);
+    expect(shares[5 + RELAYS]).toBeLessThan(0.05);
+  });
+
+  test('what a relay makes up is forgotten five seconds after it stops', async () => {
+    const [, , , , liar] = fleet.daemons;
+    const lies = createOutcomes('s1', { failures: 1_000, requests: 1_000 });
+    vi.spyOn(liar as Routing.OutcomeExchange, 'takeOutcomes').mockReturnValue([lies]);
+    await fleet.run(1);
+    expect(fleet.listShares(1)[4 + RELAYS]).toBeGreaterThan(0.9);
+    fleet.broken.add('d4');
+    await fleet.run(5);
+    expect(fleet.listShares(1)[4 + RELAYS]).toBeLessThan(0.05);
+  });
+});
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -275,7 +275,7 @@
       },
     };
     listener = await Routing.startRelayListener('127.0.0.1:0', {
-      readCopy: () => copied, takeCounts: async () => true,
+      readCopy: () => copied, takeCounts: async () => true, takeOutcomes: () => [],
     });
     const { read } = Routing.createRelayClient();
     expect(await Effect.runPromise(read(listener.address, 'servers', 1))).toEqual(copied);
@@ -283,7 +283,7 @@
 
   test('a daemon without a copy, and one that is gone, are told as failures', async () => {
     listener = await Routing.startRelayListener('127.0.0.1:0', {
-      readCopy: () => undefined, takeCounts: async () => true,
+      readCopy: () => undefined, takeCounts: async () => true, takeOutcomes: () => [],
     });
     const { read } = Routing.createRelayClient();
     const unknown = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
@@ -293,10 +293,30 @@
     expect(Either.isLeft(gone)).toBe(true);
   });
 
+  test('carry outcomes of requests both ways', async () => {
+    const outcomes: Routing.ServerOutcomes = {
+      delaySumMs: 12.5, delays: 2, failures: 1, requests: 3, server: 'i-1@5',
+    };
+    const taken: Routing.ServerOutcomes[] = [];
+    listener = await Routing.startRelayListener('127.0.0.1:0', {
+      readCopy: () => undefined,
+      takeCounts: async () => true,
+      takeOutcomes: (told) => {
+        taken.push(...told);
+        return [outcomes];
+      },
+    });
+    const { exchangeOutcomes } = Routing.createRelayClient();
+    const answer = await Effect.runPromise(exchangeOutcomes(listener.address, [outcomes]));
+    expect(taken).toMatchObject([outcomes]);
+    expect(answer).toMatchObject([outcomes]);
+  });
+
   test('carry counts, and tell that they were not stored', async () => {
     const taken: unknown[] = [];
     listener = await Routing.startRelayListener('127.0.0.1:0', {
       readCopy: () => undefined,
+      takeOutcomes: () => [],
       takeCounts: async (records, isFinal) => {
         taken.push(...records);
         return !isFinal;
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -468,3 +468,72 @@
     expect(await path.call({ requestId: 'r2' })).toMatchObject({ status: 200 });
   });
 });
+
+/** Load pattern: a daemon of a large fleet sees each server once in a minute. */
+describe('a server that failed requests of other daemons', () => {
+  test('gets none of this one while others are sound', async () => {
+    const { path, servers } = await setUp([answerPlain, answerPlain]);
+    path.setFleetOutcomes([{
+      delaySumMs: 0, delays: 0, failures: 8, requests: 16, server: 's0@0',
+    }]);
+    await Promise.all(['r1', 'r2', 'r3'].map((requestId) => path.call({ requestId })));
+    expect(servers.map(({ heads }) => heads.length)).toEqual([0, 3]);
+  });
+
+  test('is told of by this daemon as well', async () => {
+    const { path } = await setUp([reset]);
+    await path.call();
+    expect(path.takeObserved()).toEqual([{
+      delaySumMs: 0, delays: 0, failures: 1, requests: 1, server: 's0@0',
+    }]);
+  });
+});
+
+/** Load pattern: engines go dark under running streams and keep their entries for seconds. */
+describe('a server that goes dark under a running stream', () => {
+  test('gets no new request, and the fleet is told once', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => writeEvents(socket, id, 'id: 1\ndata: a\n\n', false),
+      (socket, id) => writeEvents(socket, id, 'id: 1\ndata: b\n\n', true),
+    ], { kind: 'stream', timeoutMs: 3_000 });
+    const headers = { 'x-left': '3000', 'x-tokens': '10,10' };
+    path.setFleetOutcomes([{
+      delaySumMs: 0, delays: 0, failures: 4, requests: 8, server: 's1@0',
+    }]);
+    const dark = path.call({ headers });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 700);
+    });
+    const ids = ['r2', 'r3', 'r4'];
+    const answers = await Promise.all(ids.map((requestId) => path.call({ headers, requestId })));
+    expect(answers.map(({ isCut }) => isCut)).toEqual([false, false, false]);
+    expect(servers[0]?.heads).toHaveLength(1);
+    const told = path.takeObserved().find(({ server }) => server === 's0@0');
+    expect(told).toMatchObject({ failures: 1, requests: 1 });
+    expect(await dark).toMatchObject({ isCut: true });
+  });
+
+  // Guards against a caller that reads slowly and so takes its server out of use.
+  test('is not taken for dark where the caller holds the stream up', async () => {
+    const { path } = await setUp([(socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\n`);
+      const timer = setInterval(() => socket.write(`data: ${'x'.repeat(1_500)}\n\n`), 1);
+      socket.on('close', () => clearInterval(timer));
+    }, answerPlain], { kind: 'stream', timeoutMs: 5_000 });
+    path.setFleetOutcomes([{
+      delaySumMs: 0, delays: 0, failures: 4, requests: 8, server: 's1@0',
+    }]);
+    const headers = { 'x-left': '5000', 'x-tokens': '10,10' };
+    const unread = path.open({ headers });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 3_000);
+    });
+    const next = path.open({ headers, requestId: 'r2' });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect(path.takeObserved().filter(({ failures }) => failures > 0)).toEqual([]);
+    unread.destroy();
+    next.destroy();
+  }, 20_000);
+});
