Fill the buffers on the way to a slow caller in its test

The test of a stream that its caller holds up passed without the rule that it guards, because the kernel's buffers took all that the server sent. It sends fifty times as much now and fails without the rule.

--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -517,7 +517,9 @@
   test('is not taken for dark where the caller holds the stream up', async () => {
     const { path } = await setUp([(socket, id) => {
       socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n\r\n`);
-      const timer = setInterval(() => socket.write(`data: ${'x'.repeat(1_500)}\n\n`), 1);
+      // Many megabytes a second, to fill the buffers of the kernel on the way to the caller.
+      const events = `data: ${'x'.repeat(1_500)}\n\n`.repeat(50);
+      const timer = setInterval(() => socket.write(events), 1);
       socket.on('close', () => clearInterval(timer));
     }, answerPlain], { kind: 'stream', timeoutMs: 5_000 });
     path.setFleetOutcomes([{
