--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -37,5 +37,8 @@
     files: ['*.config.*', 'packages/*/bin/*.js'],
     rules: { 'import-x/no-default-export': 'off', 'import-x/no-unresolved': 'off' },
   },
-  { files: ['**/__tests__/**', 'build/**'], rules: { 'import-x/no-extraneous-dependencies': 'off' } },
+  {
+    files: ['**/__tests__/**', 'build/**'],
+    rules: { 'import-x/no-extraneous-dependencies': 'off' },
+  },
 ].flat();
