Spread popular prompt parts over engines, and tell the fleet of refusals

Every daemon prefers the same engine for a prompt part, sees two requests a second itself, and none sees the queue: the engine's queue overflows, small urgent requests are refused there, and large less urgent ones begin elsewhere.

Change: PromptPopularity estimates from a daemon's own requests and the count of daemons what the fleet sends of a part, and lets as many engines share it as can read it with a quarter of their time. A refusal is told to the fleet as a delay of 1.5 s. An unexpected error after the head of an answer was written cuts the connection.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -147,7 +147,7 @@
     this.#context.handleDefect(error, this.#head.requestId);
     if (this.#isOver) return;
     if (this.#attempt !== undefined) this.#mayHaveRun = true;
-    if (this.#isAnswering) {
+    if (this.#isAnswering || this.#response.headersSent) {
       this.#response.destroy();
       this.#end('internal_error', undefined);
     } else this.#refuse(this.#mayHaveRun ? 'internal_error' : 'internal_error_not_run');
@@ -303,9 +303,11 @@
     const { prompt } = this.#head;
     if (prompt === undefined) return 0;
     if (sharedHash !== undefined) {
-      const { cache, clock } = this.#context;
+      const { cache, clock, popularity } = this.#context;
       const tokens = ServerPick.countSharedTokens(prompt);
-      cache.recordDispatch(pooled.server.id, sharedHash, tokens, clock.readMonotonic());
+      const nowMs = clock.readMonotonic();
+      cache.recordDispatch(pooled.server.id, sharedHash, tokens, nowMs);
+      popularity.observe(sharedHash, Math.max(0, prompt.inputTokens - cachedTokens), nowMs);
     }
     return Math.max(0, prompt.inputTokens - cachedTokens);
   }
@@ -574,7 +576,7 @@
     }
     // A server that is full is not broken; one that is misdirected is no longer there.
     if (end === 'not-run') {
-      ServerPool.observeRefusal(attempt.chosen.pooled, this.#context.clock.readMonotonic());
+      ServerObservation.observeRefusal(this.#context, attempt.chosen.pooled);
     } else ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, true);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -84,6 +84,12 @@
   const pick = ServerPick.pickServer(candidates, prompt, median ?? DEFAULT_PLAIN_MS, {
     daemonCount: context.countDaemons(),
     dataCentre: context.dataCentre,
+    preferredCount: sharedHash === undefined ? 1 : context.popularity.countEngines(
+      sharedHash,
+      context.countDaemons(),
+      ServerPick.PREFILL_TOKENS_PER_MS,
+      nowMs,
+    ),
     random: context.random,
   });
   const index = candidates.findIndex(({ id }) => id === pick?.id);
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -14,6 +14,12 @@
 
 const STATUS_UNAVAILABLE = 503;
 
+/**
+ * Delay that a refusal counts as for the other daemons: an engine refuses when its queue is full,
+ * which takes it one to three seconds to work off.
+ */
+const REFUSED_DELAY_MS = 1_500;
+
 type Context = PathContext.PathContext;
 
 function tellFleet(
@@ -77,6 +83,12 @@
   tellFleet(context, pooled, { delaySumMs: Math.max(0, elapsedMs - unloadedMs), delays: 1 });
 }
 
+/** Notes that a server turned a request away because it is full. */
+export function observeRefusal(context: Context, pooled: ServerPool.PooledServer): void {
+  ServerPool.observeRefusal(pooled, context.clock.readMonotonic());
+  tellFleet(context, pooled, { delaySumMs: REFUSED_DELAY_MS, delays: 1 });
+}
+
 /** Notes how a request ended that the server took. */
 export function observeOutcome(
   context: Context,
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -304,6 +304,15 @@
     expect(path.listSuspects()).toEqual([]);
   });
 
+  // Load pattern: one popular prompt fills its preferred engine with requests of 64 daemons.
+  test('is told to the fleet as one where requests wait', async () => {
+    const { path } = await setUp([refuse('')], { maxAttempts: 1 });
+    await path.call();
+    expect(path.takeObserved()).toMatchObject([{
+      delaySumMs: 1_500, delays: 1, failures: 0, server: 's0@0',
+    }]);
+  });
+
   test('is passed over for a moment while others have room', async () => {
     const { path, servers } = await setUp([refuse(''), answerPlain], { maxAttempts: 2 });
     const ids = ['r1', 'r2', 'r3', 'r4'];
