Name functions by the verbs of the project

Reading of the change as a newcomer: protect, hold, give up, fade, tell and discard are not on the list of verbs.

--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -62,7 +62,7 @@
   return `const ${names} = require("${name}");`;
 }
 
-async function bundle(file, options) {
+async function buildBundle(file, options) {
   const { outputFiles } = await esbuild.build({
     ...SHARED_OPTIONS, ...options, entryPoints: [path.join(ROOT, 'platform', 'dist', file)],
   });
@@ -70,7 +70,7 @@
 }
 
 async function buildProgram() {
-  const text = await bundle('Program.js', {
+  const text = await buildBundle('Program.js', {
     define: { 'import.meta': 'programMeta' }, format: 'esm',
   });
   const body = text
@@ -83,7 +83,8 @@
 await fs.mkdir(TARGET, { recursive: true });
 await fs.rm(path.join(TARGET, 'program.cache'), { force: true });
 await fs.writeFile(path.join(TARGET, 'program.js'), await buildProgram());
-await fs.writeFile(path.join(TARGET, 'router.cjs'), await bundle('main.js', { format: 'cjs' }));
+const entryPoint = await buildBundle('main.js', { format: 'cjs' });
+await fs.writeFile(path.join(TARGET, 'router.cjs'), entryPoint);
 // Functions that ran are in the cache as well, so a daemon runs for a moment without a platform.
 const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'berylyoke-build-'));
 const settings = path.join(folder, 'settings.toml');
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -69,13 +69,13 @@
   /** Closes the connection; no handler is called any more. */
   readonly cancel: () => void;
   /** Takes no more of the answer and keeps the connection if the rest of it is short. */
-  readonly discard: () => void;
+  readonly drain: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
 }
 
 /** Reads the rest of an answer for its connection's sake; closes one whose answer goes on. */
-function discardRest(request: http.ClientRequest, answer: http.IncomingMessage): void {
+function drainRest(request: http.ClientRequest, answer: http.IncomingMessage): void {
   const timer = setTimeout(() => request.destroy(), MAX_DISCARD_MS);
   let bytes = 0;
   answer.on('data', ({ length }: Buffer) => {
@@ -187,10 +187,10 @@
       finish();
       request.destroy();
     },
-    discard: () => {
+    drain: () => {
       finish();
       if (response === undefined) request.destroy();
-      else discardRest(request, response);
+      else drainRest(request, response);
     },
     pause: () => response?.pause(),
     resume: () => response?.resume(),
--- a/packages/routing/src/FleetOutcomes.ts
+++ b/packages/routing/src/FleetOutcomes.ts
@@ -51,7 +51,7 @@
   };
 }
 
-function fadeOutcomes(outcomes: ServerOutcomes, ageMs: Core.Millis): ServerOutcomes {
+function computeFaded(outcomes: ServerOutcomes, ageMs: Core.Millis): ServerOutcomes {
   const failuresLeft = 0.5 ** (ageMs / FAILURES_HALF_LIFE_MS);
   const delaysLeft = 0.5 ** (ageMs / DELAYS_HALF_LIFE_MS);
   return {
@@ -107,16 +107,16 @@
 export function createOutcomeSums(): OutcomeSums {
   let sums = new Map<string, ServerOutcomes>();
   let asOfMs = 0;
-  const fade = (nowMs: Core.Millis): void => {
+  const updateSums = (nowMs: Core.Millis): void => {
     const ageMs = Math.max(0, nowMs - asOfMs);
     asOfMs = nowMs;
-    const faded = [...sums.values()].map((each) => fadeOutcomes(each, ageMs))
+    const faded = [...sums.values()].map((each) => computeFaded(each, ageMs))
       .filter(({ delays, requests }) => requests > MIN_WEIGHT || delays > MIN_WEIGHT);
     sums = new Map(faded.map((each) => [each.server, each]));
   };
   return {
     add: (outcomes, nowMs) => {
-      fade(nowMs);
+      updateSums(nowMs);
       outcomes.filter(isPlausible).forEach((each) => {
         const known = sums.get(each.server);
         if (known === undefined && sums.size >= MAX_SERVERS) return;
@@ -124,7 +124,7 @@
       });
     },
     list: (nowMs) => {
-      fade(nowMs);
+      updateSums(nowMs);
       return [...sums.values()];
     },
   };
@@ -148,7 +148,7 @@
     const known = isFresh(nowMs) ? told.get(server) : undefined;
     return known === undefined
       ? createNone(server)
-      : fadeOutcomes(known, Math.max(0, nowMs - toldMs));
+      : computeFaded(known, Math.max(0, nowMs - toldMs));
   };
   return {
     get,
--- a/packages/routing/src/PromptPopularity.ts
+++ b/packages/routing/src/PromptPopularity.ts
@@ -36,7 +36,7 @@
 /** Creates a view without requests. */
 export function createPromptPopularity(): PromptPopularity {
   const loads = new Map<number, PartLoad>();
-  const fadeTokens = (part: number, nowMs: Core.Millis): number => {
+  const computeTokens = (part: number, nowMs: Core.Millis): number => {
     const load = loads.get(part);
     if (load === undefined) return 0;
     return load.tokens * 0.5 ** (Math.max(0, nowMs - load.atMs) / HALF_LIFE_MS);
@@ -44,12 +44,12 @@
   return {
     countEngines: (part, daemonCount, tokensPerMs, nowMs) => {
       // A steady rate keeps the weighted sum at the rate times the half-life over ln 2.
-      const perSecond = fadeTokens(part, nowMs) * Math.LN2 * (MS_PER_S / HALF_LIFE_MS);
+      const perSecond = computeTokens(part, nowMs) * Math.LN2 * (MS_PER_S / HALF_LIFE_MS);
       const engineShare = tokensPerMs * MS_PER_S * MAX_PART_SHARE;
       return Math.max(1, Math.ceil((perSecond * daemonCount) / engineShare));
     },
     observe: (part, tokens, nowMs) => {
-      const faded = fadeTokens(part, nowMs);
+      const faded = computeTokens(part, nowMs);
       loads.delete(part);
       loads.set(part, { atMs: nowMs, tokens: faded + tokens });
       const [oldest] = loads.keys();
--- a/packages/routing/src/RelayPlan.ts
+++ b/packages/routing/src/RelayPlan.ts
@@ -40,7 +40,7 @@
   readonly members: readonly FleetMember[];
 }
 
-function groupBy(
+function splitBy(
   members: readonly FleetMember[],
   getKey: (member: FleetMember) => string,
 ): readonly (readonly FleetMember[])[] {
@@ -56,10 +56,10 @@
 
 /** Large data centres have relays of their own, the small ones of a region share some. */
 function listGroups(members: readonly FleetMember[]): readonly RelayGroup[] {
-  const centres = groupBy(members, ({ dataCentre }) => dataCentre);
+  const centres = splitBy(members, ({ dataCentre }) => dataCentre);
   const large = centres.filter(({ length }) => length >= MIN_MEMBERS);
   const small = centres.filter(({ length }) => length < MIN_MEMBERS).flat();
-  const sharing = groupBy(small, ({ dataCentre, region }) => region ?? dataCentre)
+  const sharing = splitBy(small, ({ dataCentre, region }) => region ?? dataCentre)
     .filter(({ length }) => length >= MIN_SHARING_MEMBERS);
   return [...large, ...sharing].map(buildGroup);
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -121,17 +121,17 @@
 
   /** Takes the request through the path. */
   start(): void {
-    this.#response.on('close', this.#protect(() => {
+    this.#response.on('close', this.#withDefectHandler(() => {
       if (!this.#isOver) this.#end('caller_left', undefined);
     }));
     this.#request.on('error', () => {
       // The connection broke; `close` of the response ends the request.
     });
-    this.#protect(() => this.#admit())();
+    this.#withDefectHandler(() => this.#admit())();
   }
 
   /** Makes a callback whose unexpected errors end this request and nothing else. */
-  #protect<Values extends readonly unknown[]>(
+  #withDefectHandler<Values extends readonly unknown[]>(
     handle: (...values: Values) => void,
   ): (...values: Values) => void {
     return (...values) => {
@@ -181,16 +181,17 @@
     this.#route = route;
     this.#service = RouteTable.chooseService(route, this.#head.requestId) ?? '';
     this.#limitMs = Math.min(this.#head.callerTimeMs ?? Infinity, route.timeoutMs);
-    this.#limitTimer = setTimeout(this.#protect(() => this.#handleLimit()), this.#limitMs);
+    const handleLimit = this.#withDefectHandler(() => this.#handleLimit());
+    this.#limitTimer = setTimeout(handleLimit, this.#limitMs);
     this.#readBody(config.limits.maxBodyBytes, () => this.#identify(route, config));
   }
 
   #readBody(maxBytes: number, onBody: () => void): void {
     const body = ByteCollector.createByteCollector(maxBytes);
-    this.#request.on('data', this.#protect((chunk: Buffer) => {
+    this.#request.on('data', this.#withDefectHandler((chunk: Buffer) => {
       if (!this.#isOver && !body.append(chunk)) this.#refuse('body_too_large');
     }));
-    this.#request.on('end', this.#protect(() => {
+    this.#request.on('end', this.#withDefectHandler(() => {
       if (this.#isOver) return;
       this.#body = body.take();
       onBody();
@@ -215,12 +216,12 @@
 
   /** A key is trusted by the newest list, which may be newer than the version of the route. */
   #renewKeys(route: RoutingConfig.Route): void {
-    this.#context.renewKeys().then(this.#protect((isCurrent: boolean) => {
+    this.#context.renewKeys().then(this.#withDefectHandler((isCurrent: boolean) => {
       if (this.#isOver) return;
       const active = this.#context.getActiveConfig();
       if (!isCurrent || active === undefined) this.#refuse('keys_not_current');
       else this.#identify(route, active.config);
-    }), this.#protect((error: unknown) => {
+    }), this.#withDefectHandler((error: unknown) => {
       throw error;
     }));
   }
@@ -277,12 +278,12 @@
       port: server.port,
       requestId: this.#head.requestId,
     }, {
-      onData: this.#protect((bytes: Buffer) => this.#handleData(bytes)),
-      onEnd: this.#protect(() => this.#handleEnd()),
-      onFailure: this.#protect((failure: BackendExchange.ExchangeFailure) => (
+      onData: this.#withDefectHandler((bytes: Buffer) => this.#handleData(bytes)),
+      onEnd: this.#withDefectHandler(() => this.#handleEnd()),
+      onFailure: this.#withDefectHandler((failure: BackendExchange.ExchangeFailure) => (
         this.#handleFailure(failure)
       )),
-      onHead: this.#protect((head: BackendExchange.AnswerHead) => this.#handleHead(head)),
+      onHead: this.#withDefectHandler((head: BackendExchange.AnswerHead) => this.#handleHead(head)),
     });
     this.#attempt = {
       chosen,
@@ -338,7 +339,7 @@
     clearTimeout(this.#silenceTimer);
     if (silenceMs === undefined) return;
     this.#silenceTimer = setTimeout(
-      this.#protect(() => this.#handleSilence(silenceMs)),
+      this.#withDefectHandler(() => this.#handleSilence(silenceMs)),
       silenceMs,
     );
   }
@@ -382,7 +383,7 @@
         attempt.exchange.cancel();
         this.#handleAttemptEnd('misdirected', 'misdirected');
       } else {
-        attempt.exchange.discard();
+        attempt.exchange.drain();
         this.#handleAttemptEnd('not-run', `not-run-${head.status}`);
       }
       return;
@@ -433,26 +434,26 @@
     const attempt = this.#attempt as Attempt;
     ServerPool.observeSign(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     if (attempt.framer === undefined) {
-      this.#holdBytes(attempt, bytes);
+      this.#addBytes(attempt, bytes);
       return;
     }
     const framed = attempt.framer.push(bytes);
     this.#handleEvents(attempt, framed.events.filter(({ id }) => (
       id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
     )));
-    if (framed.isTooLong) this.#giveUpAnswer(attempt, 'event-too-long');
+    if (framed.isTooLong) this.#cancelAnswer(attempt, 'event-too-long');
   }
 
-  #holdBytes(attempt: Attempt, bytes: Buffer): void {
+  #addBytes(attempt: Attempt, bytes: Buffer): void {
     if (!this.#context.heldBytes.claim(bytes.length)) {
-      this.#giveUpAnswer(attempt, 'no-room-for-answer');
+      this.#cancelAnswer(attempt, 'no-room-for-answer');
     } else if (!attempt.held.append(bytes)) {
       this.#context.heldBytes.release(bytes.length);
-      this.#giveUpAnswer(attempt, 'answer-too-long');
+      this.#cancelAnswer(attempt, 'answer-too-long');
     }
   }
 
-  #giveUpAnswer(attempt: Attempt, reason: string): void {
+  #cancelAnswer(attempt: Attempt, reason: string): void {
     attempt.exchange.cancel();
     this.#handleAttemptEnd('broken', reason);
   }
@@ -479,7 +480,7 @@
     if (this.#response.write(bytes)) return;
     attempt.exchange.pause();
     this.#setStreaming(attempt, false);
-    this.#response.once('drain', this.#protect(() => {
+    this.#response.once('drain', this.#withDefectHandler(() => {
       if (this.#attempt === undefined) return;
       this.#attempt.exchange.resume();
       if (this.#attempt.hasStarted) this.#setStreaming(this.#attempt, true);
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -22,7 +22,7 @@
 
 type Context = PathContext.PathContext;
 
-function tellFleet(
+function reportToFleet(
   { outcomes }: Context,
   { server }: ServerPool.PooledServer,
   observed: Partial<FleetOutcomes.ServerOutcomes>,
@@ -80,13 +80,13 @@
     return;
   }
   ServerPool.observeDelay(pooled, elapsedMs - unloadedMs, context.clock.readMonotonic());
-  tellFleet(context, pooled, { delaySumMs: Math.max(0, elapsedMs - unloadedMs), delays: 1 });
+  reportToFleet(context, pooled, { delaySumMs: Math.max(0, elapsedMs - unloadedMs), delays: 1 });
 }
 
 /** Notes that a server turned a request away because it is full. */
 export function observeRefusal(context: Context, pooled: ServerPool.PooledServer): void {
   ServerPool.observeRefusal(pooled, context.clock.readMonotonic());
-  tellFleet(context, pooled, { delaySumMs: REFUSED_DELAY_MS, delays: 1 });
+  reportToFleet(context, pooled, { delaySumMs: REFUSED_DELAY_MS, delays: 1 });
 }
 
 /** Notes how a request ended that the server took. */
@@ -100,7 +100,7 @@
   if (isFailure) health.observeFailure(service, id);
   else health.observeSuccess(service, id);
   ServerPool.observeOutcome(pooled, isFailure, clock.readMonotonic());
-  tellFleet(context, pooled, { failures: isFailure ? 1 : 0, requests: 1 });
+  reportToFleet(context, pooled, { failures: isFailure ? 1 : 0, requests: 1 });
 }
 
 /** Checks whether a server went dark, and tells the fleet of each silence once. */
@@ -113,7 +113,7 @@
   if (pooled.isSilenceTold) return true;
   // eslint-disable-next-line no-param-reassign
   pooled.isSilenceTold = true;
-  tellFleet(context, pooled, { failures: 1, requests: 1 });
+  reportToFleet(context, pooled, { failures: 1, requests: 1 });
   context.logger.info({
     inFlight: pooled.inFlight,
     server: pooled.server.id,
