Take delays and the spread of popular prompts out of the choice again

Daemons that are told of the same queues a second late move to the same other engines.

Change: the exchange carries requests and failures only; PromptPopularity and the telling of refusals go.

--- a/packages/routing/src/FleetOutcomes.ts
+++ b/packages/routing/src/FleetOutcomes.ts
@@ -1,7 +1,7 @@
 /**
  * Outcomes of requests at backend servers, summed over the daemons of a fleet. A daemon of a large
  * fleet sends a server one request in a minute, so what it observes alone tells it nothing; what
- * all observe shows a failing or overloaded server within a second or two. Outcomes lose weight
+ * all observe shows a failing server within a second or two. Outcomes lose weight
  * with age and nothing depends on them for correctness: they only rank servers.
  */
 import type * as Core from '@berylyoke/core';
@@ -11,17 +11,11 @@
   readonly server: string;
   readonly requests: number;
   readonly failures: number;
-  /** Delays of first tokens that were observed, and their sum in milliseconds. */
-  readonly delays: number;
-  readonly delaySumMs: Core.Millis;
 }
 
 /** Age at which a failure counts half; a server that recovered is tried again after a while. */
 const FAILURES_HALF_LIFE_MS = 6_000;
 
-/** Age at which a delay counts half: queues of engines change within seconds. */
-const DELAYS_HALF_LIFE_MS = 2_000;
-
 /** Age of a view beyond which it is worth nothing, also one that is nonsense. */
 export const MAX_VIEW_AGE_MS = 5_000;
 
@@ -36,15 +30,11 @@
 
 /** Outcomes of no request. */
 function createNone(server: string): ServerOutcomes {
-  return {
-    delaySumMs: 0, delays: 0, failures: 0, requests: 0, server,
-  };
+  return { failures: 0, requests: 0, server };
 }
 
 function addOutcomes(a: ServerOutcomes, b: ServerOutcomes): ServerOutcomes {
   return {
-    delaySumMs: a.delaySumMs + b.delaySumMs,
-    delays: a.delays + b.delays,
     failures: a.failures + b.failures,
     requests: a.requests + b.requests,
     server: a.server,
@@ -53,10 +43,7 @@
 
 function computeFaded(outcomes: ServerOutcomes, ageMs: Core.Millis): ServerOutcomes {
   const failuresLeft = 0.5 ** (ageMs / FAILURES_HALF_LIFE_MS);
-  const delaysLeft = 0.5 ** (ageMs / DELAYS_HALF_LIFE_MS);
   return {
-    delaySumMs: outcomes.delaySumMs * delaysLeft,
-    delays: outcomes.delays * delaysLeft,
     failures: outcomes.failures * failuresLeft,
     requests: outcomes.requests * failuresLeft,
     server: outcomes.server,
@@ -64,13 +51,8 @@
 }
 
 /** Checks outcomes that came from another daemon. */
-export function isPlausible({
-  delaySumMs, delays, failures, requests,
-}: ServerOutcomes): boolean {
-  const areSums = [delaySumMs, delays, failures, requests].every((each) => (
-    Number.isFinite(each) && each >= 0
-  ));
-  return areSums && failures <= requests && requests <= MAX_REQUESTS && delays <= MAX_REQUESTS;
+export function isPlausible({ failures, requests }: ServerOutcomes): boolean {
+  return failures >= 0 && failures <= requests && requests <= MAX_REQUESTS;
 }
 
 /** Outcomes that were not told on yet. */
@@ -111,7 +93,7 @@
     const ageMs = Math.max(0, nowMs - asOfMs);
     asOfMs = nowMs;
     const faded = [...sums.values()].map((each) => computeFaded(each, ageMs))
-      .filter(({ delays, requests }) => requests > MIN_WEIGHT || delays > MIN_WEIGHT);
+      .filter(({ requests }) => requests > MIN_WEIGHT);
     sums = new Map(faded.map((each) => [each.server, each]));
   };
   return {
@@ -161,11 +143,3 @@
     },
   };
 }
-
-/** Delays without load that are assumed beside the observed ones. */
-const PRIOR_DELAYS = 1;
-
-/** Estimates the delay of the next first token at a server. */
-export function estimateDelay({ delaySumMs, delays }: ServerOutcomes): Core.Millis {
-  return delaySumMs / (delays + PRIOR_DELAYS);
-}
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -5,7 +5,6 @@
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LineBudget from './LineBudget.js';
 import type * as OutcomeExchange from './OutcomeExchange.js';
-import type * as PromptPopularity from './PromptPopularity.js';
 import type * as RouteTable from './RouteTable.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
@@ -56,7 +55,6 @@
   /** Outcomes at servers, told to and by other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   readonly cache: Scheduling.CacheIndex;
-  readonly popularity: PromptPopularity.PromptPopularity;
   /** Takes a repeat at a service from the budget that all daemons share. */
   readonly claimRepeat: (service: string) => boolean;
   readonly countRequest: (service: string) => void;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -304,11 +304,10 @@
     const { prompt } = this.#head;
     if (prompt === undefined) return 0;
     if (sharedHash !== undefined) {
-      const { cache, clock, popularity } = this.#context;
+      const { cache, clock } = this.#context;
       const tokens = ServerPick.countSharedTokens(prompt);
       const nowMs = clock.readMonotonic();
       cache.recordDispatch(pooled.server.id, sharedHash, tokens, nowMs);
-      popularity.observe(sharedHash, Math.max(0, prompt.inputTokens - cachedTokens), nowMs);
     }
     return Math.max(0, prompt.inputTokens - cachedTokens);
   }
@@ -577,7 +576,7 @@
     }
     // A server that is full is not broken; one that is misdirected is no longer there.
     if (end === 'not-run') {
-      ServerObservation.observeRefusal(this.#context, attempt.chosen.pooled);
+      ServerPool.observeRefusal(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     } else ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, true);
     this.#releaseAttempt(attempt);
     this.#context.metrics.addAttemptFailure(this.#service, end);
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -17,7 +17,6 @@
 import * as OutcomeExchange from './OutcomeExchange.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
-import * as PromptPopularity from './PromptPopularity.js';
 import * as RelayCalls from './RelayCalls.js';
 import * as RelayChoice from './RelayChoice.js';
 import * as RoutedRequest from './RoutedRequest.js';
@@ -182,7 +181,6 @@
     notices: ServerNotices.createServerNotices(),
     outcomes,
     pool,
-    popularity: PromptPopularity.createPromptPopularity(),
     random: Math.random,
     renewKeys: feeds.renewKeys,
     servers,
--- a/packages/routing/src/ServerChoiceFilter.ts
+++ b/packages/routing/src/ServerChoiceFilter.ts
@@ -1,7 +1,6 @@
 /** Filter `choose` of the request path: the backend server for the next attempt of a request. */
 import * as Core from '@berylyoke/core';
 import * as FailureShare from './FailureShare.js';
-import * as FleetOutcomes from './FleetOutcomes.js';
 import type * as PathContext from './PathContext.js';
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPool from './ServerPool.js';
@@ -65,10 +64,7 @@
         ? 0
         : context.cache.estimateCachedTokens(server.id, sharedHash, nowMs),
       dataCentre: server.dataCentre,
-      delayMs: Math.max(
-        ServerPool.getDelay(each, nowMs),
-        FleetOutcomes.estimateDelay(others),
-      ),
+      delayMs: ServerPool.getDelay(each, nowMs),
       failureShare: FailureShare.estimateFailure(failureShare, nowMs, others),
       id: server.id,
       inFlight,
@@ -84,12 +80,6 @@
   const pick = ServerPick.pickServer(candidates, prompt, median ?? DEFAULT_PLAIN_MS, {
     daemonCount: context.countDaemons(),
     dataCentre: context.dataCentre,
-    preferredCount: sharedHash === undefined ? 1 : context.popularity.countEngines(
-      sharedHash,
-      context.countDaemons(),
-      ServerPick.PREFILL_TOKENS_PER_MS,
-      nowMs,
-    ),
     random: context.random,
   });
   const index = candidates.findIndex(({ id }) => id === pick?.id);
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -1,6 +1,6 @@
 /**
  * What a daemon learns of a backend server from its own requests there: notices, delays, failures
- * and silence. The same goes to the other daemons of the fleet.
+ * and silence. Failures and silence go to the other daemons of the fleet.
  */
 import type * as Core from '@berylyoke/core';
 import type * as BackendExchange from './BackendExchange.js';
@@ -14,12 +14,6 @@
 
 const STATUS_UNAVAILABLE = 503;
 
-/**
- * Delay that a refusal counts as for the other daemons: an engine refuses when its queue is full,
- * which takes it one to three seconds to work off.
- */
-const REFUSED_DELAY_MS = 1_500;
-
 type Context = PathContext.PathContext;
 
 function reportToFleet(
@@ -28,8 +22,6 @@
   observed: Partial<FleetOutcomes.ServerOutcomes>,
 ): void {
   outcomes.observe({
-    delaySumMs: 0,
-    delays: 0,
     failures: 0,
     requests: 0,
     server: ServerTable.formatLife(server),
@@ -80,13 +72,6 @@
     return;
   }
   ServerPool.observeDelay(pooled, elapsedMs - unloadedMs, context.clock.readMonotonic());
-  reportToFleet(context, pooled, { delaySumMs: Math.max(0, elapsedMs - unloadedMs), delays: 1 });
-}
-
-/** Notes that a server turned a request away because it is full. */
-export function observeRefusal(context: Context, pooled: ServerPool.PooledServer): void {
-  ServerPool.observeRefusal(pooled, context.clock.readMonotonic());
-  reportToFleet(context, pooled, { delaySumMs: REFUSED_DELAY_MS, delays: 1 });
 }
 
 /** Notes how a request ended that the server took. */
--- a/packages/routing/src/ServerPick.ts
+++ b/packages/routing/src/ServerPick.ts
@@ -49,8 +49,6 @@
   readonly dataCentre: string;
   /** Daemons that choose among the same servers. */
   readonly daemonCount: number;
-  /** Servers that share the requests with the same prompt parts. */
-  readonly preferredCount: number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
 }
@@ -65,14 +63,13 @@
 }
 
 /** Prompt tokens that an engine reads in a millisecond; the slowdown of each server corrects it. */
-export const PREFILL_TOKENS_PER_MS = 60;
+const PREFILL_TOKENS_PER_MS = 60;
 
 /** Weight of tokens that are read again: they delay every request beside them. */
 const REREAD_WEIGHT = 3;
 
-/** Shares of a prompt that are expected to be cached at its preferred servers and the next one. */
-const PREFERRED_CACHED_SHARE = 0.8;
-const NEXT_CACHED_SHARE = 0.4;
+/** Share of a prompt that is expected to be cached at its first and second preferred server. */
+const PREFERRED_CACHED_SHARES = [0.8, 0.4] as const;
 
 /** Time from the end of reading a prompt to the first token, at a server without load. */
 const FIRST_TOKEN_MS = 90;
@@ -130,12 +127,6 @@
   return new Set(Core.rankCandidates(RESERVED_KEY, serverIds).slice(0, count));
 }
 
-/** Estimates the cached share of a prompt's shared parts at a server by its rank for them. */
-function estimateCachedShare(rank: number, preferredCount: number): number {
-  if (rank < 0 || rank > preferredCount) return 0;
-  return rank < preferredCount ? PREFERRED_CACHED_SHARE : NEXT_CACHED_SHARE;
-}
-
 interface EngineCost {
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
@@ -154,7 +145,7 @@
   const ranked = key === undefined ? [] : Core.rankCandidates(key, preferred);
   const fleetFactor = Math.min(MAX_FLEET_FACTOR, 1 + (context.daemonCount - 1) / 2);
   return candidates.map((candidate) => {
-    const rankShare = estimateCachedShare(ranked.indexOf(candidate.id), context.preferredCount);
+    const rankShare = PREFERRED_CACHED_SHARES[ranked.indexOf(candidate.id)] ?? 0;
     const cached = Math.min(shared, Math.max(candidate.cachedTokens, shared * rankShare));
     const ownTokens = Math.max(0, prompt.inputTokens - cached);
     const waitMs = (candidate.waitingTokens * fleetFactor) / PREFILL_TOKENS_PER_MS;
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -222,7 +222,6 @@
     notices: ServerNotices.createServerNotices(),
     outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
     pool,
-    popularity: Routing.createPromptPopularity(),
     random: () => 0,
     renewKeys: async () => areKeysCurrent,
     servers,
--- a/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
+++ b/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
@@ -10,7 +10,7 @@
   server: string,
   extra: Partial<Routing.ServerOutcomes> = {},
 ): Routing.ServerOutcomes => ({
-  delaySumMs: 0, delays: 0, failures: 0, requests: 0, server, ...extra,
+  failures: 0, requests: 0, server, ...extra,
 });
 
 describe('sums of outcomes', () => {
@@ -18,7 +18,7 @@
     const outcome = fc.record({
       failures: fc.nat(3), more: fc.nat(5), server: fc.constantFrom('a', 'b', 'c'),
     }).map(({ failures, more, server }) => createOutcomes(server, {
-      delaySumMs: more * 10, delays: more, failures, requests: failures + more,
+      failures, requests: failures + more,
     }));
     fc.assert(fc.property(fc.array(outcome, { maxLength: 20 }), fc.nat(20), (list, cut) => {
       const sum = (parts: readonly (readonly Routing.ServerOutcomes[])[]): unknown => {
@@ -32,20 +32,17 @@
 
   test('lose weight with age, and are forgotten in the end', () => {
     const sums = Routing.createOutcomeSums();
-    sums.add([createOutcomes('a', {
-      delaySumMs: 100, delays: 1, failures: 2, requests: 4,
-    })], 0);
+    sums.add([createOutcomes('a', { failures: 2, requests: 4 })], 0);
     const [faded] = sums.list(6_000);
     expect(faded).toMatchObject({ failures: 1, requests: 2 });
-    expect(faded?.delays).toBeCloseTo(1 / 8);
     expect(sums.list(120_000)).toEqual([]);
   });
 
   test.each([
     ['more failures than requests', { failures: 2, requests: 1 }],
-    ['a negative figure', { delays: -1 }],
+    ['a negative figure', { failures: -1, requests: 1 }],
     ['no number', { requests: NaN }],
-    ['an infinite delay', { delaySumMs: Infinity, delays: 1 }],
+    ['an infinite number of requests', { requests: Infinity }],
     ['an absurd number of requests', { requests: 1e9 }],
   ])('leave out %s', (_, extra) => {
     const sums = Routing.createOutcomeSums();
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -295,7 +295,7 @@
 
   test('carry outcomes of requests both ways', async () => {
     const outcomes: Routing.ServerOutcomes = {
-      delaySumMs: 12.5, delays: 2, failures: 1, requests: 3, server: 'i-1@5',
+      failures: 1, requests: 3, server: 'i-1@5',
     };
     const taken: Routing.ServerOutcomes[] = [];
     listener = await Routing.startRelayListener('127.0.0.1:0', {
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -304,15 +304,6 @@
     expect(path.listSuspects()).toEqual([]);
   });
 
-  // Load pattern: one popular prompt fills its preferred engine with requests of 64 daemons.
-  test('is told to the fleet as one where requests wait', async () => {
-    const { path } = await setUp([refuse('')], { maxAttempts: 1 });
-    await path.call();
-    expect(path.takeObserved()).toMatchObject([{
-      delaySumMs: 1_500, delays: 1, failures: 0, server: 's0@0',
-    }]);
-  });
-
   test('is passed over for a moment while others have room', async () => {
     const { path, servers } = await setUp([refuse(''), answerPlain], { maxAttempts: 2 });
     const ids = ['r1', 'r2', 'r3', 'r4'];
@@ -483,7 +474,7 @@
   test('gets none of this one while others are sound', async () => {
     const { path, servers } = await setUp([answerPlain, answerPlain]);
     path.setFleetOutcomes([{
-      delaySumMs: 0, delays: 0, failures: 8, requests: 16, server: 's0@0',
+      failures: 8, requests: 16, server: 's0@0',
     }]);
     await Promise.all(['r1', 'r2', 'r3'].map((requestId) => path.call({ requestId })));
     expect(servers.map(({ heads }) => heads.length)).toEqual([0, 3]);
@@ -493,7 +484,7 @@
     const { path } = await setUp([reset]);
     await path.call();
     expect(path.takeObserved()).toEqual([{
-      delaySumMs: 0, delays: 0, failures: 1, requests: 1, server: 's0@0',
+      failures: 1, requests: 1, server: 's0@0',
     }]);
   });
 });
@@ -507,7 +498,7 @@
     ], { kind: 'stream', timeoutMs: 3_000 });
     const headers = { 'x-left': '3000', 'x-tokens': '10,10' };
     path.setFleetOutcomes([{
-      delaySumMs: 0, delays: 0, failures: 4, requests: 8, server: 's1@0',
+      failures: 4, requests: 8, server: 's1@0',
     }]);
     const dark = path.call({ headers });
     await new Promise((resolve) => {
@@ -532,7 +523,7 @@
       socket.on('close', () => clearInterval(timer));
     }, answerPlain], { kind: 'stream', timeoutMs: 5_000 });
     path.setFleetOutcomes([{
-      delaySumMs: 0, delays: 0, failures: 4, requests: 8, server: 's1@0',
+      failures: 4, requests: 8, server: 's1@0',
     }]);
     const headers = { 'x-left': '5000', 'x-tokens': '10,10' };
     const unread = path.open({ headers });
--- a/packages/routing/src/__tests__/unit/ServerPick.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerPick.test.ts
@@ -1,9 +1,7 @@
 import { describe, expect, test } from 'vitest';
 import * as Routing from '../../index.js';
 
-const CONTEXT: Routing.PickContext = {
-  daemonCount: 8, dataCentre: 'a', preferredCount: 1, random: () => 0.5,
-};
+const CONTEXT: Routing.PickContext = { daemonCount: 8, dataCentre: 'a', random: () => 0.5 };
 
 function createCandidate(id: string, extra: Partial<Routing.Candidate> = {}): Routing.Candidate {
   return {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,7 +19,6 @@
 export * from './OutcomeExchange.js';
 export * from './Ports.js';
 export * from './Priority.js';
-export * from './PromptPopularity.js';
 export * from './Refusals.js';
 export * from './RelayCalls.js';
 export * from './RelayChoice.js';
