Log the request limits that backend servers announce

A daemon now decodes the announcement, logs each change of it, counts the limited servers in berylyoke_limited_servers, and logs with each request the limit of the chosen server (choice.limitPerS) and the time of the last send (sentMs). A response to a request that was sent before the last announcement does not remove a limit, because responses overtake each other. A malformed limit is logged and changes nothing.

The choice of a server does not use the limit yet.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -18,7 +18,12 @@
   time: Schema.Number,
 };
 
-const ServerChoice = Schema.Struct({ candidates: Count, costMs: Schema.Number });
+const ServerChoice = Schema.Struct({
+  candidates: Count,
+  costMs: Schema.Number,
+  /** Request limit of the server as known when it was chosen, in requests per second. */
+  limitPerS: Schema.optional(Schema.Number),
+});
 
 const AttemptFailed = Schema.Struct({
   ...COMMON_FIELDS,
@@ -50,6 +55,8 @@
   requestId: Schema.String,
   route: Schema.optional(Schema.String),
   sends: Count,
+  /** Time from the receipt of the request to its last attempt. */
+  sentMs: Schema.optional(Schema.Number),
   server: Schema.optional(Schema.String),
   service: Schema.optional(Schema.String),
   status: Schema.optional(Schema.Number),
@@ -61,6 +68,11 @@
   ...COMMON_FIELDS, dependency: Schema.Literal('configuration', 'servers'),
 };
 
+/** Fields of a line about what a server announced in the response to a request. */
+const SERVER_NOTICE_FIELDS = {
+  ...COMMON_FIELDS, requestId: Schema.String, server: Schema.String, service: Schema.String,
+};
+
 /** Schemas by event; the event is the log message without the prefix of its component. */
 export const EVENT_SCHEMAS = {
   'append failed': Schema.Struct({
@@ -103,6 +115,16 @@
     relays: Schema.Record({ key: Schema.String, value: Schema.Array(Schema.String) }),
   }),
   'request ended': RequestEnded,
+  'request limit of a server changed': Schema.Struct({
+    ...SERVER_NOTICE_FIELDS,
+    previousPerS: Schema.optional(Schema.Number),
+    /** Requests per second that the server takes from all daemons; absent if it has no limit. */
+    requestsPerS: Schema.optional(Schema.Number),
+    suppressed: Count,
+  }),
+  'request limit of a server not understood': Schema.Struct({
+    ...SERVER_NOTICE_FIELDS, suppressed: Count, text: Schema.String,
+  }),
   'server entry': Schema.Struct({
     ...COMMON_FIELDS,
     id: Schema.String,
@@ -117,12 +139,9 @@
     silentMs: Count,
   }),
   'server wants no requests': Schema.Struct({
-    ...COMMON_FIELDS,
+    ...SERVER_NOTICE_FIELDS,
     isLeaving: Schema.Boolean,
     pauseMs: Schema.optional(Schema.Number),
-    requestId: Schema.String,
-    server: Schema.String,
-    service: Schema.String,
   }),
   'servers ordered': Schema.Struct({
     ...COMMON_FIELDS,
--- a/packages/routing/src/HeaderRules.ts
+++ b/packages/routing/src/HeaderRules.ts
@@ -15,6 +15,8 @@
   readonly notRun: string;
   /** Present on every response of a backend server that is about to shut down. */
   readonly leaving: string;
+  /** Requests per second that a backend server takes from all daemons; present while limited. */
+  readonly requestLimit: string;
   /** Id of the only backend server that may accept the request. */
   readonly expectedServer: string;
   readonly account: string;
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -5,6 +5,7 @@
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LogRateLimiter from './LogRateLimiter.js';
 import type * as OutcomeExchange from './OutcomeExchange.js';
+import type * as RequestLimits from './RequestLimits.js';
 import type * as RouteTable from './RouteTable.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingMetrics from './RoutingMetrics.js';
@@ -54,6 +55,7 @@
   readonly pool: ServerPool.ServerPool;
   readonly health: ServerHealth.ServerHealth;
   readonly availability: ServerAvailability.ServerAvailability;
+  readonly requestLimits: RequestLimits.RequestLimits;
   /** Outcomes of requests at servers, exchanged with other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   readonly cache: Scheduling.CacheIndex;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -53,6 +53,9 @@
   isStreaming: boolean;
 }
 
+/** What the log says about the choice of a server. */
+type ChoiceSummary = Pick<ServerSelection.ChosenServer, 'candidates' | 'costMs' | 'limitPerS'>;
+
 /** A request in progress. */
 export class RoutedRequest {
   readonly #context: PathContext.PathContext;
@@ -74,7 +77,7 @@
   #service = '';
 
   /** Most recent choice of a server, for the log. */
-  #lastChoice: Pick<ServerSelection.ChosenServer, 'candidates' | 'costMs'> | undefined;
+  #lastChoice: ChoiceSummary | undefined;
 
   #configVersion: number | undefined;
 
@@ -104,6 +107,9 @@
 
   #firstByteMs: Core.Millis | undefined;
 
+  /** Time at which the last attempt was sent. */
+  #sentMs: Core.Millis | undefined;
+
   #timeoutTimer: NodeJS.Timeout | undefined;
 
   #silenceTimer: NodeJS.Timeout | undefined;
@@ -294,6 +300,7 @@
         (head: BackendExchange.ResponseHead) => this.#handleHead(head),
       ),
     });
+    this.#sentMs = this.#context.clock.readMonotonic();
     this.#attempt = {
       chosen,
       exchange,
@@ -302,7 +309,7 @@
       head: undefined,
       isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
-      startedMs: this.#context.clock.readMonotonic(),
+      startedMs: this.#sentMs,
       pendingPromptTokens,
     };
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
@@ -388,6 +395,13 @@
       head,
       this.#head.requestId,
     );
+    ServerObservation.observeRequestLimit(
+      this.#context,
+      attempt.chosen.pooled,
+      head,
+      attempt.startedMs,
+      this.#head.requestId,
+    );
     if (head.status === MISDIRECTED_STATUS || head.headers[names.notRun] !== undefined) {
       // Without the request id, a response on a reused connection may belong to an earlier request.
       const isOwnResponse = head.hasRequestId || !head.isReusedConnection;
@@ -699,10 +713,10 @@
     this.#onEnd();
   }
 
-  #describeChoice(): { readonly candidates: number; readonly costMs: number } | undefined {
+  #describeChoice(): ChoiceSummary | undefined {
     if (this.#lastChoice === undefined) return undefined;
-    const { candidates, costMs } = this.#lastChoice;
-    return { candidates, costMs: Math.round(costMs) };
+    const { candidates, costMs, limitPerS } = this.#lastChoice;
+    return { candidates, costMs: Math.round(costMs), limitPerS };
   }
 
   #logEnd(
@@ -730,6 +744,9 @@
       requestId: this.#head.requestId,
       route: this.#route?.name,
       sends: this.#sends,
+      sentMs: this.#sentMs === undefined
+        ? undefined
+        : Math.round(this.#sentMs - this.#receivedMs),
       server,
       service: this.#service,
       status,
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -19,6 +19,7 @@
 import type * as Ports from './Ports.js';
 import * as RelayCalls from './RelayCalls.js';
 import * as RelayChoice from './RelayChoice.js';
+import * as RequestLimits from './RequestLimits.js';
 import * as RoutedRequest from './RoutedRequest.js';
 import * as RoutingMetrics from './RoutingMetrics.js';
 import type * as RoutingSettings from './RoutingSettings.js';
@@ -110,8 +111,11 @@
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
 
+  const requestLimits = RequestLimits.createRequestLimits();
   const metrics = RoutingMetrics.createRoutingMetrics({
-    countActive: () => activeRequests, countDroppedLogs: log.countDroppedRecords,
+    countActive: () => activeRequests,
+    countDroppedLogs: log.countDroppedRecords,
+    countLimitedServers: requestLimits.countLimited,
   });
   const endProcess = (): void => {
     log.flush();
@@ -186,6 +190,7 @@
     pool,
     random: Math.random,
     renewKeys: feeds.renewKeys,
+    requestLimits,
     servers,
   };
 
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -31,6 +31,7 @@
 export interface MetricSources {
   readonly countActive: () => number;
   readonly countDroppedLogs: () => number;
+  readonly countLimitedServers: () => number;
 }
 
 /** Creates the metrics of a daemon. */
@@ -76,6 +77,11 @@
     'Log records dropped because their reader was too slow',
     sources.countDroppedLogs,
   );
+  registerGauge(
+    'berylyoke_limited_servers',
+    'Backend servers that announce a request limit',
+    sources.countLimitedServers,
+  );
   const histograms = new Map<string, Hdr.Histogram>();
   const getHistogram = (key: string): Hdr.Histogram => {
     const known = histograms.get(key);
--- a/packages/routing/src/ServerAvailability.ts
+++ b/packages/routing/src/ServerAvailability.ts
@@ -7,9 +7,6 @@
 import type * as Core from '@berylyoke/core';
 import * as ServerTable from './ServerTable.js';
 
-/** Identity of one incarnation of a server; a restart makes a new one. */
-export type ServerIncarnation = Pick<ServerTable.BackendServer, 'bornMs' | 'id'>;
-
 /** Availability announced in one response. */
 export interface AvailabilityNotice {
   readonly isLeaving: boolean;
@@ -20,16 +17,18 @@
 /** Announced availability of all servers. */
 export interface ServerAvailability {
   readonly observeResponse: (
-    incarnation: ServerIncarnation, notice: AvailabilityNotice, nowMs: Core.Millis,
+    incarnation: ServerTable.ServerIncarnation, notice: AvailabilityNotice, nowMs: Core.Millis,
   ) => void;
   /** Checks whether a server may be sent requests. */
-  readonly canAcceptRequests: (incarnation: ServerIncarnation, nowMs: Core.Millis) => boolean;
+  readonly canAcceptRequests: (
+    incarnation: ServerTable.ServerIncarnation, nowMs: Core.Millis,
+  ) => boolean;
   /**
    * Computes the time until any of the servers accepts requests; undefined if all are shutting
    * down.
    */
   readonly computeWait: (
-    incarnations: readonly ServerIncarnation[], nowMs: Core.Millis,
+    incarnations: readonly ServerTable.ServerIncarnation[], nowMs: Core.Millis,
   ) => Core.Millis | undefined;
 }
 
@@ -54,7 +53,7 @@
 export function createServerAvailability(maxEntries = MAX_ENTRIES): ServerAvailability {
   /** Time from which each incarnation accepts requests again; infinite if it is shutting down. */
   const availableFromMs = new Map<string, Core.Millis>();
-  const getAvailableFrom = (incarnation: ServerIncarnation): Core.Millis => (
+  const getAvailableFrom = (incarnation: ServerTable.ServerIncarnation): Core.Millis => (
     availableFromMs.get(ServerTable.formatIncarnation(incarnation)) ?? 0
   );
   return {
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -7,12 +7,14 @@
 import type * as BackendExchange from './BackendExchange.js';
 import type * as FleetOutcomes from './FleetOutcomes.js';
 import type * as PathContext from './PathContext.js';
+import * as RequestLimits from './RequestLimits.js';
 import type * as ServerSelection from './ServerSelection.js';
 import * as ServerAvailability from './ServerAvailability.js';
 import * as ServerPool from './ServerPool.js';
 import * as ServerSilence from './ServerSilence.js';
 import * as ServerTable from './ServerTable.js';
 
+const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
 type Context = PathContext.PathContext;
@@ -61,6 +63,40 @@
   }, 'server wants no requests');
 }
 
+/**
+ * Records the request limit that a server announces in the head of a response. `sentMs` is the time
+ * at which the request was sent.
+ */
+export function observeRequestLimit(
+  {
+    clock, failedLogLimiter, logger, names, requestLimits,
+  }: Context,
+  { server }: ServerPool.PooledServer,
+  { hasRequestId, headers, status }: BackendExchange.ResponseHead,
+  sentMs: Core.Millis,
+  requestId: string,
+): void {
+  // A misdirected response comes from another server that has taken over the address.
+  if (!hasRequestId || status === MISDIRECTED_STATUS) return;
+  const notice = RequestLimits.parseLimitNotice(headers[names.requestLimit]?.toString());
+  const change = requestLimits.observeResponse(server, notice, sentMs, clock.readMonotonic());
+  if (change === undefined && notice._tag !== 'Malformed') return;
+  const suppressed = failedLogLimiter.take();
+  if (suppressed === undefined) return;
+  const described = {
+    requestId, server: server.id, service: server.service, suppressed,
+  };
+  if (notice._tag === 'Malformed') {
+    logger.warn({ ...described, text: notice.text }, 'request limit of a server not understood');
+  } else {
+    logger.info({
+      ...described,
+      previousPerS: change?.previousPerS,
+      requestsPerS: requestLimits.getLimit(server),
+    }, 'request limit of a server changed');
+  }
+}
+
 /** Records the time to the first token, or the response time of a request without a prompt. */
 export function observeLatency(
   context: Context,
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -23,6 +23,8 @@
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
   readonly candidates: number;
+  /** Request limit of the server in requests per second; undefined if it announced none. */
+  readonly limitPerS: number | undefined;
   /** Hash of the prompt's shared prefix; undefined if it has none. */
   readonly prefixHash: number | undefined;
   /** Tokens of the shared prefix that the server is expected to have cached. */
@@ -97,6 +99,7 @@
     cachedTokens: candidate.cachedTokens,
     candidates: pick.candidates,
     costMs,
+    limitPerS: context.requestLimits.getLimit(chosen.server),
     pooled: chosen,
     prefixHash,
     unloadedMs,
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -23,8 +23,11 @@
   readonly isReclaimable: boolean;
 }
 
+/** Identity of one incarnation of a server; a restart makes a new one. */
+export type ServerIncarnation = Pick<BackendServer, 'bornMs' | 'id'>;
+
 /** Formats the name of one incarnation of a server; its id is reused after a restart. */
-export function formatIncarnation({ bornMs, id }: Pick<BackendServer, 'bornMs' | 'id'>): string {
+export function formatIncarnation({ bornMs, id }: ServerIncarnation): string {
   return `${id}@${bornMs}`;
 }
 
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -8,6 +8,7 @@
 import * as ByteBudget from '../../ByteBudget.js';
 import * as LogRateLimiter from '../../LogRateLimiter.js';
 import * as Routing from '../../index.js';
+import * as RequestLimits from '../../RequestLimits.js';
 import * as RoutingMetrics from '../../RoutingMetrics.js';
 import * as ServerAvailability from '../../ServerAvailability.js';
 import * as ServerPool from '../../ServerPool.js';
@@ -21,6 +22,7 @@
   priority: 'x-priority',
   promptParts: 'x-parts',
   requestId: 'x-id',
+  requestLimit: 'x-limit',
   serverSignature: 'x-signature',
   systemOnly: [],
   timeLeft: 'x-left',
@@ -217,13 +219,14 @@
     bufferBudget: ByteBudget.createByteBudget(10_000),
     logger: silentLogger,
     metrics: RoutingMetrics.createRoutingMetrics({
-      countActive: () => 0, countDroppedLogs: () => 0,
+      countActive: () => 0, countDroppedLogs: () => 0, countLimitedServers: () => 0,
     }),
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
     outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
     pool,
     random: () => 0,
+    requestLimits: RequestLimits.createRequestLimits(),
     renewKeys: async () => areKeysCurrent,
     servers,
   };
