Reproduce the breach of an announced request limit

In one daemon, the announcement changes neither the choice between two servers nor what a single server gets.

--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -328,6 +328,37 @@
   });
 });
 
+describe('a server that announces a request limit', () => {
+  const respondLimited: PathHarness.RawResponder = (socket, id) => (
+    PathHarness.writeResponse(socket, id, `for ${id}`, 'X-Signature: s\r\nX-Limit: 1\r\n')
+  );
+  const callInTurn = async (
+    path: PathHarness.PathHarness,
+    count: number,
+  ): Promise<readonly PathHarness.CallerResponse[]> => {
+    if (count === 0) return [];
+    const response = await path.call({ requestId: `r${count}` });
+    return [response, ...await callInTurn(path, count - 1)];
+  };
+
+  // Guards against the choice of a server by its load alone, although it announced a limit.
+  test('gets no more requests while another server takes them', async () => {
+    const { path, servers } = await setUp([respondLimited, respondPlain]);
+    const responses = await callInTurn(path, 40);
+    expect(responses.every(({ status }) => status === 200)).toBe(true);
+    expect(servers[0]?.heads.length).toBeLessThanOrEqual(2);
+  });
+
+  // Guards against a limit that only lowers a server's rank: it is the last one left.
+  test('gets no more requests if it is alone; the others are refused as not run', async () => {
+    const { path, servers } = await setUp([respondLimited]);
+    const responses = await callInTurn(path, 5);
+    expect(responses.map(({ status }) => status)).toEqual([200, 503, 503, 503, 503]);
+    expect(Number(responses[1]?.headers['retry-after'])).toBeGreaterThan(0.2);
+    expect(servers[0]?.heads).toHaveLength(1);
+  });
+});
+
 /** Writes the same bytes repeatedly until the connection is closed. */
 function writeWithoutEnd(socket: net.Socket, head: string, bytes: string): void {
   socket.write(head);
