Keep to the request limits that backend servers announce

What callers saw: nothing yet.

Cause: the choice of a server did not know of the announcement, which no daemon read. The class of fault is a bound that all daemons share but that none of them accounts for. Ruled out: retries and resumed streams (each request in the spans was the first attempt), and traffic that moved because another VM stopped (the first breach comes before that).

Each daemon now sends a limited server 0.7 of an equal share of the limit. Its permits lapse after a second, because permits that many daemons had saved while there was no demand would be used together. A server without a permit is no candidate for first attempts, retries and resumed streams. If no server has one, the request is refused as not run, and Retry-After is the interval of the fleet's next permit.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -267,9 +267,9 @@
     this.#sends += 1;
     const pendingPromptTokens = this.#recordDispatch(chosen);
     const { pooled } = chosen;
-    if (pooled.inFlight === 0) {
-      ServerPool.observeActivity(pooled, this.#context.clock.readMonotonic());
-    }
+    const nowMs = this.#context.clock.readMonotonic();
+    this.#context.requestLimits.recordSend(server, nowMs);
+    if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, nowMs);
     pooled.inFlight += 1;
     pooled.pendingPromptTokens += pendingPromptTokens;
     const exchange = BackendExchange.startExchange({
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -70,12 +70,12 @@
 /** Creates the retry budgets per service, each this daemon's part of the fleet-wide budget. */
 function createRetryBudgets(
   settings: RoutingSettings.RoutingSettings,
-  countDaemons: () => number,
+  getFleetShare: () => number,
 ): Pick<PathContext.PathContext, 'claimRetry' | 'countRequest'> {
   const budgets = new Map<string, Scheduling.RetryBudget>();
   const { share, slack } = settings.repeats;
   const getBudget = (service: string): Scheduling.RetryBudget => {
-    const maxCredit = (slack * DIVIDED_LIMIT_SHARE) / countDaemons();
+    const maxCredit = slack * getFleetShare();
     const existing = budgets.get(service);
     if (existing !== undefined) {
       return { ...existing, credit: Math.min(existing.credit, maxCredit), maxCredit };
@@ -111,7 +111,14 @@
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
 
-  const requestLimits = RequestLimits.createRequestLimits();
+  const countDaemons = (): number => (
+    Math.max(1, duties?.countDaemons() ?? DutyRunner.INITIAL_DAEMON_COUNT)
+  );
+  /** Returns the part of a limit for the whole fleet that this daemon may use. */
+  const getFleetShare = (): number => DIVIDED_LIMIT_SHARE / countDaemons();
+  const requestLimits = RequestLimits.createRequestLimits({
+    getShare: getFleetShare, random: Math.random,
+  });
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
     countDroppedLogs: log.countDroppedRecords,
@@ -126,9 +133,6 @@
   const { handleDefect, unregister } = DefectHandler.registerDefectHandler({
     clock, endProcess, logger, onDefect: metrics.addDefect,
   });
-  const countDaemons = (): number => (
-    Math.max(1, duties?.countDaemons() ?? DutyRunner.INITIAL_DAEMON_COUNT)
-  );
   const region = settings.regions[settings.dataCentre];
   const regionDataCentres = Object.keys(settings.regions)
     .filter((dataCentre) => settings.regions[dataCentre] === region).sort();
@@ -159,11 +163,11 @@
 
   const pool = ServerPool.createServerPool((service) => {
     const max = getActiveConfig()?.config.services.get(service)?.maxConnections ?? Infinity;
-    return Math.max(1, Math.floor((max * DIVIDED_LIMIT_SHARE) / countDaemons()));
+    return Math.max(1, Math.floor(max * getFleetShare()));
   });
   const poolCheck = setInterval(() => pool.closeRemoved(servers.listAll()), POOL_CHECK_MS);
   const context: PathContext.PathContext = {
-    ...createRetryBudgets(settings, countDaemons),
+    ...createRetryBudgets(settings, getFleetShare),
     answers: settings.answers,
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(clock, ANSWERED_LINES_PER_S),
     areKeysCurrent: feeds.areKeysCurrent,
--- a/packages/routing/src/ServerAvailability.ts
+++ b/packages/routing/src/ServerAvailability.ts
@@ -23,13 +23,10 @@
   readonly canAcceptRequests: (
     incarnation: ServerTable.ServerIncarnation, nowMs: Core.Millis,
   ) => boolean;
-  /**
-   * Computes the time until any of the servers accepts requests; undefined if all are shutting
-   * down.
-   */
+  /** Computes the time until a server accepts requests; infinite if it is shutting down. */
   readonly computeWait: (
-    incarnations: readonly ServerTable.ServerIncarnation[], nowMs: Core.Millis,
-  ) => Core.Millis | undefined;
+    incarnation: ServerTable.ServerIncarnation, nowMs: Core.Millis,
+  ) => Core.Millis;
 }
 
 /** Longest Retry-After that is honoured; a server that gives a longer one is tried after this. */
@@ -58,10 +55,7 @@
   );
   return {
     canAcceptRequests: (incarnation, nowMs) => nowMs >= getAvailableFrom(incarnation),
-    computeWait: (incarnations, nowMs) => {
-      const firstMs = Math.min(...incarnations.map(getAvailableFrom));
-      return firstMs === Infinity ? undefined : Math.max(0, firstMs - nowMs);
-    },
+    computeWait: (incarnation, nowMs) => Math.max(0, getAvailableFrom(incarnation) - nowMs),
     observeResponse: (incarnation, { isLeaving, pauseMs }, nowMs) => {
       const fromMs = isLeaving ? Infinity : nowMs + (pauseMs ?? 0);
       if (fromMs <= nowMs || fromMs <= getAvailableFrom(incarnation)) return;
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -55,7 +55,8 @@
   const suspects = context.health.selectEjected(service, servingIds);
   const pooled = serving
     .filter((server) => !triedIds.has(server.id)
-      && context.availability.canAcceptRequests(server, nowMs))
+      && context.availability.canAcceptRequests(server, nowMs)
+      && context.requestLimits.canSend(server, nowMs))
     .map(context.pool.get);
   const responseTimes = pooled.flatMap(({ meanResponseMs }) => (
     meanResponseMs === undefined ? [] : [meanResponseMs]
@@ -106,9 +107,21 @@
   };
 }
 
-/** Computes the time until any server of a service accepts requests of this VM; 0 if one does. */
-export function computeRetryDelay(context: PathContext.PathContext, service: string): Core.Millis {
-  const nowMs = context.clock.readMonotonic();
-  const serving = context.servers.listServing(service, nowMs);
-  return serving.length === 0 ? 0 : context.availability.computeWait(serving, nowMs) ?? 0;
+/**
+ * Computes the time until any server of a service accepts requests of this VM; 0 if one does, and
+ * if all of them are shutting down.
+ */
+export function computeRetryDelay(
+  {
+    availability, clock, requestLimits, servers,
+  }: Pick<PathContext.PathContext, 'availability' | 'clock' | 'requestLimits' | 'servers'>,
+  service: string,
+): Core.Millis {
+  const nowMs = clock.readMonotonic();
+  const waits = servers.listServing(service, nowMs).map((server) => Math.max(
+    availability.computeWait(server, nowMs),
+    requestLimits.computeWait(server, nowMs),
+  ));
+  const waitMs = Math.min(...waits);
+  return waitMs === Infinity ? 0 : waitMs;
 }
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -226,7 +226,7 @@
     outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
     pool,
     random: () => 0,
-    requestLimits: RequestLimits.createRequestLimits(),
+    requestLimits: RequestLimits.createRequestLimits({ getShare: () => 1, random: () => 0 }),
     renewKeys: async () => areKeysCurrent,
     servers,
   };
