Report the request limits of servers to the other daemons

Daemons now report limits along the relays, beside the outcomes of requests, each with its age. The newest observation of a server wins, so reports can be repeated and reordered. Relays that read the store pass them on among each other, only while there are any. A limit that only other daemons saw expires after 6 s, which bounds what a faulty relay can do.

The wire format gains one repeated field, which older builds ignore.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -125,6 +125,15 @@
   'request limit of a server not understood': Schema.Struct({
     ...SERVER_NOTICE_FIELDS, suppressed: Count, text: Schema.String,
   }),
+  'request limits of servers reported by another daemon': Schema.Struct({
+    ...COMMON_FIELDS,
+    changes: Schema.Array(Schema.Struct({
+      previousPerS: Schema.optional(Schema.Number),
+      requestsPerS: Schema.optional(Schema.Number),
+      /** Name of the incarnation. */
+      server: Schema.String,
+    })),
+  }),
   'server entry': Schema.Struct({
     ...COMMON_FIELDS,
     id: Schema.String,
--- a/packages/routing/src/OutcomeExchange.ts
+++ b/packages/routing/src/OutcomeExchange.ts
@@ -1,13 +1,17 @@
 /**
- * Exchanges outcomes of requests with other daemons along the tree of relays. Each daemon sends its
- * outcomes to its relay, and each relay sends those of its readers to a root relay of its region.
- * The answers carry the outcomes of the other daemons. A daemon without a relay has only its own.
+ * Exchanges observations of backend servers with other daemons along the tree of relays: outcomes
+ * of requests, and announced request limits. Each daemon sends its observations to its relay, and
+ * each relay sends those of its readers to a root relay of its region. The answers carry the
+ * observations of the other daemons. Relays that read the store exchange limits among each other as
+ * well, but not outcomes, because sums that go around would be counted twice. A daemon without a
+ * relay has only its own observations.
  */
 import type * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
 import * as FleetOutcomes from './FleetOutcomes.js';
 import type * as RelayCalls from './RelayCalls.js';
 import type * as RelayChoice from './RelayChoice.js';
+import type * as RequestLimits from './RequestLimits.js';
 
 /** Interval of a daemon's exchanges; delays the detection of a failing server by as much. */
 const EXCHANGE_INTERVAL_MS = 700;
@@ -17,10 +21,12 @@
 
 /** Dependencies of the exchange. */
 export interface ExchangeContext {
-  readonly choice: Pick<RelayChoice.RelayChoice, 'chooseUpstream' | 'isRelay'>;
-  readonly client: Pick<RelayCalls.RelayClient, 'exchangeOutcomes'>;
+  readonly choice: Pick<RelayChoice.RelayChoice, 'choosePeer' | 'chooseUpstream' | 'isRelay'>;
+  readonly client: Pick<RelayCalls.RelayClient, 'exchangeObservations'>;
   readonly clock: Core.Clock;
+  readonly limits: Pick<RequestLimits.RequestLimits, 'applyReports' | 'listReports'>;
   readonly logger: Core.Logger;
+  readonly random: () => number;
 }
 
 /** Exchange of outcomes by one daemon. */
@@ -29,15 +35,15 @@
   readonly observe: (outcomes: FleetOutcomes.ServerOutcomes) => void;
   /** Returns the outcomes of the fleet at a server. */
   readonly getOutcomes: (server: string) => FleetOutcomes.ServerOutcomes;
-  /** Handles the outcomes of another daemon; returns the known outcomes of the fleet. */
-  readonly receiveOutcomes: RelayCalls.RelayHandlers['receiveOutcomes'];
+  /** Handles the observations of another daemon; returns those of the fleet. */
+  readonly receiveObservations: RelayCalls.RelayHandlers['receiveObservations'];
   readonly stop: () => void;
 }
 
 /** Starts to exchange outcomes. */
 export function startOutcomeExchange(
   {
-    choice, client, clock, logger,
+    choice, client, clock, limits, logger, random,
   }: ExchangeContext,
 ): OutcomeExchange {
   const unsent = FleetOutcomes.createOutcomeBuffer();
@@ -58,6 +64,34 @@
   const listFleetOutcomes = (nowMs: Core.Millis): readonly FleetOutcomes.ServerOutcomes[] => (
     view.isFresh(nowMs) ? view.list(nowMs) : sums.list(nowMs)
   );
+  const applyLimitReports = (reports: readonly RequestLimits.LimitReport[]): void => {
+    const changes = limits.applyReports(reports, clock.readMonotonic());
+    if (changes.length > 0) {
+      logger.info({ changes }, 'request limits of servers reported by another daemon');
+    }
+  };
+  /** Sends observations and applies the answer; resolves with its outcomes, if there is one. */
+  const exchangeWith = async (
+    address: string,
+    outcomes: readonly FleetOutcomes.ServerOutcomes[],
+  ): Promise<readonly FleetOutcomes.ServerOutcomes[] | undefined> => {
+    const answer = await Effect.runPromise(Effect.either(client.exchangeObservations(address, {
+      limits: limits.listReports(clock.readMonotonic()), outcomes,
+    })));
+    if (answer._tag === 'Right') {
+      applyLimitReports(answer.right.limits);
+      return answer.right.outcomes;
+    }
+    const { detail } = answer.left;
+    logger.debug({ detail, relay: address }, 'observations not exchanged with relay');
+    return undefined;
+  };
+  const exchangeWithPeer = async (): Promise<void> => {
+    const peer = choice.choosePeer(random);
+    // A relay that knows no limit hears of one from the peers that do.
+    if (peer === undefined || limits.listReports(clock.readMonotonic()).length === 0) return;
+    await exchangeWith(peer, []);
+  };
   const exchange = async (): Promise<void> => {
     const address = choice.chooseUpstream();
     const sent = unsent.take();
@@ -65,23 +99,18 @@
     if (address === undefined) {
       // A root relay uses its own sums as the view of the fleet; a daemon without a relay has none.
       if (choice.isRelay()) view.set(sums.list(clock.readMonotonic()), clock.readMonotonic());
+      await exchangeWithPeer();
       return;
     }
-    const answer = await Effect.runPromise(Effect.either(client.exchangeOutcomes(address, sent)));
-    if (answer._tag === 'Right') view.set(answer.right, clock.readMonotonic());
-    else {
-      sent.forEach(unsent.add);
-      logger.debug(
-        { detail: answer.left.detail, relay: address },
-        'request outcomes not exchanged with relay',
-      );
-    }
+    const received = await exchangeWith(address, sent);
+    if (received === undefined) sent.forEach(unsent.add);
+    else view.set(received, clock.readMonotonic());
   };
   const schedule = (): void => {
     if (isStopped) return;
     timer = setTimeout(() => {
       exchange().catch((error: unknown) => {
-        logger.error({ error: String(error) }, 'unexpected error in exchange of request outcomes');
+        logger.error({ error: String(error) }, 'unexpected error in exchange of observations');
       }).finally(schedule);
     }, choice.isRelay() ? RELAY_EXCHANGE_INTERVAL_MS : EXCHANGE_INTERVAL_MS);
   };
@@ -93,10 +122,12 @@
       isStopped = true;
       clearTimeout(timer);
     },
-    receiveOutcomes: (outcomes) => {
+    receiveObservations: (received) => {
       // The next exchange of this daemon passes the outcomes of its readers on.
-      outcomes.filter(FleetOutcomes.isPlausible).forEach(add);
-      return listFleetOutcomes(clock.readMonotonic());
+      received.outcomes.filter(FleetOutcomes.isPlausible).forEach(add);
+      applyLimitReports(received.limits);
+      const nowMs = clock.readMonotonic();
+      return { limits: limits.listReports(nowMs), outcomes: listFleetOutcomes(nowMs) };
     },
   };
 }
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -1,6 +1,6 @@
 /**
  * Calls between the daemons of a region over connect-es: reads of feeds, hand-over of usage counts,
- * and exchange of request outcomes.
+ * and exchange of observations of backend servers.
  */
 import * as protobuf from '@bufbuild/protobuf';
 import * as connect from '@connectrpc/connect';
@@ -14,6 +14,7 @@
 import * as HttpListeners from './HttpListeners.js';
 import type * as FeedCopy from './FeedCopy.js';
 import type * as FleetOutcomes from './FleetOutcomes.js';
+import type * as RequestLimits from './RequestLimits.js';
 import * as Relay from './gen/berylyoke/relay/v1/relay_pb.js';
 
 /** Timeout of a read; a process on a small VM may wait 100 ms for processor time. */
@@ -34,6 +35,12 @@
  */
 const HAND_OVER_TIMEOUT_MS = 800;
 
+/** Observations of backend servers that daemons exchange. */
+export interface FleetObservations {
+  readonly limits: readonly RequestLimits.LimitReport[];
+  readonly outcomes: readonly FleetOutcomes.ServerOutcomes[];
+}
+
 /** Client for calls to other daemons. */
 export interface RelayClient {
   /** Reads the changes from an offset in the other daemon's copy of a feed. */
@@ -44,13 +51,13 @@
   readonly handOver: (
     address: string, records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
   ) => Effect.Effect<void, RelayUnavailable>;
-  /** Sends the outcomes of this daemon and returns those of the fleet. */
-  readonly exchangeOutcomes: (
-    address: string, outcomes: readonly FleetOutcomes.ServerOutcomes[],
-  ) => Effect.Effect<readonly FleetOutcomes.ServerOutcomes[], RelayUnavailable>;
+  /** Sends the observations of this daemon and returns those of the fleet. */
+  readonly exchangeObservations: (
+    address: string, observations: FleetObservations,
+  ) => Effect.Effect<FleetObservations, RelayUnavailable>;
 }
 
-/** Timeout of an exchange of outcomes; a failed one is repeated with the next exchange. */
+/** Timeout of an exchange of observations; a failed one is repeated with the next exchange. */
 const EXCHANGE_TIMEOUT_MS = 400;
 
 /** Handlers of the calls of other daemons. */
@@ -61,14 +68,19 @@
   readonly receiveCounts: (
     records: readonly CountsRecord.CountsRecord[], isFinal: boolean,
   ) => Promise<boolean>;
-  /** Adds the outcomes of another daemon and returns those of the fleet. */
-  readonly receiveOutcomes: (
-    outcomes: readonly FleetOutcomes.ServerOutcomes[],
-  ) => readonly FleetOutcomes.ServerOutcomes[];
+  /** Adds the observations of another daemon and returns those of the fleet. */
+  readonly receiveObservations: (observations: FleetObservations) => FleetObservations;
 }
 
 const decodeCountsText = Schema.decodeUnknownOption(Schema.parseJson(CountsRecord.CountsRecord));
 
+/** Copies observations into the mutable arrays of a message. */
+function encodeObservations(
+  { limits, outcomes }: FleetObservations,
+): { limits: RequestLimits.LimitReport[]; outcomes: FleetOutcomes.ServerOutcomes[] } {
+  return { limits: [...limits], outcomes: [...outcomes] };
+}
+
 function encodePage(copyPage: FeedCopy.CopyPage | undefined): Relay.ReadFeedResponse {
   return protobuf.create(Relay.ReadFeedResponseSchema, copyPage === undefined ? {} : {
     ageMs: copyPage.ageMs,
@@ -115,10 +127,11 @@
     try: (signal) => send({ signal, timeoutMs }),
   });
   return {
-    exchangeOutcomes: (address, outcomes) => request(
-      (options) => getClient(address).exchangeOutcomes({ outcomes: [...outcomes] }, options),
+    exchangeObservations: (address, observations) => request(
+      (options) => getClient(address)
+        .exchangeOutcomes(encodeObservations(observations), options),
       EXCHANGE_TIMEOUT_MS,
-    ).pipe(Effect.map((response) => response.outcomes)),
+    ),
     handOver: (address, records, isFinal) => request((options) => getClient(address).handOver({
       isFinal, records: records.map((record) => Buffer.from(JSON.stringify(record))),
     }, options), HAND_OVER_TIMEOUT_MS).pipe(Effect.flatMap(({ isStored }) => (
@@ -154,7 +167,7 @@
         handOver: async ({ isFinal, records }) => ({
           isStored: await handlers.receiveCounts(decodeRecords(records), isFinal),
         }),
-        exchangeOutcomes: ({ outcomes }) => ({ outcomes: [...handlers.receiveOutcomes(outcomes)] }),
+        exchangeOutcomes: (message) => encodeObservations(handlers.receiveObservations(message)),
         readFeed: ({ feed, from }) => encodePage(handlers.readCopy(feed, from)),
       });
     },
--- a/packages/routing/src/RelayChoice.ts
+++ b/packages/routing/src/RelayChoice.ts
@@ -29,6 +29,11 @@
    * of a relay. Undefined for a root relay and if none is usable.
    */
   readonly chooseUpstream: () => string | undefined;
+  /**
+   * Chooses at random, `random` being uniform in [0, 1), another relay of the region that reads the
+   * store. Undefined unless this daemon is such a relay, and if no other one is usable.
+   */
+  readonly choosePeer: (random: () => number) => string | undefined;
   /** Avoids a relay for a while after it failed. */
   readonly observeFailure: (address: string) => void;
 }
@@ -46,15 +51,25 @@
 ): RelayChoice {
   let relays: readonly string[] = [];
   let rootRelays: readonly string[] = [];
+  /** Relays that read the store: the root relays, or all relays of a region without them. */
+  let storeReaders: readonly string[] = [];
   const backoffUntilMs = new Map<string, Core.Millis>();
   const isRelay = (): boolean => self.address !== undefined && relays.includes(self.address);
-  const findUsable = (addresses: readonly string[]): string | undefined => {
+  const filterUsable = (addresses: readonly string[]): readonly string[] => {
     const nowMs = clock.readMonotonic();
-    return addresses.find((address) => nowMs >= (backoffUntilMs.get(address) ?? -Infinity));
+    return addresses.filter((address) => nowMs >= (backoffUntilMs.get(address) ?? -Infinity));
   };
+  const findUsable = (addresses: readonly string[]): string | undefined => (
+    filterUsable(addresses)[0]
+  );
   const choose = (): string | undefined => (isRelay() ? undefined : findUsable(relays));
   return {
     choose,
+    choosePeer: (random) => {
+      if (!storeReaders.includes(self.address ?? '')) return undefined;
+      const peers = filterUsable(storeReaders.filter((address) => address !== self.address));
+      return peers[Math.floor(random() * peers.length)];
+    },
     chooseUpstream: () => {
       if (!isRelay()) return choose();
       return rootRelays.includes(self.address as string) ? undefined : findUsable(rootRelays);
@@ -66,8 +81,11 @@
         self.daemonId,
         RelayPlan.listRootRelays(assignment, self.regionDataCentres),
       );
+      storeReaders = rootRelays.length > 0
+        ? rootRelays
+        : [...new Set(self.regionDataCentres.flatMap((name) => assignment[name] ?? []))];
       [...backoffUntilMs.keys()]
-        .filter((address) => !relays.includes(address) && !rootRelays.includes(address))
+        .filter((address) => !relays.includes(address) && !storeReaders.includes(address))
         .forEach((address) => backoffUntilMs.delete(address));
     },
     observeFailure: (address) => {
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -122,7 +122,7 @@
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
     countDroppedLogs: log.countDroppedRecords,
-    countLimitedServers: requestLimits.countLimited,
+    countLimitedServers: () => requestLimits.countLimited(clock.readMonotonic()),
   });
   const endProcess = (): void => {
     log.flush();
@@ -158,7 +158,12 @@
   });
   const { getActiveConfig, servers } = feeds;
   const outcomes = OutcomeExchange.startOutcomeExchange({
-    choice: relayChoice, client: relayClient, clock, logger,
+    choice: relayChoice,
+    client: relayClient,
+    clock,
+    limits: requestLimits,
+    logger,
+    random: Math.random,
   });
 
   const pool = ServerPool.createServerPool((service) => {
@@ -223,7 +228,7 @@
     : await RelayCalls.startRelayListener(settings.listen.peers, {
       readCopy: feeds.readCopy,
       receiveCounts: counts.receiveCounts,
-      receiveOutcomes: outcomes.receiveOutcomes,
+      receiveObservations: outcomes.receiveObservations,
     });
   const metricsListener = settings.listen.metrics === undefined
     ? undefined
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -92,7 +92,7 @@
     logger.info({
       ...described,
       previousPerS: change?.previousPerS,
-      requestsPerS: requestLimits.getLimit(server),
+      requestsPerS: change?.requestsPerS,
     }, 'request limit of a server changed');
   }
 }
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -100,7 +100,7 @@
     cachedTokens: candidate.cachedTokens,
     candidates: pick.candidates,
     costMs,
-    limitPerS: context.requestLimits.getLimit(chosen.server),
+    limitPerS: context.requestLimits.getLimit(chosen.server, nowMs),
     pooled: chosen,
     prefixHash,
     unloadedMs,
--- a/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
+++ b/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
@@ -5,6 +5,7 @@
   afterEach, beforeEach, describe, expect, test, vi,
 } from 'vitest';
 import * as Routing from '../../index.js';
+import * as RequestLimits from '../../RequestLimits.js';
 
 const createOutcomes = (
   server: string,
@@ -86,6 +87,7 @@
     /** Sends requests for some seconds; server 0 fails half of its requests. */
     readonly run: (seconds: number) => Promise<void>;
     readonly listShares: (server: number) => readonly number[];
+    readonly limits: readonly RequestLimits.RequestLimits[];
   }
 
   const chooseUpstream = (index: number): string | undefined => {
@@ -94,18 +96,28 @@
   };
   const startFleet = (): Fleet => {
     const daemons: Routing.OutcomeExchange[] = [];
+    const limits = Array.from({ length: DAEMONS }, () => RequestLimits.createRequestLimits({
+      getShare: () => 0.7 / DAEMONS, random: Math.random,
+    }));
     const broken = new Set<string>();
     Array.from({ length: DAEMONS }, (_, index) => daemons.push(Routing.startOutcomeExchange({
-      choice: { chooseUpstream: () => chooseUpstream(index), isRelay: () => index < RELAYS },
+      choice: {
+        choosePeer: () => (index < ROOT_RELAYS ? `d${1 - index}` : undefined),
+        chooseUpstream: () => chooseUpstream(index),
+        isRelay: () => index < RELAYS,
+      },
       client: {
-        exchangeOutcomes: (address, outcomes) => Effect.suspend(() => (
-          broken.has(address)
+        exchangeObservations: (address, observations) => Effect.suspend(() => {
+          const relay = daemons[Number(address.slice(1))];
+          return broken.has(address) || relay === undefined
             ? Effect.fail(new Routing.RelayUnavailable({ detail: 'away' }))
-            : Effect.succeed(daemons[Number(address.slice(1))]?.receiveOutcomes(outcomes) ?? [])
-        )),
+            : Effect.succeed(relay.receiveObservations(observations));
+        }),
       },
       clock: Core.systemClock,
+      limits: limits[index] as RequestLimits.RequestLimits,
       logger: Core.createLogger('silent', {}),
+      random: () => 0,
     })));
     let sent = 0;
     const run = async (seconds: number): Promise<void> => {
@@ -125,6 +137,7 @@
     return {
       broken,
       daemons,
+      limits,
       listShares: (server) => daemons.map((daemon) => Routing.estimateFailureRate(
         Routing.INITIAL_FAILURE_RATE,
         performance.now(),
@@ -162,12 +175,45 @@
   test('false outcomes from a faulty relay are discarded 5 s after they stop', async () => {
     const [, , , , faultyRelay] = fleet.daemons;
     const falseOutcomes = createOutcomes('s1', { failures: 1_000, requests: 1_000 });
-    vi.spyOn(faultyRelay as Routing.OutcomeExchange, 'receiveOutcomes')
-      .mockReturnValue([falseOutcomes]);
+    vi.spyOn(faultyRelay as Routing.OutcomeExchange, 'receiveObservations')
+      .mockReturnValue({ limits: [], outcomes: [falseOutcomes] });
     await fleet.run(1);
     expect(fleet.listShares(1)[4 + RELAYS]).toBeGreaterThan(0.9);
     fleet.broken.add('d4');
     await fleet.run(5);
     expect(fleet.listShares(1)[4 + RELAYS]).toBeLessThan(0.05);
   });
+
+  const limitedServer = { bornMs: 1, id: 'i-1' };
+  const announce = (index: number, notice: RequestLimits.LimitNotice): void => {
+    const nowMs = performance.now();
+    fleet.limits[index]?.observeResponse(limitedServer, notice, nowMs - 1, nowMs);
+  };
+  const countLimited = (): number => fleet.limits.filter((each) => (
+    each.getLimit(limitedServer, performance.now()) !== undefined
+  )).length;
+
+  // Guards against daemons that find out about a limit, or about its end, only from a response of
+  // their own: at one request a second for 192 daemons, the next one comes after minutes.
+  test('all daemons learn of a request limit and of its end within 3 s', async () => {
+    announce(100, { _tag: 'Limited', requestsPerS: 1 });
+    await fleet.run(3);
+    expect(countLimited()).toBe(DAEMONS);
+    fleet.limits.forEach((_, index) => announce(index, { _tag: 'Limited', requestsPerS: 1 }));
+    await fleet.run(1);
+    announce(50, { _tag: 'Unlimited' });
+    await fleet.run(3);
+    expect(countLimited()).toBe(0);
+  });
+
+  test('false request limits from a faulty relay expire 6 s after they stop', async () => {
+    const [, , , , faultyRelay] = fleet.daemons;
+    vi.spyOn(faultyRelay as Routing.OutcomeExchange, 'receiveObservations')
+      .mockReturnValue({ limits: [{ ageMs: 0, requestsPerS: 0, server: 'i-1@1' }], outcomes: [] });
+    await fleet.run(2);
+    expect(countLimited()).toBeGreaterThan(0);
+    fleet.broken.add('d4');
+    await fleet.run(RequestLimits.MAX_LIMIT_REPORT_AGE_MS / 1_000 + 0.1);
+    expect(countLimited()).toBe(0);
+  });
 });
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -18,6 +18,8 @@
   };
 }
 
+const NO_OBSERVATIONS = { limits: [], outcomes: [] };
+
 const counts: Routing.CountsRecord = {
   address: '10.0.0.1:7340',
   cores: 1,
@@ -221,6 +223,25 @@
     expect(assignment.a).toContain(reader.chooseUpstream());
   });
 
+  test('relays that read the store find each other, also in a region without root relays', () => {
+    const few = { a: ['me:1', 'p:1'], b: ['r:1', 's:1'] };
+    const many = { a: ['me:1', 'p:1', 'q:1'], b: ['r:1', 's:1', 't:1'] };
+    const clock = Core.createManualClock();
+    const choice = Routing.createRelayChoice(clock, self);
+    expect(choice.choosePeer(() => 0)).toBeUndefined();
+    choice.setRelays(few);
+    const peers = [0, 0.4, 0.9].map((value) => choice.choosePeer(() => value));
+    expect(new Set(peers)).toEqual(new Set(['p:1', 'r:1', 's:1']));
+    choice.observeFailure('r:1');
+    expect([0, 0.4, 0.9].map((value) => choice.choosePeer(() => value))).not.toContain('r:1');
+    choice.setRelays(many);
+    clock.advance(4_000);
+    expect(choice.choosePeer(() => 0.9)).toBe('r:1');
+    const reader = Routing.createRelayChoice(clock, { ...self, address: 'x:1', daemonId: 'x' });
+    reader.setRelays(few);
+    expect(reader.choosePeer(() => 0)).toBeUndefined();
+  });
+
   test('no root relay serves more than eight relays with 2,600 daemons in ten data centres', () => {
     const members = Array.from({ length: 10 }, (_, index) => createMembers(260, `z${index}-`));
     const assignment = Routing.planRelays(members.flat(), {});
@@ -282,7 +303,9 @@
       },
     };
     listener = await Routing.startRelayListener('127.0.0.1:0', {
-      readCopy: () => copyPage, receiveCounts: async () => true, receiveOutcomes: () => [],
+      readCopy: () => copyPage,
+      receiveCounts: async () => true,
+      receiveObservations: () => NO_OBSERVATIONS,
     });
     const { read } = Routing.createRelayClient();
     expect(await Effect.runPromise(read(listener.address, 'servers', 1))).toEqual(copyPage);
@@ -290,7 +313,9 @@
 
   test('a read fails if the other daemon has no copy or does not listen', async () => {
     listener = await Routing.startRelayListener('127.0.0.1:0', {
-      readCopy: () => undefined, receiveCounts: async () => true, receiveOutcomes: () => [],
+      readCopy: () => undefined,
+      receiveCounts: async () => true,
+      receiveObservations: () => NO_OBSERVATIONS,
     });
     const { read } = Routing.createRelayClient();
     const unknown = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
@@ -300,30 +325,34 @@
     expect(Either.isLeft(gone)).toBe(true);
   });
 
-  test('outcomes of requests are exchanged in both directions', async () => {
-    const outcomes: Routing.ServerOutcomes = {
-      failures: 1, requests: 3, server: 'i-1@5',
+  test('outcomes and request limits are exchanged in both directions', async () => {
+    const observations = {
+      limits: [
+        { ageMs: 20, requestsPerS: 0.5, server: 'i-1@5' },
+        { ageMs: 7, server: 'i-2@5' },
+      ],
+      outcomes: [{ failures: 1, requests: 3, server: 'i-1@5' }],
     };
-    const received: Routing.ServerOutcomes[] = [];
+    const received: unknown[] = [];
     listener = await Routing.startRelayListener('127.0.0.1:0', {
       readCopy: () => undefined,
       receiveCounts: async () => true,
-      receiveOutcomes: (sent) => {
-        received.push(...sent);
-        return [outcomes];
+      receiveObservations: (sent) => {
+        received.push(sent);
+        return observations;
       },
     });
-    const { exchangeOutcomes } = Routing.createRelayClient();
-    const answer = await Effect.runPromise(exchangeOutcomes(listener.address, [outcomes]));
-    expect(received).toMatchObject([outcomes]);
-    expect(answer).toMatchObject([outcomes]);
+    const { exchangeObservations } = Routing.createRelayClient();
+    const answer = await Effect.runPromise(exchangeObservations(listener.address, observations));
+    expect(received).toMatchObject([observations]);
+    expect(answer).toMatchObject(observations);
   });
 
   test('counts are handed over, and a failure to store them is reported', async () => {
     const received: unknown[] = [];
     listener = await Routing.startRelayListener('127.0.0.1:0', {
       readCopy: () => undefined,
-      receiveOutcomes: () => [],
+      receiveObservations: () => NO_OBSERVATIONS,
       receiveCounts: async (records, isFinal) => {
         received.push(...records);
         return !isFinal;
--- a/packages/routing/src/__tests__/unit/RequestLimits.test.ts
+++ b/packages/routing/src/__tests__/unit/RequestLimits.test.ts
@@ -23,14 +23,15 @@
   test('a limit lasts until a response to a later request states none', () => {
     const limits = createLimits();
     expect(limits.observeResponse(incarnation, createNotice(2), 10, 20))
-      .toEqual({ previousPerS: undefined });
+      .toEqual({ previousPerS: undefined, requestsPerS: 2, server: 'i-1@5' });
     expect(limits.observeResponse(incarnation, createNotice(2), 15, 30)).toBeUndefined();
     expect(limits.observeResponse(incarnation, createNotice(3), 15, 40))
-      .toEqual({ previousPerS: 2 });
-    expect(limits.getLimit(incarnation)).toBe(3);
-    expect(limits.observeResponse(incarnation, UNLIMITED, 50, 60)).toEqual({ previousPerS: 3 });
-    expect(limits.getLimit(incarnation)).toBeUndefined();
-    expect(limits.countLimited()).toBe(0);
+      .toEqual({ previousPerS: 2, requestsPerS: 3, server: 'i-1@5' });
+    expect(limits.getLimit(incarnation, 60)).toBe(3);
+    expect(limits.observeResponse(incarnation, UNLIMITED, 50, 60))
+      .toEqual({ previousPerS: 3, requestsPerS: undefined, server: 'i-1@5' });
+    expect(limits.getLimit(incarnation, 60)).toBeUndefined();
+    expect(limits.countLimited(60)).toBe(0);
   });
 
   // Guards against a response on a slow connection that removes a limit announced after it.
@@ -38,15 +39,15 @@
     const limits = createLimits();
     limits.observeResponse(incarnation, createNotice(2), 10, 20);
     expect(limits.observeResponse(incarnation, UNLIMITED, 19, 30)).toBeUndefined();
-    expect(limits.getLimit(incarnation)).toBe(2);
+    expect(limits.getLimit(incarnation, 60)).toBe(2);
   });
 
   test('a limit applies to one incarnation, and a malformed one changes nothing', () => {
     const limits = createLimits();
     limits.observeResponse(incarnation, createNotice(2), 10, 20);
     limits.observeResponse(incarnation, { _tag: 'Malformed', text: 'few' }, 30, 40);
-    expect(limits.getLimit(incarnation)).toBe(2);
-    expect(limits.getLimit({ ...incarnation, bornMs: 6 })).toBeUndefined();
+    expect(limits.getLimit(incarnation, 60)).toBe(2);
+    expect(limits.getLimit({ ...incarnation, bornMs: 6 }, 60)).toBeUndefined();
   });
 
   // Guards against unlimited growth of memory as servers are replaced over months.
@@ -55,7 +56,7 @@
     ['a', 'b', 'c'].forEach((id) => (
       limits.observeResponse({ bornMs: 0, id }, createNotice(1), 0, 0)
     ));
-    expect(['a', 'b', 'c'].map((id) => limits.getLimit({ bornMs: 0, id })))
+    expect(['a', 'b', 'c'].map((id) => limits.getLimit({ bornMs: 0, id }, 60)))
       .toEqual([undefined, 1, 1]);
   });
 });
@@ -172,6 +173,75 @@
   });
 });
 
+describe('reports of other daemons', () => {
+  const report = { ageMs: 100, requestsPerS: 2, server: 'i-1@5' };
+  const end = { ageMs: 100, server: 'i-1@5' };
+
+  test('a limit that another daemon saw applies at once and expires without renewal', () => {
+    const limits = createLimits();
+    const change = { previousPerS: undefined, requestsPerS: 2, server: 'i-1@5' };
+    expect(limits.applyReports([report], 1_000)).toEqual([change]);
+    expect(limits.canSend(incarnation, 1_000)).toBe(false);
+    expect(limits.applyReports([report], 2_000)).toEqual([]);
+    expect(limits.getLimit(incarnation, 7_800)).toBe(2);
+    expect(limits.getLimit(incarnation, 8_000)).toBeUndefined();
+  });
+
+  test('a limit announced to this daemon does not expire, and only a later end removes it', () => {
+    const limits = createLimits();
+    limits.observeResponse(incarnation, createNotice(1), 900, 1_000);
+    expect(limits.applyReports([{ ...end, ageMs: 450 }], 1_500)).toEqual([]);
+    expect(limits.getLimit(incarnation, 1e6)).toBe(1);
+    limits.applyReports([end], 2_000);
+    expect(limits.getLimit(incarnation, 2_000)).toBeUndefined();
+    expect(limits.listReports(2_000)).toEqual([
+      { ageMs: 200, requestsPerS: undefined, server: 'i-1@5' },
+    ]);
+    expect(limits.listReports(40_000)).toEqual([]);
+  });
+
+  test('an older report changes nothing, and an end without a limit is not stored', () => {
+    const limits = createLimits();
+    limits.applyReports([end], 1_000);
+    expect(limits.listReports(1_000)).toEqual([]);
+    limits.applyReports([report, { ...report, ageMs: 200, requestsPerS: 9 }], 1_000);
+    expect(limits.getLimit(incarnation, 1_000)).toBe(2);
+  });
+
+  test.each([
+    { ageMs: -1 }, { ageMs: NaN }, { ageMs: RequestLimits.MAX_LIMIT_REPORT_AGE_MS + 1 },
+    { requestsPerS: -1 }, { requestsPerS: NaN }, { requestsPerS: Infinity },
+  ])('an implausible report is ignored: %j', (extra) => {
+    const limits = createLimits();
+    expect(limits.applyReports([{ ...report, ...extra }], 1_000)).toEqual([]);
+  });
+
+  // Guards against daemons that end up with different limits for longer than one exchange.
+  test('daemons that exchange their reports agree, whatever each of them saw', () => {
+    const event = fc.record({
+      daemon: fc.nat(2),
+      limit: fc.option(fc.integer({ max: 9, min: 1 }), { nil: undefined }),
+      stepMs: fc.integer({ max: 900, min: 1 }),
+    });
+    fc.assert(fc.property(fc.array(event, { maxLength: 20 }), (events) => {
+      const daemons = [createLimits(), createLimits(), createLimits()];
+      let nowMs = 1_000;
+      events.forEach(({ daemon, limit, stepMs }) => {
+        nowMs += stepMs;
+        const notice = limit === undefined ? UNLIMITED : createNotice(limit);
+        daemons[daemon]?.observeResponse(incarnation, notice, nowMs, nowMs);
+      });
+      // Each daemon hears of the others twice, so that an end outlives its allowance for transit.
+      [0, 1].forEach(() => daemons.forEach((from) => daemons.forEach((to) => {
+        to.applyReports(from.listReports(nowMs), nowMs);
+      })));
+      const known = daemons.map((each) => each.getLimit(incarnation, nowMs));
+      const stated = known.filter((limit) => limit !== undefined);
+      expect(new Set(stated).size).toBeLessThanOrEqual(1);
+    }));
+  });
+});
+
 describe('parsing of a request limit', () => {
   test.each([
     ['1', 1], ['0.5', 0.5], [' 2.25 ', 2.25], ['0', 0], ['1e9', 1_000_000], ['5e-1', 0.5],
