End a request limit only by a successful response

Cause: a failure or refusal that a server in trouble generates may lack the header, and the daemon took that for the end of the limit: it sent freely until the next response that stated it. The users' page says only that a server names its limit in its answers for as long as it lasts.

A limit now ends only by a signed success without the header. The test 'keeps it after a failure that does not state it' failed before: the request after the 500 reached the server.

--- a/packages/routing/src/RequestLimits.ts
+++ b/packages/routing/src/RequestLimits.ts
@@ -1,9 +1,9 @@
 /**
  * Request limits that backend servers announce in their responses: the requests per second that a
  * server takes from all daemons together. Each daemon uses an equal share of the limit. A limit
- * applies to one incarnation of a server, until a response to a later request no longer states it.
- * Daemons report the limits that they know to each other, because a daemon of a large fleet gets a
- * response of a limited server only once in minutes. The newest observation of a server wins.
+ * applies to one incarnation of a server, until a successful response to a later request does not
+ * state it. Daemons report the limits that they know to each other, because a daemon of a large
+ * fleet gets a response of a limited server only once in minutes. The newest observation wins.
  */
 import type * as Core from '@berylyoke/core';
 import * as RatePermits from './RatePermits.js';
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -79,6 +79,9 @@
   // A misdirected response comes from another server that has taken over the address.
   if (!hasRequestId || status === MISDIRECTED_STATUS) return;
   const notice = RequestLimits.parseLimitNotice(headers[names.requestLimit]?.toString());
+  // A server in trouble may generate failures and refusals without the header.
+  const isServed = status >= 200 && status < 300 && headers[names.serverSignature] !== undefined;
+  if (notice._tag === 'Unlimited' && !isServed) return;
   const change = requestLimits.observeResponse(server, notice, sentMs, clock.readMonotonic());
   if (change === undefined && notice._tag !== 'Malformed') return;
   const suppressed = failedLogLimiter.take();
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -357,6 +357,42 @@
     expect(Number(responses[1]?.headers['retry-after'])).toBeGreaterThan(0.2);
     expect(servers[0]?.heads).toHaveLength(1);
   });
+
+  const LIMIT_INTERVAL_MS = 200;
+  const LIMITED = `X-Signature: s\r\nX-Limit: ${1_000 / LIMIT_INTERVAL_MS}\r\n`;
+  const waitForPermit = (): Promise<void> => new Promise((resolve) => {
+    setTimeout(resolve, LIMIT_INTERVAL_MS + 20);
+  });
+  const writeFailure = (socket: net.Socket, id: string): void => {
+    socket.write(`HTTP/1.1 500 Error\r\nX-Id: ${id}\r\nX-Signature: s\r\n`
+      + 'Content-Length: 0\r\n\r\n');
+  };
+
+  // Guards against an error page or a refusal, which a server in trouble may generate without the
+  // header, that ends its limit.
+  test('keeps it after a failure that does not state it', async () => {
+    const { path, servers } = await setUp([(socket, id, count) => {
+      if (count === 2) writeFailure(socket, id);
+      else PathHarness.writeResponse(socket, id, 'limited', LIMITED);
+    }]);
+    await path.call();
+    await waitForPermit();
+    expect(await path.call({ requestId: 'r2' })).toMatchObject({ status: 500 });
+    expect(await path.call({ requestId: 'r3' })).toMatchObject({ status: 503 });
+    expect(servers[0]?.heads).toHaveLength(2);
+  });
+
+  test('loses it by a successful response that does not state it', async () => {
+    const { path, servers } = await setUp([(socket, id, count) => {
+      if (count > 1) PathHarness.writeResponse(socket, id, 'free');
+      else PathHarness.writeResponse(socket, id, 'limited', LIMITED);
+    }]);
+    await path.call();
+    await waitForPermit();
+    const responses = await callInTurn(path, 3);
+    expect(responses.map(({ status }) => status)).toEqual([200, 200, 200]);
+    expect(servers[0]?.heads).toHaveLength(4);
+  });
 });
 
 /** Writes the same bytes repeatedly until the connection is closed. */
