Count only listed servers as limited

The gauge of limited servers also counted servers that have left, because a limit that was announced to a daemon does not expire. It counts the servers of the table that have a limit now, and reading an entry no longer changes the table of limits.

--- a/packages/routing/src/RequestLimits.ts
+++ b/packages/routing/src/RequestLimits.ts
@@ -57,8 +57,6 @@
   readonly computeWait: (
     incarnation: ServerTable.ServerIncarnation, nowMs: Core.Millis,
   ) => Core.Millis;
-  /** Counts the servers with a limit. */
-  readonly countLimited: (nowMs: Core.Millis) => number;
   /** Lists the limits, and the recent ends of limits, that this daemon knows. */
   readonly listReports: (nowMs: Core.Millis) => readonly LimitReport[];
   /**
@@ -168,22 +166,17 @@
   const entries = new Map<string, LimitEntry>();
   const getEntry = (name: string, nowMs: Core.Millis): LimitEntry | undefined => {
     const entry = entries.get(name);
-    if (entry === undefined || isCurrent(entry, nowMs)) return entry;
-    entries.delete(name);
-    return undefined;
+    return entry !== undefined && isCurrent(entry, nowMs) ? entry : undefined;
   };
-  /** Stores an entry as the newest one. */
-  const setEntry = (name: string, entry: LimitEntry): void => {
+  /** Stores an entry as the newest one; removes the oldest one beyond the maximum. */
+  const addEntry = (name: string, entry: LimitEntry): void => {
     entries.delete(name);
     entries.set(name, entry);
     const [oldest] = entries.keys();
     if (entries.size > maxEntries && oldest !== undefined) entries.delete(oldest);
   };
-  const removeExpired = (nowMs: Core.Millis): void => (
-    [...entries.keys()].forEach((name) => getEntry(name, nowMs))
-  );
-  /** Gets a server that has a limit, with its permits accrued up to now. */
-  const getLimited = (name: string, nowMs: Core.Millis): LimitedServer | undefined => {
+  /** Accrues the permits of a server up to now; undefined if it has no limit. */
+  const updatePermits = (name: string, nowMs: Core.Millis): LimitedServer | undefined => {
     const known = getEntry(name, nowMs);
     if (known?.requestsPerS === undefined) return undefined;
     const fleetRatePerS = Math.max(MIN_REQUESTS_PER_S, known.requestsPerS);
@@ -199,10 +192,10 @@
     observed: Omit<LimitEntry, 'permits'>,
     nowMs: Core.Millis,
   ): LimitChange | undefined => {
-    const limited = getLimited(name, nowMs);
+    const limited = updatePermits(name, nowMs);
     const previousPerS = limited?.entry.requestsPerS;
     const permits = limited?.entry.permits ?? RatePermits.createRatePermits(nowMs, random);
-    setEntry(name, { ...observed, permits });
+    addEntry(name, { ...observed, permits });
     const { requestsPerS } = observed;
     return requestsPerS === previousPerS
       ? undefined
@@ -221,7 +214,7 @@
   };
   const computeWait: RequestLimits['computeWait'] = (incarnation, nowMs) => {
     if (entries.size === 0) return 0;
-    const limited = getLimited(ServerTable.formatIncarnation(incarnation), nowMs);
+    const limited = updatePermits(ServerTable.formatIncarnation(incarnation), nowMs);
     if (limited === undefined) return 0;
     const { entry, fleetRatePerS, ratePerS } = limited;
     // A caller returns to any daemon, and one of them gets a permit within this interval.
@@ -233,15 +226,12 @@
       .flatMap((report) => applyReport(report, nowMs) ?? []),
     canSend: (incarnation, nowMs) => computeWait(incarnation, nowMs) === 0,
     computeWait,
-    countLimited: (nowMs) => {
-      removeExpired(nowMs);
-      return [...entries.values()].filter(({ requestsPerS }) => requestsPerS !== undefined).length;
-    },
     getLimit: (incarnation, nowMs) => (
       getEntry(ServerTable.formatIncarnation(incarnation), nowMs)?.requestsPerS
     ),
     listReports: (nowMs) => {
-      removeExpired(nowMs);
+      [...entries].filter(([, entry]) => !isCurrent(entry, nowMs))
+        .forEach(([name]) => entries.delete(name));
       return [...entries].slice(-MAX_REPORTS)
         .map(([server, { observedMs, requestsPerS }]) => ({
           ageMs: Math.max(0, nowMs - observedMs), requestsPerS, server,
@@ -263,7 +253,7 @@
     },
     recordSend: (incarnation, nowMs) => {
       const name = ServerTable.formatIncarnation(incarnation);
-      const limited = getLimited(name, nowMs);
+      const limited = updatePermits(name, nowMs);
       if (limited === undefined) return;
       const { entry } = limited;
       const permits = { ...entry.permits, accrued: entry.permits.accrued - 1 };
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -26,6 +26,7 @@
 import * as ServerAvailability from './ServerAvailability.js';
 import * as ServerHealth from './ServerHealth.js';
 import * as ServerPool from './ServerPool.js';
+import type * as ServerTable from './ServerTable.js';
 import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 
@@ -110,6 +111,7 @@
   let activeRequests = 0;
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
+  let listServers: ServerTable.ServerTable['listAll'] = () => [];
 
   const countDaemons = (): number => (
     Math.max(1, duties?.countDaemons() ?? DutyRunner.INITIAL_DAEMON_COUNT)
@@ -122,7 +124,11 @@
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
     countDroppedLogs: log.countDroppedRecords,
-    countLimitedServers: () => requestLimits.countLimited(clock.readMonotonic()),
+    countLimitedServers: () => {
+      const nowMs = clock.readMonotonic();
+      return listServers()
+        .filter((server) => requestLimits.getLimit(server, nowMs) !== undefined).length;
+    },
   });
   const endProcess = (): void => {
     log.flush();
@@ -157,6 +163,7 @@
     serverFeed,
   });
   const { getActiveConfig, servers } = feeds;
+  listServers = servers.listAll;
   const outcomes = OutcomeExchange.startOutcomeExchange({
     choice: relayChoice,
     client: relayClient,
