Explain a refusal for want of a server by limits and pauses

'explain' said of such a request that no server was listed or reached, also when the servers were listed but limited, paused or shutting down. It now shows those of the service, as the daemon had logged them by then. The test failed before: the context had none of them.

--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -19,7 +19,8 @@
   keys_not_current: 'the daemon had read no recent configuration, so the key may be withdrawn',
   no_configuration: 'the daemon had not read any configuration yet',
   no_route: 'no route in the configuration matches the host and path',
-  no_server: 'no backend server was listed, or nothing was sent to those that were tried',
+  no_server: 'no backend server was listed or accepted requests, or nothing was sent to those '
+    + 'that were tried',
   not_run: 'each backend server that was reached reported that it did not run the request',
   outcome_unknown: 'the connection to the backend server failed after the request was sent',
   server_failed: 'the backend server returned an error',
@@ -69,6 +70,14 @@
     `key list last confirmed ${keyProofAgeMs} ms earlier`,
     mayHaveRun ? 'may have run' : 'did not run',
   ].join(', '),
+  'request limit of a server changed': ({ requestsPerS, server }) => (
+    requestsPerS === undefined
+      ? `${server} no longer limits its requests`
+      : `${server} limited its requests to ${requestsPerS} a second from all daemons`
+  ),
+  'server wants no requests': ({ isLeaving, pauseMs, server }) => (
+    isLeaving ? `${server} announced its shutdown` : `${server} paused for ${pauseMs ?? 0} ms`
+  ),
   started: () => 'the daemon started',
   stopping: ({ activeRequests }) => `shutdown began with ${activeRequests} active requests`,
 };
@@ -82,16 +91,34 @@
   return 'requestId' in line ? line.requestId : undefined;
 }
 
+/** Checks whether a line shows that its server refused some or all requests at a later time. */
+function isServerUnavailable(line: LogLines.LogLine, atMs: number): boolean {
+  if (line.event === 'request limit of a server changed') return line.requestsPerS !== undefined;
+  return line.event === 'server wants no requests'
+    && (line.isLeaving || line.time + (line.pauseMs ?? 0) > atMs);
+}
+
+/** Which lines show the state of a daemon during a request. */
+interface ContextOptions {
+  readonly daemon: string;
+  /** Servers that the request was sent to. */
+  readonly servers: ReadonlySet<string>;
+  /** Service whose servers may have been unavailable; undefined if that does not matter. */
+  readonly refusingService: string | undefined;
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
 /**
  * Lists the lines that show the state of a daemon at `endMs`, in time order: the newest line of
- * each dependency, of each server in `servers` and of each other state event.
+ * each dependency, of each server in `servers` and of each other state event, and the servers of
+ * the refusing service that were limited, paused or shutting down.
  */
 function listContextLines(
   lines: readonly LogLines.LogLine[],
-  daemon: string,
-  servers: ReadonlySet<string>,
-  startMs: number,
-  endMs: number,
+  {
+    daemon, endMs, refusingService, servers, startMs,
+  }: ContextOptions,
 ): readonly LogLines.LogLine[] {
   const newestLines = new Map<string, LogLines.LogLine>();
   const daemonLines = lines.filter((line) => line.daemon === daemon && line.time <= endMs);
@@ -101,6 +128,14 @@
     } else if (line.event === 'health of a server changed') {
       const isRecent = line.time > startMs - HEALTH_LOOKBACK_MS;
       if (isRecent && servers.has(line.server)) newestLines.set(`server ${line.server}`, line);
+    } else if (
+      line.event === 'request limit of a server changed'
+      || line.event === 'server wants no requests'
+    ) {
+      const key = `${line.event} ${line.server}`;
+      if (line.service !== refusingService) return;
+      if (isServerUnavailable(line, startMs)) newestLines.set(key, line);
+      else newestLines.delete(key);
     } else if (line.event === 'started') {
       // A restart discards the state of the previous process.
       newestLines.clear();
@@ -132,7 +167,14 @@
     cause: endLine !== undefined && 'outcome' in endLine
       ? CAUSES_BY_OUTCOME[endLine.outcome]
       : undefined,
-    context: listContextLines(lines, firstLine.daemon, servers, endMs - elapsedMs, endMs),
+    context: listContextLines(lines, {
+      daemon: firstLine.daemon,
+      endMs,
+      refusingService: endLine !== undefined && 'outcome' in endLine
+        && endLine.outcome === 'no_server' ? endLine.service : undefined,
+      servers,
+      startMs: endMs - elapsedMs,
+    }),
     lines: requestLines,
     requestId,
   };
--- a/packages/cli/src/__tests__/unit/Logs.test.ts
+++ b/packages/cli/src/__tests__/unit/Logs.test.ts
@@ -95,6 +95,48 @@
     expect(explanation?.cause).toContain('time limit');
   });
 
+  // Guards against "no backend server" for a service whose servers are all listed but limited.
+  test('shows the limited, paused and leaving servers of a service that refused', () => {
+    const noticeFields = { ...commonFields, requestId: 'r-0', service: 's' };
+    const limitLine = {
+      ...noticeFields,
+      msg: 'routing: request limit of a server changed',
+      requestsPerS: 1,
+      server: 'i-1',
+      suppressed: 0,
+      time: 700,
+    };
+    const pauseLine = {
+      ...noticeFields,
+      isLeaving: false,
+      msg: 'routing: server wants no requests',
+      pauseMs: 500,
+      server: 'i-2',
+      time: 800,
+    };
+    const lines = [
+      limitLine,
+      pauseLine,
+      { ...pauseLine, pauseMs: 100, server: 'i-3' },
+      {
+        ...pauseLine, isLeaving: true, pauseMs: undefined, server: 'i-4',
+      },
+      { ...limitLine, server: 'i-5' },
+      {
+        ...limitLine, previousPerS: 1, requestsPerS: undefined, server: 'i-5', time: 900,
+      },
+      { ...limitLine, service: 'another' },
+    ];
+    const refusedLine = {
+      ...requestEndedLine, mayHaveRun: false, outcome: 'no_server', server: undefined, status: 503,
+    };
+    const listServers = (endLine: unknown): readonly (string | undefined)[] => (
+      Cli.buildRequestExplanation(decodeLines(...lines, endLine), 'r-1')?.context ?? []
+    ).map((line) => ('server' in line ? line.server : undefined));
+    expect(listServers(refusedLine)).toEqual(['i-1', 'i-2', 'i-4']);
+    expect(listServers(requestEndedLine)).toEqual([]);
+  });
+
   test('omits the state that the daemon logged before a restart', () => {
     const explanation = Cli.buildRequestExplanation(
       decodeLines(requestEndedLine, dependencyLostLine, { ...startedLine, time: 1_000 }),
