Log how the response of a backend server ended

'request ended' and 'attempt failed' carry the framing of the last server's response and the bytes after its last complete event; `explain` shows both. No change of behaviour.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -25,6 +25,13 @@
   limitPerS: Schema.optional(Schema.Number),
 });
 
+/** How the response of the last server was delimited and ended. */
+const ResponseEnd = Schema.Struct({
+  framing: Schema.Literal('chunks', 'connection', 'length'),
+  /** Bytes after the last complete event of a stream that ended. */
+  partialEventBytes: Schema.optional(Count),
+});
+
 const AttemptFailed = Schema.Struct({
   ...COMMON_FIELDS,
   choice: Schema.optional(ServerChoice),
@@ -33,6 +40,7 @@
   lastEventId: Schema.optional(Schema.Union(Schema.Number, Schema.String)),
   reason: Schema.String,
   requestId: Schema.String,
+  responseEnd: Schema.optional(ResponseEnd),
   sends: Count,
   server: Schema.String,
   service: Schema.String,
@@ -53,6 +61,7 @@
   mayHaveRun: Schema.Boolean,
   outcome: Schema.String,
   requestId: Schema.String,
+  responseEnd: Schema.optional(ResponseEnd),
   route: Schema.optional(Schema.String),
   sends: Count,
   /** Time from the receipt of the request to its last attempt. */
--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -46,10 +46,24 @@
   readonly [E in LogLines.LogEvent]?: (line: LogLines.EventLine<E>) => string
 };
 
+/** Describes how the response of a server ended; empty unless its end was not marked as such. */
+function describeResponseEnd(
+  end: LogLines.EventLine<'attempt failed' | 'request ended'>['responseEnd'],
+): readonly string[] {
+  const { framing, partialEventBytes = 0 } = end ?? {};
+  return [
+    ...framing === 'connection' ? ['end of the response marked only by the connection'] : [],
+    ...partialEventBytes > 0 ? [`${partialEventBytes} bytes after the last complete event`] : [],
+  ];
+}
+
 const EVENT_FORMATTERS: EventFormatters = {
   'attempt failed': ({
-    elapsedMs, end, reason, server, service,
-  }) => `attempt at ${server} of ${service} ended after ${elapsedMs} ms: ${end} (${reason})`,
+    elapsedMs, end, reason, responseEnd, server, service,
+  }) => [
+    `attempt at ${server} of ${service} ended after ${elapsedMs} ms: ${end} (${reason})`,
+    ...describeResponseEnd(responseEnd),
+  ].join(', '),
   'configuration in force': ({ routes, version }) => (
     `configuration ${version} became active with ${routes} routes`
   ),
@@ -59,7 +73,8 @@
     `health of ${server} changed: ${JSON.stringify(reason)}`
   ),
   'request ended': ({
-    configVersion, elapsedMs, keyProofAgeMs, limitMs, mayHaveRun, outcome, sends, server, status,
+    configVersion, elapsedMs, keyProofAgeMs, limitMs, mayHaveRun, outcome, responseEnd, sends,
+    server, status,
   }) => [
     `request ended after ${elapsedMs} ms: ${outcome}`,
     `status ${status ?? 'none'}`,
@@ -69,6 +84,7 @@
     `configuration ${configVersion ?? 'none'}`,
     `key list last confirmed ${keyProofAgeMs} ms earlier`,
     mayHaveRun ? 'may have run' : 'did not run',
+    ...describeResponseEnd(responseEnd),
   ].join(', '),
   'request limit of a server changed': ({ requestsPerS, server }) => (
     requestsPerS === undefined
--- a/packages/cli/src/__tests__/unit/Logs.test.ts
+++ b/packages/cli/src/__tests__/unit/Logs.test.ts
@@ -137,6 +137,17 @@
     expect(listServers(requestEndedLine)).toEqual([]);
   });
 
+  // Guards against an unexplained difference between a whole stream and one that broke off.
+  test('shows how the response of the server ended', () => {
+    const endLine = {
+      ...requestEndedLine, responseEnd: { framing: 'connection', partialEventBytes: 9 },
+    };
+    const explanation = Cli.buildRequestExplanation(decodeLines(endLine), 'r-1');
+    const text = explanation === undefined ? '' : Cli.renderRequestExplanation(explanation);
+    expect(text).toContain('marked only by the connection');
+    expect(text).toContain('9 bytes after the last complete event');
+  });
+
   test('omits the state that the daemon logged before a restart', () => {
     const explanation = Cli.buildRequestExplanation(
       decodeLines(requestEndedLine, dependencyLostLine, { ...startedLine, time: 1_000 }),
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -45,6 +45,9 @@
   readonly requestId: string;
 }
 
+/** How the end of a response body is marked: by its length, its last chunk, or the connection. */
+export type BodyFraming = 'chunks' | 'connection' | 'length';
+
 /** Head of a response. */
 export interface ResponseHead {
   readonly status: number;
@@ -55,6 +58,7 @@
   readonly isReusedConnection: boolean;
   /** Whether the response echoes the id of the request. */
   readonly hasRequestId: boolean;
+  readonly framing: BodyFraming;
 }
 
 /** Why an exchange failed. */
@@ -102,15 +106,18 @@
   return (error as NodeJS.ErrnoException).code ?? error.name;
 }
 
+function getBodyFraming(headers: http.IncomingHttpHeaders): BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  return headers['content-length'] === undefined ? 'connection' : 'length';
+}
+
 /**
  * Detects a connection reset at the end of a response that is delimited by connection close. libuv
  * reports a reset that arrives together with the last bytes as a normal end, but the socket then
  * has no remote address. The address must not be read earlier, because Node.js caches it.
  */
 function watchReset({ headers, socket }: http.IncomingMessage, onReset: () => void): void {
-  const isFramed = headers['content-length'] !== undefined
-    || headers['transfer-encoding'] !== undefined;
-  if (isFramed) return;
+  if (getBodyFraming(headers) !== 'connection') return;
   socket.prependOnceListener('end', () => {
     if (socket.remoteAddress === undefined) onReset();
   });
@@ -185,6 +192,7 @@
       else if (finish()) handlers.onEnd();
     });
     handlers.onHead({
+      framing: getBodyFraming(response.headers),
       hasRequestId: echoedRequestId !== undefined,
       headers: response.headers,
       isReusedConnection: request.reusedSocket,
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -55,6 +55,13 @@
 /** What the log says about the choice of a server. */
 type ChoiceSummary = Pick<ServerSelection.ChosenServer, 'candidates' | 'costMs' | 'limitPerS'>;
 
+/** What the log says about the end of a server's response. */
+interface ResponseEnd {
+  readonly framing: BackendExchange.BodyFraming;
+  /** Bytes after the last complete event of a stream. */
+  readonly partialEventBytes: number | undefined;
+}
+
 /** A request in progress. */
 export class RoutedRequest {
   readonly #context: PathContext.PathContext;
@@ -104,6 +111,9 @@
 
   #lastEventId: number | undefined;
 
+  /** How the last response of a server ended, for the log. */
+  #lastEnd: ResponseEnd | undefined;
+
   #firstByteMs: Core.Millis | undefined;
 
   /** Time at which the last attempt was sent. */
@@ -263,6 +273,7 @@
     const { server } = chosen.pooled;
     this.#triedIds.add(server.id);
     this.#lastChoice = chosen;
+    this.#lastEnd = undefined;
     this.#sends += 1;
     const pendingPromptTokens = this.#recordDispatch(chosen);
     const { pooled } = chosen;
@@ -387,6 +398,7 @@
     const attempt = this.#attempt as Attempt;
     const { names } = this.#context;
     attempt.head = head;
+    this.#lastEnd = { framing: head.framing, partialEventBytes: undefined };
     ServerPool.observeActivity(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     ServerObservation.observeAvailability(
       this.#context,
@@ -554,6 +566,7 @@
       return;
     }
     const remainder = attempt.framer.takeRemainder();
+    this.#lastEnd = { framing: head.framing, partialEventBytes: remainder.length };
     if (!this.#isHeadSent && remainder.length === 0) {
       this.#handleAttemptFailure('broken', 'empty-stream');
       return;
@@ -623,6 +636,7 @@
       lastEventId: this.#lastEventId,
       reason,
       requestId: this.#head.requestId,
+      responseEnd: this.#lastEnd,
       sends: this.#sends,
       server: server.id,
       service: this.#service,
@@ -742,6 +756,7 @@
       mayHaveRun: this.#mayHaveRun,
       outcome,
       requestId: this.#head.requestId,
+      responseEnd: this.#lastEnd,
       route: this.#route?.name,
       sends: this.#sends,
       sentMs: this.#sentMs === undefined
