Send written events before a response is broken off

Cause: a response was broken off by destroying its connection, which discards what was written in the same iteration of the event loop. Events that arrived together with the break, and with them the head of the response, never reached the caller.

The added test of the request path failed before (empty body, no head) and passes now.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -15,6 +15,7 @@
 import type * as PathContext from './PathContext.js';
 import * as Refusals from './Refusals.js';
 import * as RequestHead from './RequestHead.js';
+import * as ResponseAbort from './ResponseAbort.js';
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
 import * as ServerSelection from './ServerSelection.js';
@@ -167,7 +168,7 @@
     if (this.#isEnded) return;
     if (this.#attempt !== undefined) this.#mayHaveRun = true;
     if (this.#isHeadSent || this.#response.headersSent) {
-      this.#response.destroy();
+      ResponseAbort.abortResponse(this.#response);
       this.#end('internal_error', undefined);
     } else this.#refuse(this.#mayHaveRun ? 'internal_error' : 'internal_error_not_run');
   }
@@ -660,7 +661,7 @@
   #apply(step: RetryPolicy.NextStep): void {
     const handlers = {
       Cut: () => {
-        this.#response.destroy();
+        ResponseAbort.abortResponse(this.#response);
         this.#end('stream_cut', undefined);
       },
       Refuse: ({ code }: { readonly code: Refusals.RefusalCode }) => this.#refuse(code),
@@ -677,7 +678,7 @@
       if (this.#head.prompt === undefined) this.#countStartedRequest();
     }
     if (this.#isHeadSent) {
-      this.#response.destroy();
+      ResponseAbort.abortResponse(this.#response);
       this.#end('stream_timed_out', undefined);
     } else this.#refuse(this.#mayHaveRun ? 'timed_out' : 'timed_out_not_run');
   }
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -192,6 +192,15 @@
     expect(servers[1]?.heads).toEqual([]);
   });
 
+  // Guards against a break that discards events which arrived together with it.
+  test('that breaks together with an event delivers the event first', async () => {
+    const { path } = await setUp([
+      (socket, id) => writeEvents(socket, id, `id: 1\ndata: a\n\n${'x'.repeat(3_000)}`, true),
+    ], { kind: 'stream' });
+    expect(await path.call())
+      .toMatchObject({ body: 'id: 1\ndata: a\n\n', isTruncated: true, status: 200 });
+  });
+
   test('that becomes silent is resumed at another server', async () => {
     const { path } = await setUp([
       (socket, id) => writeEvents(socket, id, 'id: 1\ndata: a\n\n', false),
