Treat a stream that ends inside an event as broken off

Cause: the end of the input was taken for the end of the message. The daemon passed on what followed the last complete event, whatever it was, and ended its own response. Where the server delimits its response by the connection, a crash that closes it without a reset looks like the end; the same held for a length or a last chunk after a partial event. Ruled out: a reset that is not seen (hypothesis 2: the tests close properly and fail the same way) and a framing of the server that alone explains it (hypothesis 3: every framing is affected).

A stream that ends inside an event now is a broken attempt: it is resumed where the route allows it and else broken off towards the caller, and it counts as a failure of its server. A response that declares another type than text/event-stream is no stream of events and is relayed whole.

--- a/packages/routing/src/EventFramer.ts
+++ b/packages/routing/src/EventFramer.ts
@@ -21,12 +21,19 @@
   readonly isTooLong: boolean;
 }
 
+/** Bytes after the last complete event. */
+export interface StreamRemainder {
+  readonly bytes: Buffer;
+  /** Whether the stream ends inside an event; otherwise the bytes are empty lines. */
+  readonly isPartialEvent: boolean;
+}
+
 /** Framer of one stream. */
 export interface EventFramer {
   /** Adds bytes and returns the events that they complete. */
   readonly push: (bytes: Buffer) => FramedEvents;
-  /** Takes the bytes after the last complete event. */
-  readonly takeRemainder: () => Buffer;
+  /** Takes the bytes after the last complete event at the end of the stream. */
+  readonly takeRemainder: () => StreamRemainder;
 }
 
 const LINE_FEED = 0x0a;
@@ -49,6 +56,8 @@
   /** Whether the incomplete event has a non-empty line. */
   let hasNonEmptyLine = false;
 
+  const isLineEmpty = (): boolean => lineLength === 0 || (lineLength === 1 && startsWithReturn);
+
   /** Finds the offset after the next complete event; -1 if none ends within these bytes. */
   const findEventEnd = (bytes: Buffer, from: number): number => {
     let start = from;
@@ -58,7 +67,7 @@
       if (lineLength === 0 && end > start) startsWithReturn = bytes[start] === CARRIAGE_RETURN;
       lineLength += end - start;
       if (lineFeed < 0) return -1;
-      const isEmpty = lineLength === 0 || (lineLength === 1 && startsWithReturn);
+      const isEmpty = isLineEmpty();
       const isEnd = isEmpty && hasNonEmptyLine;
       lineLength = 0;
       hasNonEmptyLine = !isEnd && (hasNonEmptyLine || !isEmpty);
@@ -86,6 +95,8 @@
       }
       return { events, isTooLong: !pending.append(bytes.subarray(start)) };
     },
-    takeRemainder: pending.take,
+    takeRemainder: () => ({
+      bytes: pending.take(), isPartialEvent: hasNonEmptyLine || !isLineEmpty(),
+    }),
   };
 }
--- a/packages/routing/src/HeaderRules.ts
+++ b/packages/routing/src/HeaderRules.ts
@@ -3,6 +3,7 @@
  * dropped in both directions. From a request, the caller's key is dropped as well, and so are the
  * headers that only the system may set.
  */
+import type * as http from 'node:http';
 
 /** Names of headers on the wire, in lower case. */
 export interface HeaderNames {
@@ -30,6 +31,14 @@
   readonly systemOnly: readonly string[];
 }
 
+const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i;
+
+/** Checks whether a body is a stream of events; one without a declared type may be. */
+export function isEventStream(headers: http.IncomingHttpHeaders): boolean {
+  const contentType = headers['content-type'];
+  return contentType === undefined || EVENT_STREAM_TYPE.test(contentType);
+}
+
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that each sender sets itself. */
 const HOP_BY_HOP_HEADERS = [
   'connection', 'content-length', 'expect', 'keep-alive', 'proxy-authenticate',
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -440,7 +440,7 @@
     }
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
-    if (isSuccess && this.#route?.kind === 'stream') {
+    if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head.headers)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
       );
@@ -567,12 +567,16 @@
       return;
     }
     const remainder = attempt.framer.takeRemainder();
-    this.#lastEnd = { framing: head.framing, partialEventBytes: remainder.length };
-    if (!this.#isHeadSent && remainder.length === 0) {
+    this.#lastEnd = { framing: head.framing, partialEventBytes: remainder.bytes.length };
+    if (remainder.isPartialEvent) {
+      this.#handleAttemptFailure('broken', 'partial-event');
+      return;
+    }
+    if (!this.#isHeadSent && remainder.bytes.length === 0) {
       this.#handleAttemptFailure('broken', 'empty-stream');
       return;
     }
-    if (remainder.length > 0) this.#relay(remainder);
+    if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
     this.#end('answered', head.status);
--- a/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
@@ -151,3 +151,18 @@
     }));
   });
 });
+
+// Guards against taking a body that has no events at all for one partial event.
+test('a response on a stream route that is declared as another type is relayed whole', async () => {
+  const { path } = await setUp([(socket, id) => (
+    PathHarness.writeResponse(socket, id, '{"a":1}', 'X-Signature: s\r\nContent-Type: a/json\r\n')
+  )], NOT_RESUMABLE);
+  expect(await path.call()).toMatchObject({ body: '{"a":1}', isTruncated: false, status: 200 });
+});
+
+test('a stream may end with empty lines after its last event', async () => {
+  const { path } = await setUp([(socket, id) => (
+    PathHarness.writeResponse(socket, id, 'data: a\n\n\n')
+  )], NOT_RESUMABLE);
+  expect(await path.call()).toMatchObject({ body: 'data: a\n\n\n', isTruncated: false });
+});
--- a/packages/routing/src/__tests__/unit/EventFramer.test.ts
+++ b/packages/routing/src/__tests__/unit/EventFramer.test.ts
@@ -71,6 +71,6 @@
     const byte = Buffer.from('x');
     // Scanning or copying all earlier bytes with each new one would take hours.
     for (let index = 0; index < 1_000_000; index += 1) framer.push(byte);
-    expect(framer.takeRemainder()).toHaveLength(1_000_000);
+    expect(framer.takeRemainder().bytes).toHaveLength(1_000_000);
   });
 });
