Reset the connection of an HTTP/1.0 caller whose response is cut

An HTTP/1.0 caller has no chunks; a cut stream ended with a proper close of its connection, which it must take for a whole one. Its connection is now reset after the written bytes were sent.

--- a/packages/routing/src/ResponseAbort.ts
+++ b/packages/routing/src/ResponseAbort.ts
@@ -8,6 +8,11 @@
 /** Time in which a caller may read the rest before its connection is closed anyway. */
 const FLUSH_TIMEOUT_MS: Core.Millis = 250;
 
+/** Checks whether the caller takes the end of the connection for the end of the body. */
+function isEndedByConnection({ req }: http.ServerResponse): boolean {
+  return req.httpVersionMajor === 1 && req.httpVersionMinor === 0;
+}
+
 /** Closes the connection of a response after the bytes written so far were sent. */
 export function abortResponse(response: http.ServerResponse): void {
   const { socket } = response;
@@ -17,5 +22,8 @@
   }
   const timer = setTimeout(() => socket.destroy(), FLUSH_TIMEOUT_MS);
   socket.once('close', () => clearTimeout(timer));
-  socket.destroySoon();
+  if (isEndedByConnection(response)) {
+    // Only a reset shows the caller that the body is not complete.
+    socket.write('', () => socket.resetAndDestroy());
+  } else socket.destroySoon();
 }
