Tell a reset from the end of a body in the other readers of responses

The check of the routing path moves to core and is used by all three. Ruled out: SseReader needs its end marker; StoreClient, feeds and relays drop what does not decode; the command line reads log files by line.

--- a/packages/core/src/HttpJson.ts
+++ b/packages/core/src/HttpJson.ts
@@ -6,6 +6,7 @@
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
 import type * as Clock from './Clock.js';
+import * as ResponseFraming from './ResponseFraming.js';
 
 /** Size limit of a response; a page of log entries stays well below it. */
 const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
@@ -99,6 +100,7 @@
     request.on('error', (error) => fail('connection', error));
     request.on('close', () => clearTimeout(timer));
     request.on('response', (response) => {
+      ResponseFraming.watchReset(response, () => fail('connection'));
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
       response.on('data', (chunk: Buffer) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,4 @@
-/** Clock, identifiers, typed errors, rendezvous hashing, cleanup functions and log prefixes. */
+/** Clock, ids, typed errors, rendezvous hashing, body framing, cleanup functions and log prefixes. */
 export * from './Cleanup.js';
 export * from './Clock.js';
 export * from './DrainListener.js';
@@ -8,3 +8,4 @@
 export * from './Logging.js';
 export * from './Randomness.js';
 export * from './Rendezvous.js';
+export * from './ResponseFraming.js';
--- a/packages/daemon/src/ReadResponse.ts
+++ b/packages/daemon/src/ReadResponse.ts
@@ -1,13 +1,13 @@
 /** Reads the complete body of a backend server's response, up to a limit. */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 
 /** Longest time from the head of a response to its end. */
 const READ_TIMEOUT_MS: Core.Millis = 30_000;
 
 /**
- * Reads a body of at most `maxBytes` bytes; undefined if it is truncated, late or too large. Never
- * rejects.
+ * Reads a body of at most `maxBytes` bytes; undefined if it is truncated, reset, late or too large.
+ * Never rejects.
  */
 export function readResponseBody(
   response: http.IncomingMessage,
@@ -21,6 +21,7 @@
       clearTimeout(timer);
       resolve(body);
     };
+    Core.watchReset(response, () => finish(undefined));
     response.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       chunks.push(chunk);
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -3,7 +3,7 @@
  * any byte of the request may have been sent. Rejects a response that carries the id of another
  * request, because a reused connection may deliver a surplus response to an earlier request.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 
 /** Time limit for opening a connection; round trips between data centres take milliseconds. */
@@ -45,9 +45,6 @@
   readonly requestId: string;
 }
 
-/** How the end of a response body is marked: by its length, its last chunk, or the connection. */
-export type BodyFraming = 'chunks' | 'connection' | 'length';
-
 /** Head of a response. */
 export interface ResponseHead {
   readonly status: number;
@@ -58,7 +55,7 @@
   readonly isReusedConnection: boolean;
   /** Whether the response echoes the id of the request. */
   readonly hasRequestId: boolean;
-  readonly framing: BodyFraming;
+  readonly framing: Core.BodyFraming;
 }
 
 /** Why an exchange failed. */
@@ -106,23 +103,6 @@
   return (error as NodeJS.ErrnoException).code ?? error.name;
 }
 
-function getBodyFraming(headers: http.IncomingHttpHeaders): BodyFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
-  return headers['content-length'] === undefined ? 'connection' : 'length';
-}
-
-/**
- * Detects a connection reset at the end of a response that is delimited by connection close. libuv
- * reports a reset that arrives together with the last bytes as a normal end, but the socket then
- * has no remote address. The address must not be read earlier, because Node.js caches it.
- */
-function watchReset({ headers, socket }: http.IncomingMessage, onReset: () => void): void {
-  if (getBodyFraming(headers) !== 'connection') return;
-  socket.prependOnceListener('end', () => {
-    if (socket.remoteAddress === undefined) onReset();
-  });
-}
-
 /** Sends a request and reports the response to `handlers`. */
 export function startExchange(
   options: BackendRequest,
@@ -182,7 +162,7 @@
       fail('foreign-answer');
       return;
     }
-    watchReset(response, () => fail('reset-at-end'));
+    Core.watchReset(response, () => fail('reset-at-end'));
     response.on('data', (bytes: Buffer) => {
       if (!isFinished) handlers.onData(bytes);
     });
@@ -192,7 +172,7 @@
       else if (finish()) handlers.onEnd();
     });
     handlers.onHead({
-      framing: getBodyFraming(response.headers),
+      framing: Core.getBodyFraming(response.headers),
       hasRequestId: echoedRequestId !== undefined,
       headers: response.headers,
       isReusedConnection: request.reusedSocket,
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -58,7 +58,7 @@
 
 /** What the log says about the end of a server's response. */
 interface ResponseEnd {
-  readonly framing: BackendExchange.BodyFraming;
+  readonly framing: Core.BodyFraming;
   /** Bytes after the last complete event of a stream. */
   readonly partialEventBytes: number | undefined;
 }
