--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,4 @@
-/** Clock, ids, typed errors, rendezvous hashing, body framing, cleanup functions and log prefixes. */
+/** Clock, ids, typed errors, rendezvous hashing, body framing, cleanup and log prefixes. */
 export * from './Cleanup.js';
 export * from './Clock.js';
 export * from './DrainListener.js';
