Log the shared prompt parts of failed attempts

'attempt failed' names the parts of the prompt that other requests may share. Part ids are hashes, so no text of a caller is logged. No change of behaviour.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -38,6 +38,8 @@
   elapsedMs: Schema.Number,
   end: Schema.Literal('broken', 'failed', 'misdirected', 'not-run', 'not-sent', 'silent'),
   lastEventId: Schema.optional(Schema.Union(Schema.Number, Schema.String)),
+  /** Parts of the prompt that other requests may share, in order. */
+  promptParts: Schema.optional(Schema.Array(Schema.String)),
   reason: Schema.String,
   requestId: Schema.String,
   responseEnd: Schema.optional(ResponseEnd),
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -639,6 +639,7 @@
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end: kind,
       lastEventId: this.#lastEventId,
+      promptParts: this.#listSharedPartIds(),
       reason,
       requestId: this.#head.requestId,
       responseEnd: this.#lastEnd,
@@ -649,6 +650,11 @@
     }, 'attempt failed');
   }
 
+  #listSharedPartIds(): readonly string[] | undefined {
+    const { prompt } = this.#head;
+    return prompt === undefined ? undefined : ServerPicker.listSharedPartIds(prompt);
+  }
+
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
     this.#context.bufferBudget.release(attempt.held.getLength());
--- a/packages/routing/src/ServerPicker.ts
+++ b/packages/routing/src/ServerPicker.ts
@@ -22,6 +22,14 @@
   readonly maxOutputTokens: number;
 }
 
+/**
+ * Lists the ids of the parts that other requests may share; the last part belongs to the request
+ * itself or to its session.
+ */
+export function listSharedPartIds({ parts }: Prompt): readonly string[] {
+  return parts.slice(0, -1).map(({ id }) => id);
+}
+
 /** A server that may be picked, and its state as known to this daemon. */
 export interface Candidate {
   readonly id: string;
