Block prompts with a part under which backend servers crash

Cause: nothing related the end of a server to the requests that it was about to answer. Each request was new, so health and ejection, which know servers only, could not stop the next one, and a request that had ended a server was retried at a second one where its route allows that. Ruled out: servers that fail by themselves (each end has exactly one request with a head and no event).

A daemon now counts the end of a server's connection before or shortly after the first event as evidence against the shared parts of the prompt, and an answer as evidence for them. Reports go through the store, as a feed that relays copy. Three servers block a part; a part is not blamed for crashes that another one explains.

The tests of CrashSuspects cover rare sound parts, clocks that are behind, two such parts at once, and bounds.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -52,6 +52,8 @@
 const RequestEnded = Schema.Struct({
   ...COMMON_FIELDS,
   account: Schema.optional(Schema.String),
+  /** Part of the prompt because of which the request was not sent. */
+  blockedPart: Schema.optional(Schema.String),
   choice: Schema.optional(ServerChoice),
   configVersion: Schema.optional(Schema.Number),
   elapsedMs: Schema.Number,
@@ -76,7 +78,7 @@
 
 const FailureWithDetail = Schema.Struct({ ...COMMON_FIELDS, detail: Schema.String });
 const DEPENDENCY_FIELDS = {
-  ...COMMON_FIELDS, dependency: Schema.Literal('configuration', 'servers'),
+  ...COMMON_FIELDS, dependency: Schema.Literal('configuration', 'crash reports', 'servers'),
 };
 
 /** Fields of a line about what a server announced in the response to a request. */
@@ -96,6 +98,9 @@
     routes: Count,
     version: Schema.Number,
   }),
+  'crashes not reported': Schema.Struct({
+    ...COMMON_FIELDS, detail: Schema.String, parts: Count,
+  }),
   'dependency lost': Schema.Struct({ ...DEPENDENCY_FIELDS, detail: Schema.String }),
   'dependency regained': Schema.Struct(DEPENDENCY_FIELDS),
   'duties log not read': FailureWithDetail,
@@ -114,6 +119,15 @@
   'program loaded': Schema.Struct({
     ...COMMON_FIELDS, codeCache: Schema.Literal('not used', 'used'),
   }),
+  'prompt part blocked': Schema.Struct({
+    ...COMMON_FIELDS,
+    promptPart: Schema.String,
+    /** Names of the incarnations that ended under requests with the part. */
+    servers: Schema.Array(Schema.String),
+  }),
+  'prompt part no longer blocked': Schema.Struct({
+    ...COMMON_FIELDS, promptPart: Schema.String,
+  }),
   'relay not usable': Schema.Struct({
     ...COMMON_FIELDS, detail: Schema.String, feed: Schema.String, relay: Schema.String,
   }),
--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -25,6 +25,11 @@
 /** Status of a server that is not the one that the request expects. */
 export const MISDIRECTED_STATUS = 421;
 
+/** Reasons of failures for which the connection ended without a cause on this side. */
+const CONNECTION_END_REASONS: ReadonlySet<string> = new Set([
+  'ECONNRESET', 'EPIPE', 'closed', 'reset-at-end', 'truncated',
+]);
+
 /** Checks whether a status means success. */
 export function isSuccessStatus(status: number): boolean {
   return status >= 200 && status < 300;
@@ -67,6 +72,8 @@
   /** The request may have run. */
   readonly _tag: 'Broken';
   readonly reason: string;
+  /** Whether the connection ended by itself, as it does when its server crashes. */
+  readonly isConnectionEnd: boolean;
 };
 
 /** Callbacks of an exchange; none is called after `onEnd` or `onFailure`. */
@@ -130,7 +137,11 @@
     return true;
   };
   const fail = (reason: string): void => {
-    if (finish()) handlers.onFailure({ _tag: isConnected ? 'Broken' : 'NotSent', reason });
+    if (finish()) {
+      handlers.onFailure(isConnected
+        ? { _tag: 'Broken', isConnectionEnd: CONNECTION_END_REASONS.has(reason), reason }
+        : { _tag: 'NotSent', reason });
+    }
     request.destroy();
   };
   request.on('socket', (socket) => {
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -1,10 +1,13 @@
 /**
  * Feeds that a daemon follows to serve requests: the configuration, which includes the list of
- * keys, and the server entries. The daemon reads both from a relay if there is a usable one, else
- * from the store, and keeps a copy of each that other daemons can read.
+ * keys, the server entries, and the reports of prompt parts that crash servers. The daemon reads
+ * them from a relay if there is a usable one, else from the store, and keeps a copy of each that
+ * other daemons can read.
  */
 import type * as Core from '@berylyoke/core';
 import * as ClockReading from './ClockReading.js';
+import * as CrashReports from './CrashReports.js';
+import type * as CrashSuspects from './CrashSuspects.js';
 import * as FeedCopy from './FeedCopy.js';
 import * as FeedLoop from './FeedLoop.js';
 import type * as PathContext from './PathContext.js';
@@ -66,6 +69,7 @@
 /** Feeds of the platform and the decoders of their values. */
 export interface FeedSources {
   readonly configFeed: Ports.KeyedFeed;
+  readonly crashReportFeed: Ports.WritableKeyedFeed;
   readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.RoutingConfig | undefined;
   readonly serverFeed: Ports.KeyedFeed;
   readonly decodeServer: (key: string, raw: Buffer) => ServerTable.BackendServer | undefined;
@@ -79,6 +83,8 @@
   readonly metrics: RoutingMetrics.RoutingMetrics;
   readonly readRelay: RelayCalls.RelayClient['read'];
   readonly relayChoice: RelayChoice.RelayChoice;
+  /** Called with reports of prompt parts that crash servers. */
+  readonly onCrashReports: CrashReports.CrashReports['applyChanges'];
   /** Called when a new version of the configuration takes effect. */
   readonly onConfig: (config: RoutingConfig.RoutingConfig) => void;
 }
@@ -120,13 +126,14 @@
 /** Starts to follow the feeds. */
 export function startDaemonFeeds(context: FeedsContext): DaemonFeeds {
   const {
-    bounds, clock, configFeed, decodeConfig, decodeServer, logger, readRelay, relayChoice,
-    serverFeed,
+    bounds, clock, configFeed, crashReportFeed, decodeConfig, decodeServer, logger,
+    onCrashReports, readRelay, relayChoice, serverFeed,
   } = context;
   const readClocks = (): ClockReading.ClockReading => ClockReading.readClocks(clock);
   const servers = ServerTable.createServerTable();
   const copies = {
     configuration: FeedCopy.createFeedCopy<RoutingConfig.RoutingConfig>(),
+    crashReports: FeedCopy.createFeedCopy<CrashSuspects.PartReport>(),
     servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
   };
   let active: PathContext.ActiveConfig | undefined;
@@ -167,6 +174,8 @@
   });
 
   const configWaitMs = Math.round(bounds.keyWithdrawalMs * CONFIG_WAIT_SHARE);
+  const configMaxCopyAgeMs = configWaitMs + RELAY_SLACK_MS
+    + bounds.drainMs * RELAY_UPSTREAM_PAUSE_SHARE;
   const configContact = createContactHandlers(context, 'configuration');
   const configLoop = FeedLoop.startFeedLoop({
     copy: copies.configuration,
@@ -181,10 +190,7 @@
     onFailure: configContact.onFailure,
     onSnapshot: applyConfig,
     readClocks,
-    relay: createUpstreamRelay(
-      'configuration',
-      configWaitMs + RELAY_SLACK_MS + bounds.drainMs * RELAY_UPSTREAM_PAUSE_SHARE,
-    ),
+    relay: createUpstreamRelay('configuration', configMaxCopyAgeMs),
     retryMs: CONFIG_RETRY_DELAY_MS,
     waitMs: configWaitMs,
   });
@@ -223,6 +229,22 @@
     waitMs: 0,
   });
 
+  const crashContact = createContactHandlers(context, 'crash reports');
+  const crashLoop = FeedLoop.startFeedLoop({
+    copy: copies.crashReports,
+    decode: (_, raw) => CrashReports.decodeCrashReport(raw),
+    feed: crashReportFeed,
+    getPauseMs: () => 0,
+    onChanges: onCrashReports,
+    onContact: crashContact.onContact,
+    onFailure: crashContact.onFailure,
+    onSnapshot: onCrashReports,
+    readClocks,
+    relay: createUpstreamRelay('crashReports', configMaxCopyAgeMs),
+    retryMs: SERVERS_RETRY_DELAY_MS,
+    waitMs: configWaitMs,
+  });
+
   return {
     areKeysCurrent,
     getActiveConfig: () => active,
@@ -245,6 +267,7 @@
     servers,
     stop: () => {
       configLoop.stop();
+      crashLoop.stop();
       serverLoop.stop();
     },
   };
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -2,6 +2,7 @@
 import type * as Core from '@berylyoke/core';
 import type * as Scheduling from '@berylyoke/scheduling';
 import type * as ByteBudget from './ByteBudget.js';
+import type * as CrashReports from './CrashReports.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LogRateLimiter from './LogRateLimiter.js';
 import type * as OutcomeExchange from './OutcomeExchange.js';
@@ -56,6 +57,10 @@
   readonly health: ServerHealth.ServerHealth;
   readonly availability: ServerAvailability.ServerAvailability;
   readonly requestLimits: RequestLimits.RequestLimits;
+  /** Prompt parts that crash servers, exchanged with other daemons. */
+  readonly crashReports: Pick<
+    CrashReports.CrashReports, 'findBlocked' | 'isSuspect' | 'observeAnswer' | 'observeCrash'
+  >;
   /** Outcomes of requests at servers, exchanged with other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   readonly cache: Scheduling.CacheIndex;
--- a/packages/routing/src/Ports.ts
+++ b/packages/routing/src/Ports.ts
@@ -49,6 +49,14 @@
   ) => Effect.Effect<FeedPage, HistoryLost | StoreUnavailable>;
 }
 
+/** Feed of values by key that daemons write themselves. */
+export interface WritableKeyedFeed extends KeyedFeed {
+  /** Writes values of keys; `raw` is undefined to remove a key. */
+  readonly write: (
+    values: readonly Pick<KeyedChange, 'key' | 'raw'>[],
+  ) => Effect.Effect<void, StoreUnavailable>;
+}
+
 /** Record of a log. */
 export interface OffsetRecord {
   readonly offset: number;
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -3,6 +3,7 @@
  * request has not run and never will; 502 and 504 guarantee nothing.
  */
 import type * as Core from '@berylyoke/core';
+import * as CrashSuspects from './CrashSuspects.js';
 
 /** An error response: its status, a message for people, and the delay after which to retry. */
 export interface Refusal {
@@ -43,6 +44,11 @@
   outcome_unknown: {
     message: 'the connection to the backend server broke; the request may have run', status: 502,
   },
+  prompt_blocked: {
+    message: 'backend servers crashed under requests with a part of this prompt; it was not sent',
+    retryAfterMs: CrashSuspects.BLOCK_MS,
+    status: 503,
+  },
   stopping: { message: 'the daemon is stopping', retryAfterMs: 50, status: 503 },
   timed_out: { message: 'the time limit passed; the request may have run', status: 504 },
   timed_out_not_run: {
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -22,6 +22,7 @@
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPicker from './ServerPicker.js';
 import * as ServerPool from './ServerPool.js';
+import * as ServerTable from './ServerTable.js';
 
 /** Time limit of a request until its route is known. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -35,6 +36,12 @@
 /** Shortest silence that counts as a failure of the server. */
 const MIN_SILENCE_MS = 900;
 
+/**
+ * Time from the first event of a stream after which its server is taken to have begun the answer
+ * without harm.
+ */
+const SOUND_START_MS = 500;
+
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** An attempt in progress. */
@@ -49,6 +56,10 @@
   readonly held: ByteCollector.ByteCollector;
   /** Whether the server began to respond. */
   hasStarted: boolean;
+  /** Time of the first event; undefined before, and without a stream. */
+  firstEventMs: Core.Millis | undefined;
+  /** Whether the parts of the prompt were reported as answered. */
+  isAnswerObserved: boolean;
   /** Whether the server should be sending events; false while the caller applies backpressure. */
   isStreaming: boolean;
 }
@@ -83,6 +94,9 @@
 
   #service = '';
 
+  /** Part of the prompt because of which the request must not be sent. */
+  #blockedPart: string | undefined;
+
   /** Most recent choice of a server, for the log. */
   #lastChoice: ChoiceSummary | undefined;
 
@@ -256,11 +270,14 @@
       this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
     }
     const chosen = this.#chooseServer();
-    if (chosen === undefined) this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
-    else this.#forward(chosen, this.#route);
+    if (chosen !== undefined) this.#forward(chosen, this.#route);
+    else if (this.#blockedPart !== undefined && !this.#mayHaveRun) this.#refuse('prompt_blocked');
+    else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
   }
 
   #chooseServer(): ServerSelection.ChosenServer | undefined {
+    this.#blockedPart = this.#context.crashReports.findBlocked(this.#listSharedPartIds() ?? []);
+    if (this.#blockedPart !== undefined) return undefined;
     return ServerSelection.chooseServer(
       this.#context,
       this.#service,
@@ -315,9 +332,11 @@
     this.#attempt = {
       chosen,
       exchange,
+      firstEventMs: undefined,
       framer: undefined,
       hasStarted: false,
       head: undefined,
+      isAnswerObserved: false,
       isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#sentMs,
@@ -509,6 +528,7 @@
     // Comments and events without data keep the connection open but show no progress of the server.
     if (!events.some(({ hasData }) => hasData)) return;
     this.#recordStart(attempt);
+    this.#observeStreamProgress(attempt);
     this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
     const route = this.#route as RoutingConfig.Route;
     const canResume = RetryPolicy.canRepeat(route, this.#sends);
@@ -517,6 +537,32 @@
       : undefined);
   }
 
+  /** Clears the parts of the prompt once the stream has gone on for a while. */
+  #observeStreamProgress(attempt: Attempt): void {
+    const nowMs = this.#context.clock.readMonotonic();
+    // eslint-disable-next-line no-param-reassign
+    attempt.firstEventMs ??= nowMs;
+    if (nowMs - attempt.firstEventMs >= SOUND_START_MS) this.#observeAnswer(attempt);
+  }
+
+  #observeAnswer(attempt: Attempt): void {
+    if (attempt.isAnswerObserved) return;
+    // eslint-disable-next-line no-param-reassign
+    attempt.isAnswerObserved = true;
+    this.#context.crashReports.observeAnswer(this.#listSharedPartIds() ?? []);
+  }
+
+  /** Reports that the server ended while it began to answer, if the request may be the cause. */
+  #observeServerEnd(attempt: Attempt): void {
+    const { firstEventMs } = attempt;
+    const nowMs = this.#context.clock.readMonotonic();
+    if (firstEventMs !== undefined && nowMs - firstEventMs >= SOUND_START_MS) return;
+    this.#context.crashReports.observeCrash(
+      this.#listSharedPartIds() ?? [],
+      ServerTable.formatIncarnation(attempt.chosen.pooled.server),
+    );
+  }
+
   #relay(bytes: Buffer): void {
     const attempt = this.#attempt as Attempt;
     if (!this.#isHeadSent) this.#writeHead(attempt.head as BackendExchange.ResponseHead, undefined);
@@ -569,13 +615,14 @@
     const remainder = attempt.framer.takeRemainder();
     this.#lastEnd = { framing: head.framing, partialEventBytes: remainder.bytes.length };
     if (remainder.isPartialEvent) {
-      this.#handleAttemptFailure('broken', 'partial-event');
+      this.#handleServerEnd('partial-event');
       return;
     }
     if (!this.#isHeadSent && remainder.bytes.length === 0) {
-      this.#handleAttemptFailure('broken', 'empty-stream');
+      this.#handleServerEnd('empty-stream');
       return;
     }
+    this.#observeAnswer(attempt);
     if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
@@ -594,6 +641,7 @@
       }
     }
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, isFailure);
+    if (!isFailure) this.#observeAnswer(attempt);
     this.#context.bufferBudget.release(attempt.held.getLength());
     const body = attempt.held.take();
     this.#writeHead(head, body.length);
@@ -601,7 +649,17 @@
     this.#end(isFailure ? 'server_failed' : 'answered', head.status);
   }
 
+  /** Handles the end of a connection that an end of its server may have caused. */
+  #handleServerEnd(reason: string): void {
+    this.#observeServerEnd(this.#attempt as Attempt);
+    this.#handleAttemptFailure('broken', reason);
+  }
+
   #handleFailure(failure: BackendExchange.ExchangeFailure): void {
+    if (failure._tag === 'Broken' && failure.isConnectionEnd) {
+      this.#handleServerEnd(failure.reason);
+      return;
+    }
     this.#handleAttemptFailure(failure._tag === 'NotSent' ? 'not-sent' : 'broken', failure.reason);
   }
 
@@ -609,7 +667,12 @@
     if (this.#isEnded) return;
     this.#closeAttempt(kind, reason);
     const state = this.#getState();
-    this.#apply(RetryPolicy.chooseNextStep(kind, state, () => this.#claimRetry()));
+    // A request that may have ended several servers must not be sent to one more.
+    const isSuspect = kind === 'broken'
+      && this.#context.crashReports.isSuspect(this.#listSharedPartIds() ?? []);
+    this.#apply(isSuspect
+      ? RetryPolicy.chooseFinalStep(kind, state)
+      : RetryPolicy.chooseNextStep(kind, state, () => this.#claimRetry()));
   }
 
   /** Updates counters, server health, metrics and log for a failed attempt. */
@@ -697,17 +760,8 @@
     const refusal: Refusals.Refusal = Refusals.REFUSALS[code];
     const body = Refusals.buildRefusalBody(code);
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
-    if (refusal.retryAfterMs !== undefined) {
-      const pauseMs = code === 'no_server'
-        ? ServerSelection.computeRetryDelay(this.#context, this.#service)
-        : 0;
-      const afterMs = Refusals.computeRetryAfter(
-        Math.max(refusal.retryAfterMs, pauseMs),
-        this.#computeRemainingMs(),
-        this.#context.random,
-      );
-      headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
-    }
+    const afterMs = this.#computeRetryAfter(code, refusal);
+    if (afterMs !== undefined) headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
     const { requestId } = this.#head;
     if (requestId !== '') headers.push(this.#context.names.requestId, requestId);
     this.#addConnectionHeader(headers);
@@ -716,6 +770,22 @@
     this.#end(code, refusal.status);
   }
 
+  #computeRetryAfter(
+    code: Refusals.RefusalCode,
+    { retryAfterMs }: Refusals.Refusal,
+  ): Core.Millis | undefined {
+    // An earlier return within the caller's time would be refused as well.
+    if (retryAfterMs === undefined || code === 'prompt_blocked') return retryAfterMs;
+    const pauseMs = code === 'no_server'
+      ? ServerSelection.computeRetryDelay(this.#context, this.#service)
+      : 0;
+    return Refusals.computeRetryAfter(
+      Math.max(retryAfterMs, pauseMs),
+      this.#computeRemainingMs(),
+      this.#context.random,
+    );
+  }
+
   #end(outcome: string, status: number | undefined): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
@@ -755,6 +825,7 @@
     if (suppressed === undefined) return;
     logger.info({
       account: this.#account?.name,
+      blockedPart: this.#blockedPart,
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
       choice: this.#describeChoice(),
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -7,6 +7,7 @@
 import * as ByteBudget from './ByteBudget.js';
 import * as ClockReading from './ClockReading.js';
 import * as CountsHandOver from './CountsHandOver.js';
+import * as CrashReports from './CrashReports.js';
 import * as DaemonFeeds from './DaemonFeeds.js';
 import * as DefectHandler from './DefectHandler.js';
 import * as DutyRunner from './DutyRunner.js';
@@ -100,8 +101,8 @@
 /** Starts a daemon; resolves when it listens. */
 export async function startRoutingDaemon(options: DaemonOptions): Promise<RoutingDaemon> {
   const {
-    calls, clock, configFeed, countsLog, decodeConfig, decodeServer, dutyLog, log, names,
-    serverFeed, settings,
+    calls, clock, configFeed, countsLog, crashReportFeed, decodeConfig, decodeServer, dutyLog, log,
+    names, serverFeed, settings,
   } = options;
   const logger = Core.getPartLogger(log.logger, 'routing');
   const trueTime = TrueTime.createTrueTime(() => ClockReading.readClocks(clock));
@@ -121,8 +122,15 @@
   const requestLimits = RequestLimits.createRequestLimits({
     getShare: getFleetShare, random: Math.random,
   });
+  const crashReports = CrashReports.startCrashReports({
+    daemonId: settings.daemonId,
+    logger,
+    readTrueTime: trueTime.read,
+    write: crashReportFeed.write,
+  });
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
+    countBlockedParts: crashReports.countBlocked,
     countDroppedLogs: log.countDroppedRecords,
     countLimitedServers: () => {
       const nowMs = clock.readMonotonic();
@@ -153,10 +161,12 @@
     bounds: settings.bounds,
     clock,
     configFeed,
+    crashReportFeed,
     decodeConfig,
     decodeServer,
     logger,
     metrics,
+    onCrashReports: crashReports.applyChanges,
     onConfig: ({ limits }) => entry?.setLimits(limits),
     readRelay: relayClient.read,
     relayChoice,
@@ -186,6 +196,7 @@
     cache: Scheduling.createCacheIndex(),
     clock,
     countDaemons,
+    crashReports,
     countDemand: (service, tokens) => usageCounter.addDemand(service, tokens, trueTime.read()),
     countStartedRequest: (account) => usageCounter.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
@@ -290,6 +301,7 @@
     await resigned;
     await stopDuties();
     feeds.stop();
+    crashReports.stop();
     outcomes.stop();
     clearInterval(poolCheck);
     pool.close();
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -30,6 +30,7 @@
 /** Values that are read from the process when the metrics are rendered. */
 export interface MetricSources {
   readonly countActive: () => number;
+  readonly countBlockedParts: () => number;
   readonly countDroppedLogs: () => number;
   readonly countLimitedServers: () => number;
 }
@@ -77,6 +78,11 @@
     'Log records dropped because their reader was too slow',
     sources.countDroppedLogs,
   );
+  registerGauge(
+    'berylyoke_blocked_prompt_parts',
+    'Prompt parts that crashed backend servers and are not sent to any',
+    sources.countBlockedParts,
+  );
   registerGauge(
     'berylyoke_limited_servers',
     'Backend servers that announce a request limit',
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -1,6 +1,7 @@
 /** Handles requests against raw TCP servers, so that a test controls each byte of a response. */
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import * as Effect from 'effect/Effect';
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as RoutedRequest from '../../RoutedRequest.js';
@@ -192,6 +193,12 @@
   const pool = ServerPool.createServerPool(() => 8);
   const fleet = Routing.createFleetView();
   const observed = Routing.createOutcomeBuffer();
+  const crashReports = Routing.startCrashReports({
+    daemonId: 'd',
+    logger: silentLogger,
+    readTrueTime: Core.systemClock.readMonotonic,
+    write: () => Effect.void,
+  });
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
@@ -209,6 +216,7 @@
       }
       startedAccounts.push(account);
     },
+    crashReports,
     dataCentre: 'a',
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
@@ -219,7 +227,10 @@
     bufferBudget: ByteBudget.createByteBudget(10_000),
     logger: silentLogger,
     metrics: RoutingMetrics.createRoutingMetrics({
-      countActive: () => 0, countDroppedLogs: () => 0, countLimitedServers: () => 0,
+      countActive: () => 0,
+      countBlockedParts: () => 0,
+      countDroppedLogs: () => 0,
+      countLimitedServers: () => 0,
     }),
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
@@ -286,6 +297,7 @@
       if (disconnectAfterMs !== undefined) setTimeout(() => request.destroy(), disconnectAfterMs);
     }),
     close: () => {
+      crashReports.stop();
       pool.close();
       listener.close();
       listener.closeAllConnections();
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
@@ -0,0 +1,120 @@
+import { describe, expect, test } from 'vitest';
+import * as CrashSuspects from '../../CrashSuspects.js';
+
+const START_MS = 1_000_000;
+
+/** Records crashes of different servers under requests with these parts, 100 ms apart. */
+function observeCrashes(
+  suspects: CrashSuspects.CrashSuspects,
+  partIds: readonly string[],
+  servers: readonly string[],
+): void {
+  servers.forEach((server, index) => {
+    suspects.observeCrash(partIds, server, START_MS + 100 * index);
+  });
+}
+
+const NOW_MS = START_MS + 1_000;
+
+describe('a part under which three servers ended', () => {
+  test('blocks requests with it, and no others', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['bad'], ['s1', 's2']);
+    expect(suspects.findBlocked(['bad'], NOW_MS)).toBeUndefined();
+    expect(suspects.isSuspect(['bad'], NOW_MS)).toBe(true);
+    suspects.observeCrash(['bad'], 's3', NOW_MS);
+    expect(suspects.findBlocked(['other', 'bad'], NOW_MS)).toBe('bad');
+    expect(suspects.findBlocked(['other'], NOW_MS)).toBeUndefined();
+  });
+
+  test('is blocked also if the crashes were seen by different daemons', () => {
+    const daemons = ['s1', 's2', 's3'].map((server) => {
+      const suspects = CrashSuspects.createCrashSuspects();
+      suspects.observeCrash(['bad'], server, START_MS);
+      return suspects;
+    });
+    const reader = CrashSuspects.createCrashSuspects();
+    daemons.forEach(({ getReport }) => reader.mergeReport('bad', getReport('bad', START_MS)));
+    expect(reader.findBlocked(['bad'], NOW_MS)).toBe('bad');
+  });
+
+  test('is not blocked by several reports of one crash', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['bad'], ['s1', 's1', 's1']);
+    expect(suspects.findBlocked(['bad'], NOW_MS)).toBeUndefined();
+  });
+
+  test('is blocked again by the first crash after its time', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['bad'], ['s1', 's2', 's3']);
+    const laterMs = NOW_MS + CrashSuspects.BLOCK_MS;
+    expect(suspects.findBlocked(['bad'], laterMs)).toBeUndefined();
+    suspects.observeCrash(['bad'], 's4', laterMs);
+    expect(suspects.findBlocked(['bad'], laterMs)).toBe('bad');
+  });
+});
+
+/** Sound requests share the account and the other parts of requests that crash servers. */
+describe('a sound part of requests that crash servers', () => {
+  test('is no suspect if it was answered shortly before', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    suspects.observeAnswer(['shared'], START_MS - 500);
+    observeCrashes(suspects, ['shared', 'bad'], ['s1', 's2', 's3']);
+    expect(suspects.findBlocked(['shared'], NOW_MS)).toBeUndefined();
+    expect(suspects.findBlocked(['shared', 'bad'], NOW_MS)).toBe('bad');
+  });
+
+  test('is cleared by an answer, also at other daemons', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['shared', 'bad'], ['s1', 's2', 's3']);
+    expect(suspects.observeAnswer(['shared'], NOW_MS)).toEqual(['shared']);
+    const other = CrashSuspects.createCrashSuspects();
+    observeCrashes(other, ['shared'], ['s1', 's2', 's3']);
+    other.mergeReport('shared', suspects.getReport('shared', NOW_MS));
+    expect(other.isSuspect(['shared'], NOW_MS)).toBe(false);
+  });
+
+  test('is cleared by an answer at a daemon whose clock is behind', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['shared'], ['s1', 's2', 's3']);
+    suspects.observeAnswer(['shared'], START_MS - 5_000);
+    expect(suspects.isSuspect(['shared'], NOW_MS)).toBe(false);
+  });
+
+  // Guards against the refusal of rare requests, of which none was answered meanwhile.
+  test('is not blamed for crashes that a part with more of them explains', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['rare', 'bad'], ['s1', 's2', 's3']);
+    suspects.observeCrash(['common', 'bad'], 's4', NOW_MS);
+    expect(suspects.findBlocked(['rare'], NOW_MS)).toBeUndefined();
+    expect(suspects.findBlocked(['common', 'bad'], NOW_MS)).toBe('bad');
+  });
+
+  test('with the same crashes is only blocked together with the other part', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['rare', 'bad'], ['s1', 's2', 's3']);
+    expect(suspects.findBlocked(['rare'], NOW_MS)).toBeUndefined();
+    expect(suspects.findBlocked(['rare', 'bad'], NOW_MS)).toBeDefined();
+  });
+
+  test('does not hide a second part that crashes other servers', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeCrashes(suspects, ['bad-1'], ['s1', 's2', 's3', 's4']);
+    observeCrashes(suspects, ['bad-2'], ['s5', 's6', 's7']);
+    expect(suspects.findBlocked(['bad-1'], NOW_MS)).toBe('bad-1');
+    expect(suspects.findBlocked(['bad-2'], NOW_MS)).toBe('bad-2');
+  });
+});
+
+test('the stored parts and crashes are bounded', () => {
+  const suspects = CrashSuspects.createCrashSuspects();
+  Array.from({ length: 5_000 }, (_, index) => suspects.observeCrash(
+    [`part-${index}`],
+    's',
+    START_MS,
+  ));
+  Array.from({ length: 100 }, (_, index) => suspects.observeCrash(['bad'], `s${index}`, START_MS));
+  expect(suspects.getReport('part-0', START_MS).crashes).toEqual([]);
+  expect(suspects.getReport('bad', START_MS).crashes).toHaveLength(16);
+  expect(suspects.findBlocked(['bad'], START_MS)).toBe('bad');
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,8 @@
 export * from './ClockReading.js';
 export * from './CountsHandOver.js';
 export * from './CountsRecord.js';
+export * from './CrashReports.js';
+export * from './CrashSuspects.js';
 export * from './DutyLease.js';
 export * from './DutyRunner.js';
 export * from './EventFramer.js';
