Blame no prompt part for servers that end together or live on

Thinking the block of crashing prompts through to 195 daemons: when a data centre is lost, requests with a popular part wait at each of its servers, so its loss alone would have blocked the part, and retries of those requests with it, until one was answered. Servers that reset connections at random would have blocked rare parts for ten minutes.

Crashes less than 0.3 s apart now count as one, and a server that answers a later request did not end. Retry-After of a blocked prompt is 30 s instead of ten minutes, because an answer elsewhere may unblock it.

--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -52,6 +52,8 @@
   readonly observeCrash: (partIds: readonly string[], server: string) => void;
   /** Records that a request with these parts was answered. */
   readonly observeAnswer: (partIds: readonly string[]) => void;
+  /** Records that a server answered a request that was sent `elapsedMs` ago. */
+  readonly observeServerAnswer: (server: string, elapsedMs: Core.Millis) => void;
   /** Finds a part because of which a request must not be sent. */
   readonly findBlocked: (partIds: readonly string[]) => string | undefined;
   /** Checks whether a request has a part under which several servers ended. */
@@ -143,9 +145,10 @@
   }, CLEARED_RETENTION_MS);
   return {
     applyChanges: (changes) => {
+      const nowMs = readTrueTime();
       changes.forEach(({ key, value }) => {
         const [partId] = key.split(KEY_SEPARATOR);
-        if (value !== undefined && partId !== undefined) suspects.mergeReport(partId, value);
+        if (value !== undefined && partId !== undefined) suspects.mergeReport(partId, value, nowMs);
       });
       logChanges();
     },
@@ -156,6 +159,9 @@
     observeCrash: (partIds, server) => {
       report(suspects.observeCrash(partIds, server, readTrueTime()));
     },
+    observeServerAnswer: (server, elapsedMs) => {
+      suspects.observeServerAnswer(server, readTrueTime() - elapsedMs);
+    },
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -3,7 +3,8 @@
  * server that begins to answer it, so the part is told from the servers that ended under requests
  * that had barely been answered, by the reports of all daemons together. Those requests have other
  * parts as well, which sound requests share: an answer to a request clears all of its parts, and a
- * part is not blamed for crashes that another part explains better. All times are estimates of the
+ * part is not blamed for crashes that another part explains better. A server that answers later did
+ * not crash; only its connection ended. All times are estimates of the
  * true time in Unix milliseconds, because daemons exchange them.
  */
 import type * as Core from '@berylyoke/core';
@@ -38,8 +39,10 @@
    * @returns the parts to report: those that were suspected
    */
   readonly observeAnswer: (partIds: readonly string[], nowMs: Core.Millis) => readonly string[];
+  /** Records that a server answered a request that was sent at `sentMs`. */
+  readonly observeServerAnswer: (server: string, sentMs: Core.Millis) => void;
   /** Merges the report of another daemon. */
-  readonly mergeReport: (partId: string, report: PartReport) => void;
+  readonly mergeReport: (partId: string, report: PartReport, nowMs: Core.Millis) => void;
   /** Returns the merged report of a part, without crashes that no longer count. */
   readonly getReport: (partId: string, nowMs: Core.Millis) => PartReport;
   /** Finds a part because of which a request must not be sent; undefined if there is none. */
@@ -50,12 +53,18 @@
   readonly listBlocked: (nowMs: Core.Millis) => readonly string[];
 }
 
-/** Number of servers that have to end under a part before requests with it are blocked. */
+/** Number of separate crashes under a part before requests with it are blocked. */
 const MIN_BLOCKING_CRASHES = 3;
 
-/** Number of servers that have to end under a part before requests with it are not retried. */
+/** Number of separate crashes under a part before requests with it are not retried. */
 const MIN_SUSPECT_CRASHES = 2;
 
+/**
+ * Time within which crashes count as one. Servers that end together, such as those of a data centre
+ * that is lost, have another cause than the requests that wait at each of them.
+ */
+const SEPARATE_CRASHES_MS = 300;
+
 /**
  * Time after the newest crash for which a part is blocked. The first crash after it blocks the part
  * again, since the earlier crashes still count.
@@ -68,8 +77,8 @@
 /** Time after an answer in which a crash does not make a part of its request a suspect. */
 const ANSWER_VALID_MS = 3_000;
 
-/** Maximum number of stored parts, of each kind; more are in use only in an attack. */
-const MAX_PARTS = 2_000;
+/** Maximum number of stored parts and servers; more are in use only in an attack. */
+const MAX_ENTRIES = 2_000;
 
 /** Maximum number of crashes of one part that are kept and reported. */
 const MAX_CRASHES = 16;
@@ -80,7 +89,7 @@
   map.delete(key);
   map.set(key, value);
   const [oldest] = map.keys();
-  if (map.size > MAX_PARTS && oldest !== undefined) map.delete(oldest);
+  if (map.size > MAX_ENTRIES && oldest !== undefined) map.delete(oldest);
 }
 
 function mergeReports(a: PartReport, b: PartReport): PartReport {
@@ -91,6 +100,18 @@
   return { clearedMs, crashes };
 }
 
+/** Counts crashes that are not at the same time as another one; they are sorted by time. */
+function countSeparate(crashes: readonly Crash[]): number {
+  let count = 0;
+  let lastMs = -Infinity;
+  crashes.forEach(({ atMs }) => {
+    if (atMs - lastMs < SEPARATE_CRASHES_MS) return;
+    count += 1;
+    lastMs = atMs;
+  });
+  return count;
+}
+
 function countUnshared(crashes: readonly Crash[], others: readonly Crash[]): number {
   const servers = new Set(others.map(({ server }) => server));
   return crashes.filter(({ server }) => !servers.has(server)).length;
@@ -101,20 +122,33 @@
   const reports = new Map<string, PartReport>();
   const answeredMs = new Map<string, Core.Millis>();
 
+  /** Time at which this daemon learned of the end of each server. */
+  const endKnownMs = new Map<string, Core.Millis>();
+  /** Servers that answered after their reported end. */
+  const aliveServers = new Map<string, true>();
+
   const getReport = (partId: string, nowMs: Core.Millis): PartReport => {
     const { clearedMs, crashes } = reports.get(partId) ?? EMPTY_REPORT;
-    return { clearedMs, crashes: crashes.filter(({ atMs }) => nowMs - atMs < MAX_CRASH_AGE_MS) };
+    return {
+      clearedMs,
+      crashes: crashes.filter(({ atMs, server }) => (
+        nowMs - atMs < MAX_CRASH_AGE_MS && !aliveServers.has(server)
+      )),
+    };
   };
   const listCrashes = (partId: string, nowMs: Core.Millis): readonly Crash[] => (
     getReport(partId, nowMs).crashes
   );
   const hasBlockingCrashes = (crashes: readonly Crash[], nowMs: Core.Millis): boolean => (
-    crashes.length >= MIN_BLOCKING_CRASHES
+    countSeparate(crashes) >= MIN_BLOCKING_CRASHES
     && crashes.some(({ atMs }) => nowMs - atMs < BLOCK_MS)
   );
   const listBlocked = (nowMs: Core.Millis): readonly string[] => [...reports.keys()]
     .filter((partId) => hasBlockingCrashes(listCrashes(partId, nowMs), nowMs));
-  const mergeReport: CrashSuspects['mergeReport'] = (partId, report) => {
+  const mergeReport: CrashSuspects['mergeReport'] = (partId, report, nowMs) => {
+    report.crashes.filter(({ server }) => !endKnownMs.has(server)).forEach(({ server }) => {
+      setBounded(endKnownMs, server, nowMs);
+    });
     setBounded(reports, partId, mergeReports(reports.get(partId) ?? EMPTY_REPORT, report));
   };
   /**
@@ -145,7 +179,7 @@
     ),
     getReport,
     isSuspect: (partIds, nowMs) => partIds.some((partId) => (
-      listCrashes(partId, nowMs).length >= MIN_SUSPECT_CRASHES
+      countSeparate(listCrashes(partId, nowMs)) >= MIN_SUSPECT_CRASHES
     )),
     listBlocked,
     mergeReport,
@@ -155,12 +189,15 @@
       if (crashes.length === 0) return false;
       // A crash may bear the time of another daemon, whose estimate is ahead.
       const clearedMs = Math.max(nowMs, ...crashes.map(({ atMs }) => atMs));
-      mergeReport(partId, { clearedMs, crashes: [] });
+      mergeReport(partId, { clearedMs, crashes: [] }, nowMs);
       return true;
     }),
+    observeServerAnswer: (server, sentMs) => {
+      if (sentMs > (endKnownMs.get(server) ?? Infinity)) setBounded(aliveServers, server, true);
+    },
     observeCrash: (partIds, server, nowMs) => partIds.filter((partId) => {
       if (nowMs - (answeredMs.get(partId) ?? -Infinity) < ANSWER_VALID_MS) return false;
-      mergeReport(partId, { clearedMs: 0, crashes: [{ atMs: nowMs, server }] });
+      mergeReport(partId, { clearedMs: 0, crashes: [{ atMs: nowMs, server }] }, nowMs);
       return true;
     }),
   };
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -59,7 +59,8 @@
   readonly requestLimits: RequestLimits.RequestLimits;
   /** Prompt parts that crash servers, exchanged with other daemons. */
   readonly crashReports: Pick<
-    CrashReports.CrashReports, 'findBlocked' | 'isSuspect' | 'observeAnswer' | 'observeCrash'
+    CrashReports.CrashReports,
+    'findBlocked' | 'isSuspect' | 'observeAnswer' | 'observeCrash' | 'observeServerAnswer'
   >;
   /** Outcomes of requests at servers, exchanged with other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -3,7 +3,6 @@
  * request has not run and never will; 502 and 504 guarantee nothing.
  */
 import type * as Core from '@berylyoke/core';
-import * as CrashSuspects from './CrashSuspects.js';
 
 /** An error response: its status, a message for people, and the delay after which to retry. */
 export interface Refusal {
@@ -13,6 +12,9 @@
   readonly retryAfterMs?: Core.Millis;
 }
 
+/** Retry-After of a blocked prompt, which an answer to another request may unblock. */
+const BLOCKED_RETRY_AFTER_MS = 30_000;
+
 /** All refusals by code. */
 export const REFUSALS = {
   body_too_large: { message: 'the body is larger than the limit', status: 413 },
@@ -46,7 +48,7 @@
   },
   prompt_blocked: {
     message: 'backend servers crashed under requests with a part of this prompt; it was not sent',
-    retryAfterMs: CrashSuspects.BLOCK_MS,
+    retryAfterMs: BLOCKED_RETRY_AFTER_MS,
     status: 503,
   },
   stopping: { message: 'the daemon is stopping', retryAfterMs: 50, status: 503 },
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -459,6 +459,10 @@
     }
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
+    this.#context.crashReports.observeServerAnswer(
+      ServerTable.formatIncarnation(attempt.chosen.pooled.server),
+      this.#context.clock.readMonotonic() - attempt.startedMs,
+    );
     if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head.headers)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
