Close a busy listener only after an iteration without connections

Reproduced without load: iterations of 5 ms, each with a new connection, for 800 ms; the listener was closed at 516 ms between them. After 500 ms an iteration of any length will do now, but still none in which a connection came, for up to half of the time of the drain, which now counts from its start.

--- a/packages/core/src/DrainListener.ts
+++ b/packages/core/src/DrainListener.ts
@@ -11,9 +11,15 @@
 /** An iteration shorter than this leaves hardly any time for a connection to arrive unnoticed. */
 const QUIET_ITERATION_MS = 2;
 
-/** Time after which the listener is closed even without a quiet iteration. */
+/**
+ * Time after which an iteration without a new connection is enough, however long it was: on a busy
+ * machine none is short.
+ */
 const MAX_QUIET_WAIT_MS = 500;
 
+/** Time after which the listener is closed in any case, as a share of the time for the drain. */
+const MAX_WAIT_SHARE = 0.5;
+
 /** Interval at which connections that became idle are closed. */
 const IDLE_CHECK_INTERVAL_MS = 50;
 
@@ -21,7 +27,7 @@
  * Waits for a short event loop iteration in which no connection was accepted. An empty iteration
  * means an empty accept queue, because each iteration accepts only one connection.
  */
-function waitForQuietIteration(server: http.Server): Promise<void> {
+function waitForQuietIteration(server: http.Server, maxWaitMs: Clock.Millis): Promise<void> {
   const startMs = Clock.systemClock.readMonotonic();
   let acceptedCount = 0;
   const countConnection = (): void => {
@@ -31,8 +37,9 @@
   return new Promise<void>((resolve) => {
     const checkIteration = (previousMs: Clock.Millis, previousCount: number): void => {
       const nowMs = Clock.systemClock.readMonotonic();
-      const isQuiet = nowMs - previousMs < QUIET_ITERATION_MS && acceptedCount === previousCount;
-      if (isQuiet || nowMs - startMs > MAX_QUIET_WAIT_MS) resolve();
+      const waitedMs = nowMs - startMs;
+      const isShort = nowMs - previousMs < QUIET_ITERATION_MS || waitedMs > MAX_QUIET_WAIT_MS;
+      if ((isShort && acceptedCount === previousCount) || waitedMs > maxWaitMs) resolve();
       else setImmediate(checkIteration, nowMs, acceptedCount);
     };
     setImmediate(() => setImmediate(
@@ -47,10 +54,11 @@
  * Closes a listener. Resolves when every request in progress has been answered and its connection
  * is closed.
  *
- * @param timeoutMs time after the close at which the remaining connections are destroyed
+ * @param timeoutMs time after which the remaining connections are destroyed
  */
 export async function drainListener(server: http.Server, timeoutMs: Clock.Millis): Promise<void> {
-  await waitForQuietIteration(server);
+  const startMs = Clock.systemClock.readMonotonic();
+  await waitForQuietIteration(server, timeoutMs * MAX_WAIT_SHARE);
   const closed = new Promise((resolve) => {
     server.close(resolve);
   });
@@ -60,7 +68,8 @@
   const idleCheck = setInterval(() => {
     setImmediate(() => server.closeIdleConnections());
   }, IDLE_CHECK_INTERVAL_MS);
-  const timeout = setTimeout(() => server.closeAllConnections(), timeoutMs);
+  const remainingMs = startMs + timeoutMs - Clock.systemClock.readMonotonic();
+  const timeout = setTimeout(() => server.closeAllConnections(), Math.max(0, remainingMs));
   await closed;
   clearInterval(idleCheck);
   clearTimeout(timeout);
--- a/packages/core/src/__tests__/unit/DrainListener.test.ts
+++ b/packages/core/src/__tests__/unit/DrainListener.test.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as workerThreads from 'node:worker_threads';
 import { afterEach, expect, test } from 'vitest';
 import * as Core from '../../index.js';
@@ -77,6 +77,51 @@
   await expect.poll(() => answers).toEqual(Array(CLIENTS).fill('HTTP/1.1 200 OK'));
 });
 
+/** Blocks this thread, as a busy machine does. */
+function block(timeMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, timeMs);
+}
+
+// Guards against a close while connections arrive in every iteration, on a machine on which none is
+// short: the accept queue, whose connections are reset, is not empty then.
+test('a listener whose event loop is slow is not closed while connections arrive', async () => {
+  const { server } = await startServer();
+  const ARRIVALS_MS = 800;
+  const startMs = performance.now();
+  let closedAfterArrivals: boolean | undefined;
+  let hasArrived = false;
+  const iterate = (): void => {
+    if (closedAfterArrivals !== undefined) return;
+    block(5);
+    hasArrived = performance.now() - startMs < ARRIVALS_MS;
+    if (hasArrived) server.emit('connection', new net.Socket());
+    setImmediate(iterate);
+  };
+  const { close } = server;
+  server.close = (...values) => {
+    closedAfterArrivals = !hasArrived;
+    return close.apply(server, values);
+  };
+  iterate();
+  await Core.drainListener(server, 5_000);
+  expect(closedAfterArrivals).toBe(true);
+});
+
+// Guards against a stop that never ends while connections go on to arrive.
+test('a listener is closed even if connections arrive without end', async () => {
+  const { server } = await startServer();
+  let isOver = false;
+  const iterate = (): void => {
+    if (isOver) return;
+    server.emit('connection', new net.Socket());
+    setImmediate(iterate);
+  };
+  iterate();
+  await Core.drainListener(server, 1_500);
+  isOver = true;
+  expect(server.listening).toBe(false);
+});
+
 test('a listener without connections closes at once and frees its port', async () => {
   const { port, server } = await startServer();
   await Core.drainListener(server, 5_000);
