Send no requests to an evacuated data centre

The record comes with the feed of the configuration, also through relays; servers of the data centre are no candidates until it is removed, and where none is left the request is refused as not run. The test of two daemons failed before (requests went on to the evacuated data centre) and passes. Orders of servers do not know of evacuations yet.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -107,6 +107,11 @@
   'duties lost': Schema.Struct({
     ...COMMON_FIELDS, fence: Schema.optional(Count), reason: Schema.String,
   }),
+  'evacuated data centres changed': Schema.Struct({
+    ...COMMON_FIELDS,
+    dataCentres: Schema.Array(Schema.String),
+    previous: Schema.Array(Schema.String),
+  }),
   'health of a server changed': Schema.Struct({
     ...COMMON_FIELDS, reason: Schema.Unknown, server: Schema.String, service: Schema.String,
   }),
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -70,7 +70,7 @@
 export interface FeedSources {
   readonly configFeed: Ports.KeyedFeed;
   readonly crashReportFeed: Ports.WritableKeyedFeed;
-  readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.RoutingConfig | undefined;
+  readonly decodeConfig: (key: string, raw: Buffer) => RoutingConfig.OperatorRecord | undefined;
   readonly serverFeed: Ports.KeyedFeed;
   readonly decodeServer: (key: string, raw: Buffer) => ServerTable.BackendServer | undefined;
 }
@@ -132,7 +132,7 @@
   const readClocks = (): ClockReading.ClockReading => ClockReading.readClocks(clock);
   const servers = ServerTable.createServerTable();
   const copies = {
-    configuration: FeedCopy.createFeedCopy<RoutingConfig.RoutingConfig>(),
+    configuration: FeedCopy.createFeedCopy<RoutingConfig.OperatorRecord>(),
     crashReports: FeedCopy.createFeedCopy<CrashSuspects.PartReport>(),
     servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
   };
@@ -145,21 +145,38 @@
     readClocks(),
     bounds.keyWithdrawalMs - KEY_MARGIN_MS,
   );
-  const applyConfig = (
-    changes: readonly FeedCopy.DecodedChange<RoutingConfig.RoutingConfig>[],
+  const applyConfig = (config: RoutingConfig.RoutingConfig): void => {
+    if (active !== undefined && config.version <= active.config.version) return;
+    active = { config, routes: RouteTable.buildRouteTable(config.routes) };
+    context.onConfig(config);
+    logger.info({
+      accounts: config.accountsByKeyDigest?.size,
+      routes: config.routes.length,
+      version: config.version,
+    }, 'configuration in force');
+  };
+  /** Evacuated data centres by the key of their record. */
+  let evacuations: ReadonlyMap<string, string> = new Map();
+  const setEvacuations = (next: ReadonlyMap<string, string>): void => {
+    const dataCentres = [...new Set(next.values())].sort();
+    const previous = [...new Set(evacuations.values())].sort();
+    evacuations = next;
+    servers.setEvacuated(new Set(dataCentres));
+    if (dataCentres.join() !== previous.join()) {
+      logger.info({ dataCentres, previous }, 'evacuated data centres changed');
+    }
+  };
+  const applyOperatorRecords = (
+    changes: readonly FeedCopy.DecodedChange<RoutingConfig.OperatorRecord>[],
+    knownEvacuations: ReadonlyMap<string, string>,
   ): void => {
-    changes.forEach(({ value }) => {
-      if (value === undefined || (active !== undefined && value.version <= active.config.version)) {
-        return;
-      }
-      active = { config: value, routes: RouteTable.buildRouteTable(value.routes) };
-      context.onConfig(value);
-      logger.info({
-        accounts: value.accountsByKeyDigest?.size,
-        routes: value.routes.length,
-        version: value.version,
-      }, 'configuration in force');
+    const nextEvacuations = new Map(knownEvacuations);
+    changes.forEach(({ key, value }) => {
+      if (value?._tag === 'Configuration') applyConfig(value.config);
+      else if (value?._tag === 'Evacuation') nextEvacuations.set(key, value.dataCentre);
+      else nextEvacuations.delete(key);
     });
+    setEvacuations(nextEvacuations);
   };
   const createUpstreamRelay = (
     feed: keyof typeof copies,
@@ -182,13 +199,13 @@
     decode: decodeConfig,
     feed: configFeed,
     getPauseMs: () => 0,
-    onChanges: applyConfig,
+    onChanges: (changes) => applyOperatorRecords(changes, evacuations),
     onContact: (verifiedAt) => {
       keysVerifiedAt = verifiedAt;
       configContact.onContact();
     },
     onFailure: configContact.onFailure,
-    onSnapshot: applyConfig,
+    onSnapshot: (changes) => applyOperatorRecords(changes, new Map()),
     readClocks,
     relay: createUpstreamRelay('configuration', configMaxCopyAgeMs),
     retryMs: CONFIG_RETRY_DELAY_MS,
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -89,3 +89,7 @@
 export function hashKey(key: string): string {
   return crypto.createHash('sha256').update(key).digest('base64');
 }
+
+/** Record of the operator: the configuration, or a data centre whose servers get no requests. */
+export type OperatorRecord = { readonly _tag: 'Configuration'; readonly config: RoutingConfig }
+  | { readonly _tag: 'Evacuation'; readonly dataCentre: string };
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -50,6 +50,8 @@
   readonly observeRead: (nowMs: Core.Millis) => void;
   /** Records a failed read of the entries. */
   readonly observeReadFailure: () => void;
+  /** Replaces the set of data centres whose servers get no requests. */
+  readonly setEvacuated: (dataCentres: ReadonlySet<string>) => void;
   /** Lists the servers of a service that accept new requests. */
   readonly listServing: (service: string, nowMs: Core.Millis) => readonly BackendServer[];
   /** Lists every server with an entry. */
@@ -64,6 +66,7 @@
   let lastReadMs: Core.Millis | undefined;
   let recoveredMs: Core.Millis | undefined;
   let hasFailed = false;
+  let evacuated: ReadonlySet<string> = new Set();
 
   const removeEntry = (id: string, nowMs: Core.Millis): void => {
     const isAfterOutage = recoveredMs !== undefined && nowMs - recoveredMs < RENEWAL_GRACE_MS;
@@ -96,8 +99,12 @@
       removeExpired(nowMs);
       return [...servers.values()].filter((server) => (
         server.service === service && server.state === 'ready'
+        && !evacuated.has(server.dataCentre)
       ));
     },
+    setEvacuated: (dataCentres) => {
+      evacuated = dataCentres;
+    },
     observeRead: (nowMs) => {
       const hadLongGap = lastReadMs !== undefined && nowMs - lastReadMs > OUTAGE_MS;
       if (hasFailed && hadLongGap) recoveredMs = nowMs;
