Limit the requests to cold servers by the rate of their service

No daemon read how long a server is cold, nor the rate. A server that turns cold is not seen before its entry is read.

--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -2,6 +2,7 @@
 import type * as Core from '@berylyoke/core';
 import type * as Scheduling from '@berylyoke/scheduling';
 import type * as ByteBudget from './ByteBudget.js';
+import type * as ColdLimits from './ColdLimits.js';
 import type * as CrashReports from './CrashReports.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LogRateLimiter from './LogRateLimiter.js';
@@ -57,6 +58,7 @@
   readonly health: ServerHealth.ServerHealth;
   readonly availability: ServerAvailability.ServerAvailability;
   readonly requestLimits: RequestLimits.RequestLimits;
+  readonly coldLimits: ColdLimits.ColdLimits;
   /** Prompt parts that crash servers, exchanged with other daemons. */
   readonly crashReports: Pick<
     CrashReports.CrashReports,
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -296,7 +296,7 @@
     const pendingPromptTokens = this.#recordDispatch(chosen);
     const { pooled } = chosen;
     const nowMs = this.#context.clock.readMonotonic();
-    this.#context.requestLimits.recordSend(server, nowMs);
+    ServerSelection.recordSend(this.#context, server, nowMs);
     if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, nowMs);
     pooled.inFlight += 1;
     pooled.pendingPromptTokens += pendingPromptTokens;
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -56,6 +56,11 @@
   readonly name: string;
   /** Maximum number of connections that one server accepts from all of its clients together. */
   readonly maxConnections: number;
+  /**
+   * Requests a second that a cold server takes from all daemons together; undefined if it takes as
+   * many as a warm one.
+   */
+  readonly coldRequestsPerS?: number | undefined;
   /** Limits and prices of orders; undefined if the pool has a fixed size. */
   readonly purchase: PurchaseTerms | undefined;
 }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -6,6 +6,7 @@
 import * as Scheduling from '@berylyoke/scheduling';
 import * as ByteBudget from './ByteBudget.js';
 import * as ClockReading from './ClockReading.js';
+import * as ColdLimits from './ColdLimits.js';
 import * as CountsHandOver from './CountsHandOver.js';
 import * as CrashReports from './CrashReports.js';
 import * as DaemonFeeds from './DaemonFeeds.js';
@@ -195,6 +196,7 @@
     areKeysCurrent: feeds.areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
     clock,
+    coldLimits: ColdLimits.createColdLimits({ getShare: getFleetShare, random: Math.random }),
     countDaemons,
     crashReports,
     countDemand: (service, tokens) => usageCounter.addDemand(service, tokens, trueTime.read()),
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -3,6 +3,7 @@
  * each available server of the service and lets `ServerPicker` compare them.
  */
 import * as Core from '@berylyoke/core';
+import type * as ColdLimits from './ColdLimits.js';
 import * as FailureRate from './FailureRate.js';
 import type * as PathContext from './PathContext.js';
 import * as ServerObservation from './ServerObservation.js';
@@ -41,6 +42,39 @@
   return key === undefined ? undefined : Core.hashText(key);
 }
 
+type ColdContext = Pick<PathContext.PathContext, 'coldLimits' | 'getActiveConfig' | 'servers'>;
+
+/** Returns the limit of a cold server; undefined if it is warm or takes any number of requests. */
+function findColdServer(
+  { getActiveConfig, servers }: ColdContext,
+  server: ServerTable.BackendServer,
+  nowMs: Core.Millis,
+): ColdLimits.ColdServer | undefined {
+  if (!servers.isCold(server.id, nowMs)) return undefined;
+  const requestsPerS = getActiveConfig()?.config.services.get(server.service)?.coldRequestsPerS;
+  return requestsPerS === undefined ? undefined : { incarnation: server, requestsPerS };
+}
+
+function computeColdWait(
+  context: ColdContext,
+  server: ServerTable.BackendServer,
+  nowMs: Core.Millis,
+): Core.Millis {
+  const cold = findColdServer(context, server, nowMs);
+  return cold === undefined ? 0 : context.coldLimits.computeWait(cold, nowMs);
+}
+
+/** Records that a request is sent to a server, whose requests may be limited. */
+export function recordSend(
+  context: ColdContext & Pick<PathContext.PathContext, 'requestLimits'>,
+  server: ServerTable.BackendServer,
+  nowMs: Core.Millis,
+): void {
+  context.requestLimits.recordSend(server, nowMs);
+  const cold = findColdServer(context, server, nowMs);
+  if (cold !== undefined) context.coldLimits.recordSend(cold, nowMs);
+}
+
 /** Chooses among the available servers of a service that were not tried yet. */
 export function chooseServer(
   context: PathContext.PathContext,
@@ -56,7 +90,8 @@
   const pooled = serving
     .filter((server) => !triedIds.has(server.id)
       && context.availability.canAcceptRequests(server, nowMs)
-      && context.requestLimits.canSend(server, nowMs))
+      && context.requestLimits.canSend(server, nowMs)
+      && computeColdWait(context, server, nowMs) === 0)
     .map(context.pool.get);
   const responseTimes = pooled.flatMap(({ meanResponseMs }) => (
     meanResponseMs === undefined ? [] : [meanResponseMs]
@@ -112,15 +147,18 @@
  * if all of them are shutting down.
  */
 export function computeRetryDelay(
-  {
-    availability, clock, requestLimits, servers,
-  }: Pick<PathContext.PathContext, 'availability' | 'clock' | 'requestLimits' | 'servers'>,
+  context: ColdContext
+    & Pick<PathContext.PathContext, 'availability' | 'clock' | 'requestLimits'>,
   service: string,
 ): Core.Millis {
+  const {
+    availability, clock, requestLimits, servers,
+  } = context;
   const nowMs = clock.readMonotonic();
   const waits = servers.listServing(service, nowMs).map((server) => Math.max(
     availability.computeWait(server, nowMs),
     requestLimits.computeWait(server, nowMs),
+    computeColdWait(context, server, nowMs),
   ));
   const waitMs = Math.min(...waits);
   return waitMs === Infinity ? 0 : waitMs;
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -21,6 +21,8 @@
   readonly bornMs: number;
   /** Whether the platform may reclaim the server at short notice. */
   readonly isReclaimable: boolean;
+  /** Time for which the server is cold from its entry on; undefined if it is warm. */
+  readonly coldMs?: Core.Millis | undefined;
 }
 
 /** Identity of one incarnation of a server; a restart makes a new one. */
@@ -54,6 +56,8 @@
   readonly setEvacuated: (dataCentres: ReadonlySet<string>) => void;
   /** Lists the servers of a service that accept new requests. */
   readonly listServing: (service: string, nowMs: Core.Millis) => readonly BackendServer[];
+  /** Checks whether a server is cold. */
+  readonly isCold: (id: string, nowMs: Core.Millis) => boolean;
   /** Lists every server with an entry. */
   readonly listAll: () => readonly BackendServer[];
 }
@@ -63,6 +67,7 @@
   const servers = new Map<string, BackendServer>();
   /** Time at which each retained entry is removed. */
   const expiryMs = new Map<string, Core.Millis>();
+  const coldUntilMs = new Map<string, Core.Millis>();
   let lastReadMs: Core.Millis | undefined;
   let recoveredMs: Core.Millis | undefined;
   let hasFailed = false;
@@ -72,28 +77,35 @@
     const isAfterOutage = recoveredMs !== undefined && nowMs - recoveredMs < RENEWAL_GRACE_MS;
     const wasServing = servers.get(id)?.state === 'ready';
     if (isAfterOutage && wasServing) expiryMs.set(id, (recoveredMs as number) + RENEWAL_GRACE_MS);
-    else servers.delete(id);
+    else {
+      servers.delete(id);
+      coldUntilMs.delete(id);
+    }
   };
-  const setEntry = (server: BackendServer): void => {
+  const setEntry = (server: BackendServer, nowMs: Core.Millis): void => {
     expiryMs.delete(server.id);
     servers.set(server.id, server);
+    if (server.coldMs === undefined) coldUntilMs.delete(server.id);
+    else coldUntilMs.set(server.id, nowMs + server.coldMs);
   };
   const removeExpired = (nowMs: Core.Millis): void => expiryMs.forEach((untilMs, id) => {
     if (nowMs < untilMs) return;
     expiryMs.delete(id);
     servers.delete(id);
+    coldUntilMs.delete(id);
   });
 
   return {
     applyEntry: (id, server, nowMs) => {
       if (server === undefined) removeEntry(id, nowMs);
-      else setEntry(server);
+      else setEntry(server, nowMs);
     },
     applySnapshot: (list, nowMs) => {
       const present = new Set(list.map(({ id }) => id));
       [...servers.keys()].filter((id) => !present.has(id)).forEach((id) => removeEntry(id, nowMs));
-      list.forEach(setEntry);
+      list.forEach((server) => setEntry(server, nowMs));
     },
+    isCold: (id, nowMs) => nowMs < (coldUntilMs.get(id) ?? -Infinity),
     listAll: () => [...servers.values()],
     listServing: (service, nowMs) => {
       removeExpired(nowMs);
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -30,6 +30,9 @@
   tokenCounts: 'x-tokens',
 };
 
+/** Requests a second that a cold server takes. */
+export const COLD_REQUESTS_PER_S = 2;
+
 /** Responds to a request on a raw server; `count` is the number of the request, from 1. */
 export type RawResponder = (socket: net.Socket, requestId: string, count: number) => void;
 
@@ -182,7 +185,9 @@
       headerTimeoutMs: 1_000, idleTimeoutMs: 5_000, maxBodyBytes: 1_000, maxHeaderBytes: 8_000,
     },
     routes: [route],
-    services: new Map(),
+    services: new Map([['s', {
+      coldRequestsPerS: COLD_REQUESTS_PER_S, maxConnections: 100, name: 's', purchase: undefined,
+    }]]),
     version: 1,
   };
   const startedAccounts: string[] = [];
@@ -206,6 +211,7 @@
     cache: Scheduling.createCacheIndex(),
     claimRetry: () => canRetry,
     clock: Core.systemClock,
+    coldLimits: Routing.createColdLimits({ getShare: () => 1, random: () => 0 }),
     countDaemons: () => 1,
     countDemand: () => undefined,
     countRequest: () => undefined,
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -538,6 +538,32 @@
   });
 });
 
+// Guards against a load under which a server that has just started crashes again.
+describe('a cold server', () => {
+  const callTimes = async (path: PathHarness.PathHarness, count: number): Promise<void> => {
+    if (count === 0) return;
+    await path.call({ requestId: `r${count}` });
+    await callTimes(path, count - 1);
+  };
+
+  test('gets no more requests than it takes, also if it is alone', async () => {
+    const { path, servers } = await setUp([respondPlain]);
+    path.applyServer(0, { coldMs: 60_000 });
+    await callTimes(path, 20);
+    expect(servers[0]?.heads.length).toBeLessThanOrEqual(PathHarness.COLD_REQUESTS_PER_S + 1);
+    const response = await path.call({ requestId: 'late' });
+    expect([response.status, Number(response.headers['retry-after']) > 0]).toEqual([503, true]);
+  });
+
+  test('gets as many as others when it is warm', async () => {
+    const { path, servers } = await setUp([respondPlain]);
+    path.applyServer(0, { coldMs: 60_000 });
+    path.applyServer(0);
+    await callTimes(path, 20);
+    expect(servers[0]?.heads).toHaveLength(20);
+  });
+});
+
 describe('an unexpected error', () => {
   test('ends its own request and no other', async () => {
     const { path } = await setUp([respondPlain]);
--- a/packages/routing/src/__tests__/unit/ServerSelection.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerSelection.test.ts
@@ -23,6 +23,8 @@
   return {
     availability: Routing.createServerAvailability(),
     clock: { ...Core.systemClock, readMonotonic: () => 0 },
+    coldLimits: Routing.createColdLimits({ getShare: () => 1, random: () => 0 }),
+    getActiveConfig: () => undefined,
     requestLimits: RequestLimits.createRequestLimits({ getShare: () => 1, random: () => 0 }),
     servers,
   };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './BackendExchange.js';
 export * from './ByteCollector.js';
 export * from './ClockReading.js';
+export * from './ColdLimits.js';
 export * from './CountsHandOver.js';
 export * from './CountsRecord.js';
 export * from './CrashReports.js';
