Keep relays in use that lack crash reports, and finish their writing

From reading the change to crashing prompts: a relay without a copy of the crash reports (of an older version, or while that topic of the store is away) counted as failed for the other feeds too, and all of its readers would have gone to the store. A part id with a slash was cut at it, reports from before a restart of a daemon were never removed, and each failed write logged a line.

--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -78,6 +78,7 @@
   const written = new Set<string>();
   let loggedBlocked: readonly string[] = [];
   let isWriting = false;
+  let hasFailed = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
 
@@ -112,10 +113,16 @@
     const nowMs = readTrueTime();
     const result = await Effect.runPromise(Effect.either(write(partIds.map((partId) => ({
       key: `${partId}${KEY_SEPARATOR}${daemonId}`, raw: encodeReport(partId, nowMs),
-    })))));
-    isWriting = false;
+    }))))).finally(() => {
+      isWriting = false;
+    });
+    const hadFailed = hasFailed;
+    hasFailed = result._tag === 'Left';
     if (result._tag === 'Left') {
-      logger.warn({ detail: result.left.message, parts: partIds.length }, 'crashes not reported');
+      const { message } = result.left;
+      if (!hadFailed) {
+        logger.warn({ detail: message, parts: partIds.length }, 'crashes not reported');
+      }
       partIds.forEach((partId) => pending.add(partId));
       // eslint-disable-next-line @typescript-eslint/no-use-before-define
       timer = setTimeout(startWriting, RETRY_DELAY_MS);
@@ -147,8 +154,12 @@
     applyChanges: (changes) => {
       const nowMs = readTrueTime();
       changes.forEach(({ key, value }) => {
-        const [partId] = key.split(KEY_SEPARATOR);
-        if (value !== undefined && partId !== undefined) suspects.mergeReport(partId, value, nowMs);
+        const end = key.lastIndexOf(KEY_SEPARATOR);
+        if (value === undefined || end < 0) return;
+        const partId = key.slice(0, end);
+        suspects.mergeReport(partId, value, nowMs);
+        // The report may be from before a restart of this daemon.
+        if (key.slice(end + 1) === daemonId) written.add(partId);
       });
       logChanges();
     },
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -181,12 +181,13 @@
   const createUpstreamRelay = (
     feed: keyof typeof copies,
     maxAgeMs: Core.Millis,
+    choice = relayChoice,
   ): FeedLoop.UpstreamRelay => ({
     getPauseMs: () => bounds.drainMs * (
       relayChoice.isRelay() ? RELAY_UPSTREAM_PAUSE_SHARE : READER_PAUSE_SHARE
     ),
     read: (from) => RelayChoice.readFromRelay({
-      choice: relayChoice, feed, from, logger, maxAgeMs, read: readRelay,
+      choice, feed, from, logger, maxAgeMs, read: readRelay,
     }),
   });
 
@@ -257,7 +258,10 @@
     onFailure: crashContact.onFailure,
     onSnapshot: onCrashReports,
     readClocks,
-    relay: createUpstreamRelay('crashReports', configMaxCopyAgeMs),
+    // A relay that lacks these reports can still be used for the other feeds.
+    relay: createUpstreamRelay('crashReports', configMaxCopyAgeMs, {
+      ...relayChoice, observeFailure: () => undefined,
+    }),
     retryMs: SERVERS_RETRY_DELAY_MS,
     waitMs: configWaitMs,
   });
