Resume sound streams that share a part with crashing prompts

From reading: whether a broken request may be sent to a further server was decided by its parts alone, so a stream that had gone on for a while was cut if other requests with one of its parts had ended two servers. The added test failed before (the stream was cut after its second event) and passes; two more tests show that such a prompt is sent to no further server and is refused after a third end.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -669,10 +669,11 @@
 
   #handleAttemptFailure(kind: RetryPolicy.FailureKind, reason: string): void {
     if (this.#isEnded) return;
+    const { isAnswerObserved } = this.#attempt as Attempt;
     this.#closeAttempt(kind, reason);
     const state = this.#getState();
     // A request that may have ended several servers must not be sent to one more.
-    const isSuspect = kind === 'broken'
+    const isSuspect = kind === 'broken' && !isAnswerObserved
       && this.#context.crashReports.isSuspect(this.#listSharedPartIds() ?? []);
     this.#apply(isSuspect
       ? RetryPolicy.chooseFinalStep(kind, state)
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -145,6 +145,8 @@
   readonly setCanRetry: (canClaim: boolean) => void;
   /** Makes the next count of a started request throw an unexpected error. */
   readonly throwOnce: () => void;
+  /** Applies the report of another daemon on a prompt part. */
+  readonly applyCrashReport: (partId: string, report: Routing.PartReport) => void;
   /** Lists the servers that are ejected because of failures. */
   readonly listEjected: () => readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
@@ -273,6 +275,9 @@
     port,
   });
   return {
+    applyCrashReport: (partId, report) => crashReports.applyChanges([{
+      key: `${partId}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
+    }]),
     applyServer,
     call: ({
       chunks: requestChunks = ['body'],
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -538,6 +538,52 @@
   });
 });
 
+describe('a prompt with a part under which two servers ended', () => {
+  const route = { isResumable: true, kind: 'stream' as const, timeoutMs: 4_000 };
+  const headers = { 'x-left': '4000', 'x-parts': 'bad:5,own:5', 'x-tokens': '10,10' };
+  const reportCrashes = (path: PathHarness.PathHarness): void => {
+    const nowMs = performance.now();
+    path.applyCrashReport('bad', {
+      clearedMs: 0,
+      crashes: [{ atMs: nowMs - 600, server: 'a@0' }, { atMs: nowMs - 300, server: 'b@0' }],
+    });
+  };
+
+  test('is not sent to a further one after the end of its own', async () => {
+    const { path, servers } = await setUp([resetConnection, respondPlain], route);
+    reportCrashes(path);
+    expect(await path.call({ headers })).toMatchObject({ status: 502 });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('is refused as not run when a third one has ended', async () => {
+    const { path, servers } = await setUp([resetConnection], { ...route, isResumable: false });
+    reportCrashes(path);
+    await path.call({ headers });
+    const response = await path.call({ headers, requestId: 'r2' });
+    expect([response.status, Number(response.headers['retry-after'])]).toEqual([503, 30]);
+    expect(servers[0]?.heads).toHaveLength(1);
+  });
+
+  // Guards against a sound stream that is cut because it shares a part with others.
+  test('is resumed if its stream had gone on for a while', async () => {
+    const { path } = await setUp([
+      (socket, id) => {
+        writeEvents(socket, id, 'id: 1\ndata: a\n\n', false);
+        setTimeout(() => socket.write('f\r\nid: 2\ndata: b\n\n\r\n'), 700);
+        setTimeout(() => {
+          reportCrashes(path);
+          socket.destroy();
+        }, 1_200);
+      },
+      (socket, id) => writeEvents(socket, id, 'id: 3\ndata: c\n\n', true),
+    ], { ...route, pauseTargetMs: 1_000 });
+    expect(await path.call({ headers })).toMatchObject({
+      body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n', isTruncated: false,
+    });
+  });
+});
+
 // Guards against a load under which a server that has just started crashes again.
 describe('a cold server', () => {
   const callTimes = async (path: PathHarness.PathHarness, count: number): Promise<void> => {
