--- a/packages/routing/src/ColdLimits.ts
+++ b/packages/routing/src/ColdLimits.ts
@@ -3,7 +3,7 @@
  * second from all daemons together than their service allows. Each daemon uses an equal share of
  * that rate until the server is warm.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as RatePermits from './RatePermits.js';
 import * as ServerTable from './ServerTable.js';
 
@@ -35,12 +35,6 @@
 /** Creates limits without any cold server. */
 export function createColdLimits({ getShare, random }: ColdLimitsOptions): ColdLimits {
   const permits = new Map<string, RatePermits.RatePermits>();
-  const setPermits = (name: string, value: RatePermits.RatePermits): void => {
-    permits.delete(name);
-    permits.set(name, value);
-    const [oldest] = permits.keys();
-    if (permits.size > MAX_ENTRIES && oldest !== undefined) permits.delete(oldest);
-  };
   const advance = (
     { incarnation, requestsPerS }: ColdServer,
     nowMs: Core.Millis,
@@ -51,7 +45,7 @@
       requestsPerS * getShare(),
       nowMs,
     );
-    setPermits(name, advanced);
+    Core.setBounded(permits, name, advanced, MAX_ENTRIES);
     return advanced;
   };
   return {
@@ -60,10 +54,8 @@
     ),
     recordSend: (server, nowMs) => {
       const { accrued, updatedMs } = advance(server, nowMs);
-      setPermits(
-        ServerTable.formatIncarnation(server.incarnation),
-        { accrued: accrued - 1, updatedMs },
-      );
+      const name = ServerTable.formatIncarnation(server.incarnation);
+      permits.set(name, { accrued: accrued - 1, updatedMs });
     },
   };
 }
--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -7,7 +7,7 @@
  * not crash; only its connection ended. All times are estimates of the
  * true time in Unix milliseconds, because daemons exchange them.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 
 /** End of a server under a request with a part. */
 export interface Crash {
@@ -85,13 +85,6 @@
 
 const EMPTY_REPORT: PartReport = { clearedMs: 0, crashes: [] };
 
-function setBounded<Value>(map: Map<string, Value>, key: string, value: Value): void {
-  map.delete(key);
-  map.set(key, value);
-  const [oldest] = map.keys();
-  if (map.size > MAX_ENTRIES && oldest !== undefined) map.delete(oldest);
-}
-
 function mergeReports(a: PartReport, b: PartReport): PartReport {
   const clearedMs = Math.max(a.clearedMs, b.clearedMs);
   const byServer = new Map([...a.crashes, ...b.crashes].map((crash) => [crash.server, crash]));
@@ -147,9 +140,10 @@
     .filter((partId) => hasBlockingCrashes(listCrashes(partId, nowMs), nowMs));
   const mergeReport: CrashSuspects['mergeReport'] = (partId, report, nowMs) => {
     report.crashes.filter(({ server }) => !endKnownMs.has(server)).forEach(({ server }) => {
-      setBounded(endKnownMs, server, nowMs);
+      Core.setBounded(endKnownMs, server, nowMs, MAX_ENTRIES);
     });
-    setBounded(reports, partId, mergeReports(reports.get(partId) ?? EMPTY_REPORT, report));
+    const merged = mergeReports(reports.get(partId) ?? EMPTY_REPORT, report);
+    Core.setBounded(reports, partId, merged, MAX_ENTRIES);
   };
   /**
    * Checks whether a part is to blame for a request with `partIds`. It is not if another part has
@@ -184,7 +178,7 @@
     listBlocked,
     mergeReport,
     observeAnswer: (partIds, nowMs) => partIds.filter((partId) => {
-      setBounded(answeredMs, partId, nowMs);
+      Core.setBounded(answeredMs, partId, nowMs, MAX_ENTRIES);
       const crashes = listCrashes(partId, nowMs);
       if (crashes.length === 0) return false;
       // A crash may bear the time of another daemon, whose estimate is ahead.
@@ -193,7 +187,8 @@
       return true;
     }),
     observeServerAnswer: (server, sentMs) => {
-      if (sentMs > (endKnownMs.get(server) ?? Infinity)) setBounded(aliveServers, server, true);
+      if (sentMs <= (endKnownMs.get(server) ?? Infinity)) return;
+      Core.setBounded(aliveServers, server, true, MAX_ENTRIES);
     },
     observeCrash: (partIds, server, nowMs) => partIds.filter((partId) => {
       if (nowMs - (answeredMs.get(partId) ?? -Infinity) < ANSWER_VALID_MS) return false;
--- a/packages/routing/src/RequestLimits.ts
+++ b/packages/routing/src/RequestLimits.ts
@@ -5,7 +5,7 @@
  * state it. Daemons report the limits that they know to each other, because a daemon of a large
  * fleet gets a response of a limited server only once in minutes. The newest observation wins.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as RatePermits from './RatePermits.js';
 import * as ServerTable from './ServerTable.js';
 
@@ -168,13 +168,6 @@
     const entry = entries.get(name);
     return entry !== undefined && isCurrent(entry, nowMs) ? entry : undefined;
   };
-  /** Stores an entry as the newest one; removes the oldest one beyond the maximum. */
-  const addEntry = (name: string, entry: LimitEntry): void => {
-    entries.delete(name);
-    entries.set(name, entry);
-    const [oldest] = entries.keys();
-    if (entries.size > maxEntries && oldest !== undefined) entries.delete(oldest);
-  };
   /** Accrues the permits of a server up to now; undefined if it has no limit. */
   const updatePermits = (name: string, nowMs: Core.Millis): LimitedServer | undefined => {
     const known = getEntry(name, nowMs);
@@ -195,7 +188,7 @@
     const limited = updatePermits(name, nowMs);
     const previousPerS = limited?.entry.requestsPerS;
     const permits = limited?.entry.permits ?? RatePermits.createRatePermits(nowMs, random);
-    addEntry(name, { ...observed, permits });
+    Core.setBounded(entries, name, { ...observed, permits }, maxEntries);
     const { requestsPerS } = observed;
     return requestsPerS === previousPerS
       ? undefined
--- a/packages/routing/src/ServerAvailability.ts
+++ b/packages/routing/src/ServerAvailability.ts
@@ -4,7 +4,7 @@
  * server, whatever its entry in the store says. They are kept apart from the entries, because an
  * entry may expire and be read again.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as ServerTable from './ServerTable.js';
 
 /** Availability announced in one response. */
@@ -60,10 +60,7 @@
       const fromMs = isLeaving ? Infinity : nowMs + (pauseMs ?? 0);
       if (fromMs <= nowMs || fromMs <= getAvailableFrom(incarnation)) return;
       const name = ServerTable.formatIncarnation(incarnation);
-      availableFromMs.delete(name);
-      availableFromMs.set(name, fromMs);
-      const [oldest] = availableFromMs.keys();
-      if (availableFromMs.size > maxEntries && oldest !== undefined) availableFromMs.delete(oldest);
+      Core.setBounded(availableFromMs, name, fromMs, maxEntries);
     },
   };
 }
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -155,6 +155,13 @@
   readonly close: () => void;
 }
 
+/** Raw servers and a harness that handles requests with them. */
+export interface PathSetUp {
+  readonly path: PathHarness;
+  readonly servers: readonly RawServer[];
+  readonly close: () => void;
+}
+
 const silentLogger = Core.createLogger('silent', {});
 
 /** Starts a harness with one route to servers at the given ports. */
@@ -339,3 +346,17 @@
     takeObservedOutcomes: observed.take,
   };
 }
+
+/** Starts a raw server for each responder, and a harness with one route to them. */
+export async function startPath(
+  responders: readonly RawResponder[],
+  route: Partial<Routing.Route> = {},
+): Promise<PathSetUp> {
+  const servers = await Promise.all(responders.map(startRawServer));
+  const path = await startHarness(servers.map(({ port }) => port), createRoute(route));
+  return {
+    close: () => [path, ...servers].forEach(({ close }) => close()),
+    path,
+    servers,
+  };
+}
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -10,14 +10,10 @@
 async function setUp(
   responders: readonly PathHarness.RawResponder[],
   route: Partial<Routing.Route> = {},
-): Promise<{ path: PathHarness.PathHarness; servers: PathHarness.RawServer[] }> {
-  const servers = await Promise.all(responders.map(PathHarness.startRawServer));
-  const path = await PathHarness.startHarness(
-    servers.map(({ port }) => port),
-    PathHarness.createRoute(route),
-  );
-  closables.push(path, ...servers);
-  return { path, servers };
+): Promise<PathHarness.PathSetUp> {
+  const started = await PathHarness.startPath(responders, route);
+  closables.push(started);
+  return started;
 }
 
 afterEach(() => closables.splice(0).forEach(({ close }) => close()));
