Be ready only after a first read of the crash reports

Cause: the daemon counted as ready when it knew the configuration and the servers, and on a busy machine it read the reports after that. A read that fails is enough, so that the topic alone keeps no daemon from serving.

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -94,7 +94,10 @@
   PathContext.PathContext,
   'areKeysCurrent' | 'getActiveConfig' | 'getKeyProofAge' | 'renewKeys' | 'servers'
 > {
-  /** Whether the configuration and the servers are known and the list of keys is current. */
+  /**
+   * Whether the configuration and the servers are known, the list of keys is current, and the crash
+   * reports were read or could not be read.
+   */
   readonly isComplete: () => boolean;
   readonly readCopy: RelayCalls.RelayHandlers['readCopy'];
   readonly stop: () => void;
@@ -247,6 +250,7 @@
     waitMs: 0,
   });
 
+  let hasTriedCrashReports = false;
   const crashContact = createContactHandlers(context, 'crash reports');
   const crashLoop = FeedLoop.startFeedLoop({
     copy: copies.crashReports,
@@ -254,8 +258,14 @@
     feed: crashReportFeed,
     getPauseMs: () => 0,
     onChanges: onCrashReports,
-    onContact: crashContact.onContact,
-    onFailure: crashContact.onFailure,
+    onContact: () => {
+      hasTriedCrashReports = true;
+      crashContact.onContact();
+    },
+    onFailure: (error) => {
+      hasTriedCrashReports = true;
+      crashContact.onFailure(error);
+    },
     onSnapshot: onCrashReports,
     readClocks,
     // A relay that lacks these reports can still be used for the other feeds.
@@ -272,7 +282,9 @@
     getKeyProofAge: () => (
       keysVerifiedAt === undefined ? undefined : clock.readMonotonic() - keysVerifiedAt.monotonicMs
     ),
-    isComplete: () => active !== undefined && hasServers && areKeysCurrent(),
+    isComplete: () => (
+      active !== undefined && hasServers && hasTriedCrashReports && areKeysCurrent()
+    ),
     readCopy: (feed, from) => (
       Object.hasOwn(copies, feed)
         ? copies[feed as keyof typeof copies].read(from, readClocks())
