Move what an attempt tells of its prompt out of RoutedRequest

RoutedRequest had grown by the time of the first event, the flag of an observed answer and four methods around them, and listed the shared parts of the prompt anew at each of five places. PromptAttempt holds that state for one attempt; the parts are listed once for a request. No change of behaviour.

--- /dev/null
+++ b/packages/routing/src/PromptAttempt.ts
@@ -0,0 +1,58 @@
+/**
+ * Tells from the course of one attempt whether its server began to answer a prompt without harm or
+ * ended under it, and reports that for the parts of the prompt that other requests may share.
+ */
+import type * as Core from '@berylyoke/core';
+import type * as PathContext from './PathContext.js';
+import * as ServerTable from './ServerTable.js';
+
+/** Attempt to have a prompt answered by one server. */
+export interface PromptAttempt {
+  /** Records that the server began to respond to a request that was sent `elapsedMs` ago. */
+  readonly observeHead: (elapsedMs: Core.Millis) => void;
+  /** Records an event of a stream; clears the parts once the stream has gone on for a while. */
+  readonly observeEvent: () => void;
+  /** Records that the response is whole. */
+  readonly observeAnswer: () => void;
+  /** Records that the connection ended by itself; reports a crash unless the stream had gone on. */
+  readonly observeEnd: () => void;
+  /** Whether the parts were reported as answered. */
+  readonly isAnswered: () => boolean;
+}
+
+/**
+ * Time from the first event of a stream after which its server is taken to have begun the answer
+ * without harm.
+ */
+const SOUND_START_MS = 500;
+
+/** Creates an attempt before its server has responded. */
+export function createPromptAttempt(
+  { clock, crashReports }: Pick<PathContext.PathContext, 'clock' | 'crashReports'>,
+  partIds: readonly string[],
+  incarnation: ServerTable.ServerIncarnation,
+): PromptAttempt {
+  const server = ServerTable.formatIncarnation(incarnation);
+  let firstEventMs: Core.Millis | undefined;
+  let isAnswered = false;
+  const hasGoneOn = (): boolean => (
+    firstEventMs !== undefined && clock.readMonotonic() - firstEventMs >= SOUND_START_MS
+  );
+  const observeAnswer = (): void => {
+    if (isAnswered) return;
+    isAnswered = true;
+    crashReports.observeAnswer(partIds);
+  };
+  return {
+    isAnswered: () => isAnswered,
+    observeAnswer,
+    observeEnd: () => {
+      if (!hasGoneOn()) crashReports.observeCrash(partIds, server);
+    },
+    observeEvent: () => {
+      firstEventMs ??= clock.readMonotonic();
+      if (hasGoneOn()) observeAnswer();
+    },
+    observeHead: (elapsedMs) => crashReports.observeServerAnswer(server, elapsedMs),
+  };
+}
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -13,6 +13,7 @@
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
+import * as PromptAttempt from './PromptAttempt.js';
 import * as Refusals from './Refusals.js';
 import * as RequestHead from './RequestHead.js';
 import * as ResponseAbort from './ResponseAbort.js';
@@ -22,7 +23,6 @@
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPicker from './ServerPicker.js';
 import * as ServerPool from './ServerPool.js';
-import * as ServerTable from './ServerTable.js';
 
 /** Time limit of a request until its route is known. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -36,12 +36,6 @@
 /** Shortest silence that counts as a failure of the server. */
 const MIN_SILENCE_MS = 900;
 
-/**
- * Time from the first event of a stream after which its server is taken to have begun the answer
- * without harm.
- */
-const SOUND_START_MS = 500;
-
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** An attempt in progress. */
@@ -50,16 +44,13 @@
   readonly exchange: BackendExchange.Exchange;
   readonly startedMs: Core.Millis;
   readonly pendingPromptTokens: number;
+  readonly prompt: PromptAttempt.PromptAttempt;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
   /** Body of a non-streaming response, buffered until it is complete. */
   readonly held: ByteCollector.ByteCollector;
   /** Whether the server began to respond. */
   hasStarted: boolean;
-  /** Time of the first event; undefined before, and without a stream. */
-  firstEventMs: Core.Millis | undefined;
-  /** Whether the parts of the prompt were reported as answered. */
-  isAnswerObserved: boolean;
   /** Whether the server should be sending events; false while the caller applies backpressure. */
   isStreaming: boolean;
 }
@@ -88,6 +79,9 @@
 
   readonly #onEnd: () => void;
 
+  /** Ids of the prompt's parts that other requests may share; empty without a prompt. */
+  readonly #sharedPartIds: readonly string[];
+
   readonly #triedIds = new Set<string>();
 
   #route: RoutingConfig.Route | undefined;
@@ -151,6 +145,8 @@
     this.#receivedMs = context.clock.readMonotonic();
     this.#head = RequestHead.readRequestHead(request, context.names);
     this.#lastEventId = this.#head.lastEventId;
+    const { prompt } = this.#head;
+    this.#sharedPartIds = prompt === undefined ? [] : ServerPicker.listSharedPartIds(prompt);
   }
 
   /** Starts to handle the request. */
@@ -276,7 +272,7 @@
   }
 
   #chooseServer(): ServerSelection.ChosenServer | undefined {
-    this.#blockedPart = this.#context.crashReports.findBlocked(this.#listSharedPartIds() ?? []);
+    this.#blockedPart = this.#context.crashReports.findBlocked(this.#sharedPartIds);
     if (this.#blockedPart !== undefined) return undefined;
     return ServerSelection.chooseServer(
       this.#context,
@@ -332,15 +328,14 @@
     this.#attempt = {
       chosen,
       exchange,
-      firstEventMs: undefined,
       framer: undefined,
       hasStarted: false,
       head: undefined,
-      isAnswerObserved: false,
       isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#sentMs,
       pendingPromptTokens,
+      prompt: PromptAttempt.createPromptAttempt(this.#context, this.#sharedPartIds, server),
     };
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
   }
@@ -459,10 +454,7 @@
     }
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
-    this.#context.crashReports.observeServerAnswer(
-      ServerTable.formatIncarnation(attempt.chosen.pooled.server),
-      this.#context.clock.readMonotonic() - attempt.startedMs,
-    );
+    attempt.prompt.observeHead(this.#context.clock.readMonotonic() - attempt.startedMs);
     if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head.headers)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
@@ -532,7 +524,7 @@
     // Comments and events without data keep the connection open but show no progress of the server.
     if (!events.some(({ hasData }) => hasData)) return;
     this.#recordStart(attempt);
-    this.#observeStreamProgress(attempt);
+    attempt.prompt.observeEvent();
     this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
     const route = this.#route as RoutingConfig.Route;
     const canResume = RetryPolicy.canRepeat(route, this.#sends);
@@ -541,32 +533,6 @@
       : undefined);
   }
 
-  /** Clears the parts of the prompt once the stream has gone on for a while. */
-  #observeStreamProgress(attempt: Attempt): void {
-    const nowMs = this.#context.clock.readMonotonic();
-    // eslint-disable-next-line no-param-reassign
-    attempt.firstEventMs ??= nowMs;
-    if (nowMs - attempt.firstEventMs >= SOUND_START_MS) this.#observeAnswer(attempt);
-  }
-
-  #observeAnswer(attempt: Attempt): void {
-    if (attempt.isAnswerObserved) return;
-    // eslint-disable-next-line no-param-reassign
-    attempt.isAnswerObserved = true;
-    this.#context.crashReports.observeAnswer(this.#listSharedPartIds() ?? []);
-  }
-
-  /** Reports that the server ended while it began to answer, if the request may be the cause. */
-  #observeServerEnd(attempt: Attempt): void {
-    const { firstEventMs } = attempt;
-    const nowMs = this.#context.clock.readMonotonic();
-    if (firstEventMs !== undefined && nowMs - firstEventMs >= SOUND_START_MS) return;
-    this.#context.crashReports.observeCrash(
-      this.#listSharedPartIds() ?? [],
-      ServerTable.formatIncarnation(attempt.chosen.pooled.server),
-    );
-  }
-
   #relay(bytes: Buffer): void {
     const attempt = this.#attempt as Attempt;
     if (!this.#isHeadSent) this.#writeHead(attempt.head as BackendExchange.ResponseHead, undefined);
@@ -626,7 +592,7 @@
       this.#handleServerEnd('empty-stream');
       return;
     }
-    this.#observeAnswer(attempt);
+    attempt.prompt.observeAnswer();
     if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
@@ -645,7 +611,7 @@
       }
     }
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, isFailure);
-    if (!isFailure) this.#observeAnswer(attempt);
+    if (!isFailure) attempt.prompt.observeAnswer();
     this.#context.bufferBudget.release(attempt.held.getLength());
     const body = attempt.held.take();
     this.#writeHead(head, body.length);
@@ -655,7 +621,7 @@
 
   /** Handles the end of a connection that an end of its server may have caused. */
   #handleServerEnd(reason: string): void {
-    this.#observeServerEnd(this.#attempt as Attempt);
+    this.#attempt?.prompt.observeEnd();
     this.#handleAttemptFailure('broken', reason);
   }
 
@@ -669,12 +635,12 @@
 
   #handleAttemptFailure(kind: RetryPolicy.FailureKind, reason: string): void {
     if (this.#isEnded) return;
-    const { isAnswerObserved } = this.#attempt as Attempt;
+    const { prompt } = this.#attempt as Attempt;
     this.#closeAttempt(kind, reason);
     const state = this.#getState();
     // A request that may have ended several servers must not be sent to one more.
-    const isSuspect = kind === 'broken' && !isAnswerObserved
-      && this.#context.crashReports.isSuspect(this.#listSharedPartIds() ?? []);
+    const isSuspect = kind === 'broken' && !prompt.isAnswered()
+      && this.#context.crashReports.isSuspect(this.#sharedPartIds);
     this.#apply(isSuspect
       ? RetryPolicy.chooseFinalStep(kind, state)
       : RetryPolicy.chooseNextStep(kind, state, () => this.#claimRetry()));
@@ -707,7 +673,7 @@
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end: kind,
       lastEventId: this.#lastEventId,
-      promptParts: this.#listSharedPartIds(),
+      promptParts: this.#head.prompt === undefined ? undefined : this.#sharedPartIds,
       reason,
       requestId: this.#head.requestId,
       responseEnd: this.#lastEnd,
@@ -718,11 +684,6 @@
     }, 'attempt failed');
   }
 
-  #listSharedPartIds(): readonly string[] | undefined {
-    const { prompt } = this.#head;
-    return prompt === undefined ? undefined : ServerPicker.listSharedPartIds(prompt);
-  }
-
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
     this.#context.bufferBudget.release(attempt.held.getLength());
