--- a/packages/routing/src/ColdLimits.ts
+++ b/packages/routing/src/ColdLimits.ts
@@ -53,9 +53,8 @@
       RatePermits.computePermitWait(advance(server, nowMs), server.requestsPerS * getShare())
     ),
     recordSend: (server, nowMs) => {
-      const { accrued, updatedMs } = advance(server, nowMs);
-      const name = ServerTable.formatIncarnation(server.incarnation);
-      permits.set(name, { accrued: accrued - 1, updatedMs });
+      const claimed = RatePermits.claimPermit(advance(server, nowMs));
+      permits.set(ServerTable.formatIncarnation(server.incarnation), claimed);
     },
   };
 }
--- a/packages/routing/src/RatePermits.ts
+++ b/packages/routing/src/RatePermits.ts
@@ -35,6 +35,11 @@
   return { accrued: total - Math.ceil(Math.max(0, total - maxAccrued)), updatedMs: nowMs };
 }
 
+/** Uses one permit. */
+export function claimPermit({ accrued, updatedMs }: RatePermits): RatePermits {
+  return { accrued: accrued - 1, updatedMs };
+}
+
 /** Computes the time until a permit is available; 0 if one is. */
 export function computePermitWait({ accrued }: RatePermits, ratePerS: number): Core.Millis {
   return Math.max(0, ((1 - accrued) * MS_PER_S) / ratePerS);
--- a/packages/routing/src/RequestLimits.ts
+++ b/packages/routing/src/RequestLimits.ts
@@ -249,8 +249,7 @@
       const limited = updatePermits(name, nowMs);
       if (limited === undefined) return;
       const { entry } = limited;
-      const permits = { ...entry.permits, accrued: entry.permits.accrued - 1 };
-      entries.set(name, { ...entry, permits });
+      entries.set(name, { ...entry, permits: RatePermits.claimPermit(entry.permits) });
     },
   };
 }
