--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -73,14 +73,15 @@
   let hasFailed = false;
   let evacuated: ReadonlySet<string> = new Set();
 
+  const deleteServer = (id: string): void => {
+    servers.delete(id);
+    coldUntilMs.delete(id);
+  };
   const removeEntry = (id: string, nowMs: Core.Millis): void => {
     const isAfterOutage = recoveredMs !== undefined && nowMs - recoveredMs < RENEWAL_GRACE_MS;
     const wasServing = servers.get(id)?.state === 'ready';
     if (isAfterOutage && wasServing) expiryMs.set(id, (recoveredMs as number) + RENEWAL_GRACE_MS);
-    else {
-      servers.delete(id);
-      coldUntilMs.delete(id);
-    }
+    else deleteServer(id);
   };
   const setEntry = (server: BackendServer, nowMs: Core.Millis): void => {
     expiryMs.delete(server.id);
@@ -91,8 +92,7 @@
   const removeExpired = (nowMs: Core.Millis): void => expiryMs.forEach((untilMs, id) => {
     if (nowMs < untilMs) return;
     expiryMs.delete(id);
-    servers.delete(id);
-    coldUntilMs.delete(id);
+    deleteServer(id);
   });
 
   return {
