Decide in one place when a report of crashes is over

The writing and the periodic removal repeated the condition. The function that queues parts is named reportParts, and a comment is filled. No change of behaviour.

--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -37,6 +37,11 @@
   return decoded._tag === 'None' ? undefined : decoded.value;
 }
 
+/** Checks whether a report has had its effect: it names no crash and was cleared long ago. */
+function isOver({ clearedMs, crashes }: CrashSuspects.PartReport, nowMs: Core.Millis): boolean {
+  return crashes.length === 0 && nowMs - clearedMs > CLEARED_RETENTION_MS;
+}
+
 /** Settings and dependencies of the reports of a daemon. */
 export interface CrashReportsContext {
   readonly daemonId: string;
@@ -99,11 +104,13 @@
   };
   /** Encodes the report of a part; undefined removes one that has had its effect. */
   const encodeReport = (partId: string, nowMs: Core.Millis): Buffer | undefined => {
-    const { clearedMs, crashes } = suspects.getReport(partId, nowMs);
-    const isOver = crashes.length === 0 && nowMs - clearedMs > CLEARED_RETENTION_MS;
-    if (isOver) written.delete(partId);
-    else written.add(partId);
-    return isOver ? undefined : Buffer.from(JSON.stringify({ clearedMs, crashes }));
+    const report = suspects.getReport(partId, nowMs);
+    if (isOver(report, nowMs)) {
+      written.delete(partId);
+      return undefined;
+    }
+    written.add(partId);
+    return Buffer.from(JSON.stringify(report));
   };
   const writePending = async (): Promise<void> => {
     const partIds = [...pending];
@@ -135,7 +142,7 @@
       logger.error({ error: String(error) }, 'unexpected error in the report of crashes');
     });
   };
-  const report = (partIds: readonly string[]): void => {
+  const reportParts = (partIds: readonly string[]): void => {
     partIds
       .filter(({ length }) => length <= MAX_PART_ID_LENGTH && pending.size < MAX_PENDING_PARTS)
       .forEach((partId) => pending.add(partId));
@@ -145,10 +152,9 @@
   };
   const removalTimer = setInterval(() => {
     const nowMs = readTrueTime();
-    report([...written].filter((partId) => {
-      const { clearedMs, crashes } = suspects.getReport(partId, nowMs);
-      return crashes.length === 0 && nowMs - clearedMs > CLEARED_RETENTION_MS;
-    }));
+    reportParts([...written].filter((partId) => (
+      isOver(suspects.getReport(partId, nowMs), nowMs)
+    )));
   }, CLEARED_RETENTION_MS);
   return {
     applyChanges: (changes) => {
@@ -166,9 +172,9 @@
     countBlocked: () => suspects.listBlocked(readTrueTime()).length,
     findBlocked: (partIds) => suspects.findBlocked(partIds, readTrueTime()),
     isSuspect: (partIds) => suspects.isSuspect(partIds, readTrueTime()),
-    observeAnswer: (partIds) => report(suspects.observeAnswer(partIds, readTrueTime())),
+    observeAnswer: (partIds) => reportParts(suspects.observeAnswer(partIds, readTrueTime())),
     observeCrash: (partIds, server) => {
-      report(suspects.observeCrash(partIds, server, readTrueTime()));
+      reportParts(suspects.observeCrash(partIds, server, readTrueTime()));
     },
     observeServerAnswer: (server, elapsedMs) => {
       suspects.observeServerAnswer(server, readTrueTime() - elapsedMs);
--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -4,8 +4,8 @@
  * that had barely been answered, by the reports of all daemons together. Those requests have other
  * parts as well, which sound requests share: an answer to a request clears all of its parts, and a
  * part is not blamed for crashes that another part explains better. A server that answers later did
- * not crash; only its connection ended. All times are estimates of the
- * true time in Unix milliseconds, because daemons exchange them.
+ * not crash; only its connection ended. All times are estimates of the true time in Unix
+ * milliseconds, because daemons exchange them.
  */
 import * as Core from '@berylyoke/core';
 
