Believe no unidentified refusal on a connection that was used before

Callers of requests that may run once could be told "not run" for a request that its server ran, or the request was sent to a second server. A server that wrote an earlier refusal once more, without a request id, caused it.

Cause: such a refusal is believed on a new connection only, and ClientRequest. reusedSocket was taken to tell which one is new. Node.js sets it only for connections that were idle. A request that waited in the agent, because the limit of connections to the server was reached, gets a used connection with the flag unset. The exchange now keeps the connections that carried a request.

Ruled out: refusals with an id (compared with the request's), idle connections (closed on any byte).

--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -5,6 +5,7 @@
  */
 import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
+import type * as stream from 'node:stream';
 
 /** Time limit for opening a connection; round trips between data centres take milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -30,6 +31,12 @@
   'ECONNRESET', 'EPIPE', 'closed', 'reset-at-end', 'truncated',
 ]);
 
+/**
+ * Connections that carried a request. `ClientRequest.reusedSocket` does not tell: Node.js leaves it
+ * unset when a connection passes to a request that waited for one.
+ */
+const usedConnections = new WeakSet<stream.Duplex>();
+
 /** Checks whether a status means success. */
 export function isSuccessStatus(status: number): boolean {
   return status >= 200 && status < 300;
@@ -117,6 +124,7 @@
   connectTimeoutMs: Core.Millis = CONNECT_TIMEOUT_MS,
 ): Exchange {
   let isConnected = false;
+  let isReusedConnection = false;
   let isFinished = false;
   let connectTimer: NodeJS.Timeout | undefined;
   let receivedResponse: http.IncomingMessage | undefined;
@@ -145,6 +153,8 @@
     request.destroy();
   };
   request.on('socket', (socket) => {
+    isReusedConnection = usedConnections.has(socket);
+    usedConnections.add(socket);
     if (!socket.connecting) {
       isConnected = true;
       return;
@@ -186,7 +196,7 @@
       framing: Core.getBodyFraming(response.headers),
       hasRequestId: echoedRequestId !== undefined,
       headers: response.headers,
-      isReusedConnection: request.reusedSocket,
+      isReusedConnection,
       rawHeaders: response.rawHeaders,
       status: response.statusCode ?? 0,
       statusMessage: response.statusMessage ?? '',
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -30,6 +30,9 @@
   tokenCounts: 'x-tokens',
 };
 
+/** Connections to one server, unless a test sets another limit. */
+const DEFAULT_MAX_CONNECTIONS = 8;
+
 /** Requests a second that a cold server takes. */
 export const COLD_REQUESTS_PER_S = 2;
 
@@ -168,6 +171,7 @@
 export async function startHarness(
   ports: readonly number[],
   route: Routing.Route,
+  maxConnections = DEFAULT_MAX_CONNECTIONS,
 ): Promise<PathHarness> {
   const servers = Routing.createServerTable();
   const applyServer: PathHarness['applyServer'] = (index, extra = {}) => (
@@ -204,7 +208,7 @@
   let canRetry = true;
   let willThrow = false;
   let areKeysCurrent = true;
-  const pool = ServerPool.createServerPool(() => 8);
+  const pool = ServerPool.createServerPool(() => maxConnections);
   const fleet = Routing.createFleetView();
   const observed = Routing.createOutcomeBuffer();
   const crashReports = Routing.startCrashReports({
@@ -351,9 +355,11 @@
 export async function startPath(
   responders: readonly RawResponder[],
   route: Partial<Routing.Route> = {},
+  maxConnections = DEFAULT_MAX_CONNECTIONS,
 ): Promise<PathSetUp> {
   const servers = await Promise.all(responders.map(startRawServer));
-  const path = await startHarness(servers.map(({ port }) => port), createRoute(route));
+  const ports = servers.map(({ port }) => port);
+  const path = await startHarness(ports, createRoute(route), maxConnections);
   return {
     close: () => [path, ...servers].forEach(({ close }) => close()),
     path,
