Resume a stream elsewhere when its next server responds with something else

Callers of a resumable stream lost it when it broke off and the next server answered with an error or a body of another type: their connection was closed, and the daemon counted and logged an unexpected error. No text of the error reached them here.

Cause: such a response was handled as the complete response to the request, whose head was written a second time. Node.js throws there, and only the handler of unexpected errors broke the stream off. After the caller has a head, a response that is not the rest of the stream is now a failed attempt: resumed at a further server within the limits, else broken off.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -459,6 +459,10 @@
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
       );
+    } else if (this.#isHeadSent) {
+      // Only the rest of the stream may follow the part that the caller has.
+      attempt.exchange.drain();
+      this.#handleAttemptFailure('failed', `not-resumed-${head.status}`);
     } else this.#recordStart(attempt);
   }
 
