Take no end right after the head for the end of a resumed stream

Callers could get a stream that had broken off as complete: it was resumed at a server that sent a head without length or chunks, no event, and closed its connection, as a server that crashes before its first event does.

Cause: a stream without events counted as broken only while the caller had no head yet. A resumed stream may have no event left, but then only a length or a last chunk shows it. Without either, it is now a broken attempt.

ResumedStreams.test.ts, "an end after its head": both tests failed before (the stream ended properly after its first event), and pass now; a resumed stream with Content-Length 0 stays complete.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -47,6 +47,8 @@
   readonly prompt: PromptAttempt.PromptAttempt;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
+  /** Whether the server sent a complete event. */
+  hasEvents: boolean;
   /** Body of a non-streaming response, buffered until it is complete. */
   readonly held: ByteCollector.ByteCollector;
   /** Whether the server began to respond. */
@@ -329,6 +331,7 @@
       chosen,
       exchange,
       framer: undefined,
+      hasEvents: false,
       hasStarted: false,
       head: undefined,
       isStreaming: false,
@@ -500,6 +503,7 @@
       return;
     }
     const framed = attempt.framer.push(bytes);
+    if (framed.events.length > 0) attempt.hasEvents = true;
     this.#handleEvents(attempt, framed.events.filter(({ id }) => (
       id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
     )));
@@ -592,7 +596,7 @@
       this.#handleServerEnd('partial-event');
       return;
     }
-    if (!this.#isHeadSent && remainder.bytes.length === 0) {
+    if (!attempt.hasEvents && !this.#canBeEmpty(head, remainder)) {
       this.#handleServerEnd('empty-stream');
       return;
     }
@@ -603,6 +607,17 @@
     this.#end('answered', head.status);
   }
 
+  /**
+   * Checks whether a stream without events can be complete. The rest of a resumed stream can, but
+   * an end of its connection may as well be that of its server.
+   */
+  #canBeEmpty(
+    { framing }: BackendExchange.ResponseHead,
+    { bytes }: EventFramer.StreamRemainder,
+  ): boolean {
+    return this.#isHeadSent ? framing !== 'connection' : bytes.length > 0;
+  }
+
   #handleCompleteResponse(attempt: Attempt, head: BackendExchange.ResponseHead): void {
     const isFailure = head.status >= FIRST_SERVER_ERROR_STATUS;
     if (isFailure) {
--- a/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
@@ -66,6 +66,9 @@
   'a server error without length': (socket, id) => socket.end(
     `${buildHead(id, '500 Failed', '')}error: x`,
   ),
+  'an end after its head': (socket, id) => socket.end(
+    buildHead(id, '200 OK', EVENT_STREAM),
+  ),
   'an end inside its head': (socket, id) => socket.end(
     buildHead(id, '200 OK', EVENT_STREAM).slice(0, -2),
   ),
