End a stream before the head of another response

Callers of streams without length and chunks found the head of another response as an event in the middle of their stream. Its server wrote one more response after its own, on a connection whose end is the end of the stream.

Cause: a head ends with an empty line, as an event does, and the framer of events has no other mark. A status line is no field of an event, so in such a stream the attempt is now broken before it: resumed where the route allows it, else broken off, since the stream before it may be whole or not.

BrokenStreams.test.ts, "a stream without length and chunks that another response follows": both tests failed before (head and status passed on to the caller), and pass now.

--- a/packages/routing/src/EventFramer.ts
+++ b/packages/routing/src/EventFramer.ts
@@ -11,6 +11,8 @@
   readonly id: number | undefined;
   /** Whether the event carries data; comments only keep the connection open. */
   readonly hasData: boolean;
+  /** Whether the bytes contain the status line of a response, which no event does. */
+  readonly hasStatusLine: boolean;
   readonly bytes: Buffer;
 }
 
@@ -40,11 +42,17 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
 const DATA_LINE = /^data(:|\r?$)/m;
+const STATUS_LINE = /^HTTP\/1\.\d \d{3}/m;
 
 function parseEvent(bytes: Buffer): StreamEvent {
   const text = bytes.toString('latin1');
   const id = ID_LINE.exec(text)?.[1];
-  return { bytes, hasData: DATA_LINE.test(text), id: id === undefined ? undefined : Number(id) };
+  return {
+    bytes,
+    hasData: DATA_LINE.test(text),
+    hasStatusLine: STATUS_LINE.test(text),
+    id: id === undefined ? undefined : Number(id),
+  };
 }
 
 /** Creates a framer for events of at most `maxEventBytes`. */
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -67,6 +67,18 @@
   readonly partialEventBytes: number | undefined;
 }
 
+/**
+ * Finds the event that is the head of another response; -1 if there is none. Only a stream that
+ * ends with its connection can contain the bytes that follow it there.
+ */
+function findSurplusResponse(
+  { head }: Attempt,
+  events: readonly EventFramer.StreamEvent[],
+): number {
+  if (head?.framing !== 'connection') return -1;
+  return events.findIndex(({ hasStatusLine }) => hasStatusLine);
+}
+
 /** A request in progress. */
 export class RoutedRequest {
   readonly #context: PathContext.PathContext;
@@ -502,12 +514,15 @@
       this.#bufferBytes(attempt, bytes);
       return;
     }
-    const framed = attempt.framer.push(bytes);
-    if (framed.events.length > 0) attempt.hasEvents = true;
-    this.#handleEvents(attempt, framed.events.filter(({ id }) => (
+    const { events, isTooLong } = attempt.framer.push(bytes);
+    const surplusIndex = findSurplusResponse(attempt, events);
+    const ownEvents = surplusIndex < 0 ? events : events.slice(0, surplusIndex);
+    if (ownEvents.length > 0) attempt.hasEvents = true;
+    this.#handleEvents(attempt, ownEvents.filter(({ id }) => (
       id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
     )));
-    if (framed.isTooLong) this.#abortResponse(attempt, 'event-too-long');
+    if (surplusIndex >= 0) this.#abortResponse(attempt, 'surplus-response');
+    else if (isTooLong) this.#abortResponse(attempt, 'event-too-long');
   }
 
   #bufferBytes(attempt: Attempt, bytes: Buffer): void {
--- a/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
@@ -162,3 +162,30 @@
   )], NOT_RESUMABLE);
   expect(await path.call()).toMatchObject({ body: 'data: a\n\n\n', isTruncated: false });
 });
+
+describe('a stream without length and chunks that another response follows', () => {
+  const surplus = 'HTTP/1.1 500 Failed\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nerror';
+  const head = 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n\r\n';
+  const lineEnds = ['\n', '\r\n'];
+
+  // Guards against the head of the other response as an event of the stream.
+  test('is broken off before the other response', async () => {
+    await Promise.all(lineEnds.map(async (lineEnd) => {
+      const event = buildEvent(1, lineEnd);
+      const { path } = await setUp([(socket) => (
+        socket.end(`${head}${event}${lineEnd}${surplus}`)
+      )], NOT_RESUMABLE);
+      const { body, isTruncated } = await path.call();
+      expect({ body, isTruncated }).toEqual({ body: event, isTruncated: true });
+    }));
+  });
+
+  test('goes on at another server if it is resumable', async () => {
+    const { path } = await setUp([
+      (socket) => socket.end(`${head}${buildEvent(1, '\n')}${surplus}`),
+      (socket, id) => PathHarness.writeResponse(socket, id, buildEvent(2, '\n')),
+    ], RESUMABLE);
+    expect(await path.call())
+      .toMatchObject({ body: buildEvent(1, '\n') + buildEvent(2, '\n'), isTruncated: false });
+  });
+});
