Pass on no status that promises "not run" without the server's word

Callers of requests that may run once could get 408, 429 or 503 from a server that did not state that it had not run the request, and try again.

Cause: the path told the daemon's own refusals, which are checked, from a server's failures, which were passed on whatever they promise.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -478,9 +478,21 @@
       // Only the rest of the stream may follow the part that the caller has.
       attempt.exchange.drain();
       this.#handleAttemptFailure('failed', `not-resumed-${head.status}`);
+    } else if (this.#isUnprovedRefusal(head.status)) {
+      attempt.exchange.drain();
+      this.#handleAttemptFailure('failed', `unproved-refusal-${head.status}`);
     } else this.#recordStart(attempt);
   }
 
+  /**
+   * Checks whether callers would take a status for the promise that their request has not run,
+   * although its server does not state that and the request must not run twice.
+   */
+  #isUnprovedRefusal(status: number): boolean {
+    const route = this.#route as RoutingConfig.Route;
+    return Refusals.isNotRunStatus(status) && !RetryPolicy.isRepeatable(route);
+  }
+
   /** Records that the server began to respond to this attempt. */
   #recordStart(attempt: Attempt): void {
     if (attempt.hasStarted) return;
