Read responses without body as whole, not as streams without events

Callers of streams got 502 for a signed 204 or 205, and a stream that was resumed ended as complete after a 205 of the next server.

Cause: whether a response is a stream of events was decided by its type alone, and 204 and 205 have no body whatever their type says.

--- a/packages/routing/src/HeaderRules.ts
+++ b/packages/routing/src/HeaderRules.ts
@@ -33,8 +33,15 @@
 
 const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i;
 
+/** Statuses of responses that have no body, whatever their headers say. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 205, 304]);
+
 /** Checks whether a body is a stream of events; one without a declared type may be. */
-export function isEventStream(headers: http.IncomingHttpHeaders): boolean {
+export function isEventStream({ headers, status }: {
+  readonly headers: http.IncomingHttpHeaders;
+  readonly status: number;
+}): boolean {
+  if (STATUSES_WITHOUT_BODY.has(status)) return false;
   const contentType = headers['content-type'];
   return contentType === undefined || EVENT_STREAM_TYPE.test(contentType);
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -474,7 +474,7 @@
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
     attempt.prompt.observeHead(this.#context.clock.readMonotonic() - attempt.startedMs);
-    if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head.headers)) {
+    if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
       );
