Resume no stream behind events without an id

Callers of a resumable stream whose events have no ids got its beginning twice when it broke off: without the id of a last event the next server starts anew.

Cause: whether a stream could go on was a matter of its route alone. It now also takes an id on the last event with data that the caller has; without, the stream is broken off.

--- a/packages/routing/src/RetryPolicy.ts
+++ b/packages/routing/src/RetryPolicy.ts
@@ -28,6 +28,8 @@
   readonly mayHaveRun: boolean;
   /** Whether a response head was sent to the caller. */
   readonly isHeadSent: boolean;
+  /** Whether the id of an event tells another server where to continue the sent events. */
+  readonly canContinue: boolean;
   readonly remainingMs: Core.Millis;
 }
 
@@ -54,7 +56,7 @@
 
 /** Checks whether the limits of time and attempts allow a retry after this kind of failure. */
 export function canRetry(kind: FailureKind, state: AttemptState): boolean {
-  if (state.remainingMs < MIN_REMAINING_MS) return false;
+  if (state.remainingMs < MIN_REMAINING_MS || !state.canContinue) return false;
   if (kind === 'not-sent' || kind === 'misdirected') return state.undelivered < MAX_UNDELIVERED;
   if (state.sends >= state.route.maxAttempts) return false;
   return kind === 'not-run' || isRepeatable(state.route);
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -137,6 +137,9 @@
 
   #lastEventId: number | undefined;
 
+  /** Whether the caller has an event with data after the last event with an id. */
+  #hasUnidentifiedEvent = false;
+
   /** How the last response of a server ended, for the log. */
   #lastEnd: ResponseEnd | undefined;
 
@@ -381,6 +384,7 @@
 
   #getState(): RetryPolicy.AttemptState {
     return {
+      canContinue: !this.#hasUnidentifiedEvent,
       isHeadSent: this.#isHeadSent,
       remainingMs: this.#computeRemainingMs(),
       mayHaveRun: this.#mayHaveRun,
@@ -564,6 +568,8 @@
     if (!events.some(({ hasData }) => hasData)) return;
     this.#recordStart(attempt);
     attempt.prompt.observeEvent();
+    const last = events.findLast(({ hasData, id }) => hasData || id !== undefined);
+    this.#hasUnidentifiedEvent = last?.id === undefined;
     this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
     const route = this.#route as RoutingConfig.Route;
     const canResume = RetryPolicy.canRepeat(route, this.#sends);
--- a/packages/routing/src/__tests__/unit/RequestPath.test.ts
+++ b/packages/routing/src/__tests__/unit/RequestPath.test.ts
@@ -41,6 +41,7 @@
     route: Routing.Route,
     extra: Partial<Routing.AttemptState> = {},
   ): Routing.AttemptState => ({
+    canContinue: true,
     isHeadSent: false,
     remainingMs: 1_000,
     mayHaveRun: false,
