Pass on no status that promises "not run" to callers of berylyoked either

Cause: as in, of the routing daemon: a server's failure was passed on whatever its status promises. Such an answer is now an unknown outcome. Both daemons take the statuses from core.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,3 +10,4 @@
 export * from './Randomness.js';
 export * from './Rendezvous.js';
 export * from './ResponseFraming.js';
+export * from './ResponseStatus.js';
--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -3,6 +3,7 @@
  * again once a byte of it may have been sent.
  */
 import type * as Config from '@berylyoke/config';
+import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
@@ -114,7 +115,9 @@
     };
   }
   const echoedId = answer.headers['x-request-id'];
-  if (echoedId !== undefined && echoedId !== received.requestId) {
+  const isForeign = echoedId !== undefined && echoedId !== received.requestId;
+  const isUnproved = !repeatable && Core.isNotRunStatus(answer.statusCode ?? HTTP_UNAVAILABLE);
+  if (isForeign || isUnproved) {
     answer.destroy();
     return { answer: undefined, isSendDenied: false, sent: true };
   }
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -58,14 +58,6 @@
   },
 } as const satisfies Record<string, Refusal>;
 
-/** Statuses that guarantee that a request has not run, whoever generates them. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-/** Checks whether callers take a status to mean that their request has not run. */
-export function isNotRunStatus(status: number): boolean {
-  return NOT_RUN_STATUSES.has(status);
-}
-
 /** Code of a refusal. */
 export type RefusalCode = keyof typeof REFUSALS;
 
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -4,7 +4,7 @@
  * outcome. Uses callbacks instead of `effect`, because a fiber for each event of a stream would
  * cost more than relaying the event (docs/decisions/house-style.md).
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 import * as RetryPolicy from './RetryPolicy.js';
 import * as BackendExchange from './BackendExchange.js';
@@ -498,7 +498,7 @@
    */
   #isUnprovedRefusal(status: number): boolean {
     const route = this.#route as RoutingConfig.Route;
-    return Refusals.isNotRunStatus(status) && !RetryPolicy.isRepeatable(route);
+    return Core.isNotRunStatus(status) && !RetryPolicy.isRepeatable(route);
   }
 
   /** Records that the server began to respond to this attempt. */
