Take an informational response for no answer in berylyoked

Callers of berylyoked could get 101 from a plain service as the answer to their call. Cause as in: Node.js passes it on as a final response. The call now fails as one whose connection broke. The test of RelayResponses.test.ts failed before and passes now.

--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -5,6 +5,9 @@
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 
+/** Lowest status of a final response; Node.js passes on 101 as one. */
+const FIRST_FINAL_STATUS = 200;
+
 /** A call to a backend server. */
 export interface BackendRequest {
   readonly address: string;
@@ -91,6 +94,10 @@
     // A request that is destroyed without an error emits only `close`.
     request.on('close', handleFailure);
     request.on('response', (response) => {
+      if ((response.statusCode ?? 0) < FIRST_FINAL_STATUS) {
+        request.destroy();
+        return;
+      }
       clearTimeout(headTimer);
       response.once('close', () => call.signal?.removeEventListener('abort', handleAbort));
       resolve(response);
--- a/packages/daemon/src/__tests__/unit/RelayResponses.test.ts
+++ b/packages/daemon/src/__tests__/unit/RelayResponses.test.ts
@@ -122,6 +122,13 @@
     expect(result).toMatchObject({ _tag: 'Refusal', code: 'outcome_unknown', notRun: false });
   });
 
+  // Guards against a caller who takes its connection for one of another protocol.
+  test('has an unknown outcome after a 101 of its server', async () => {
+    const context = await createContext([createStatusResponder(101)]);
+    const result = await RelayRoute.runRoute(context, createRequest('r1', false), ROUTE_TARGET);
+    expect(result).toMatchObject({ _tag: 'Refusal', code: 'outcome_unknown', notRun: false });
+  });
+
   test('gets other statuses as they are', async () => {
     const context = await createContext([createStatusResponder(404)]);
     const result = await RelayRoute.runRoute(context, createRequest('r1', false), ROUTE_TARGET);
