--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -229,11 +229,15 @@
     return RESULTS_BY_FAILURE[answer.reason];
   }
   const echoedId = answer.headers['x-request-id'];
-  if (answer.statusCode !== HTTP_OK || (echoedId !== undefined && echoedId !== requestId)) {
+  if (echoedId !== undefined && echoedId !== requestId) {
+    // The response to this request is still to come on the connection.
+    answer.destroy();
+    return 'failed';
+  }
+  if (answer.statusCode !== HTTP_OK) {
     answer.resume();
     if (BUSY_STATUSES.includes(answer.statusCode ?? 0)) return 'busy';
-    const isRejected = (answer.statusCode ?? HTTP_SERVER_ERROR) < HTTP_SERVER_ERROR;
-    return isRejected && answer.statusCode !== HTTP_OK ? 'rejected' : 'failed';
+    return (answer.statusCode ?? HTTP_SERVER_ERROR) < HTTP_SERVER_ERROR ? 'rejected' : 'failed';
   }
   if (!target.stream) return relayWithoutStream(answer, requestId, responseWriter);
   responseWriter.writeStreamHead();
--- a/packages/daemon/src/__tests__/unit/RelayResponses.test.ts
+++ b/packages/daemon/src/__tests__/unit/RelayResponses.test.ts
@@ -213,4 +213,21 @@
       expect(await call('r1')).toEqual({ body: buildToken('r1', 'a'), isTruncated: true });
     },
   );
+
+  // Guards against a connection on which each response answers the request before.
+  test('closes a connection with the response of another request', async () => {
+    const connections = new Set<net.Socket>();
+    const context = await createContext([(socket, id, count) => {
+      connections.add(socket);
+      if (count > 1) {
+        writeStream(socket, id, buildToken(id, 'b') + DONE);
+        return;
+      }
+      socket.write('HTTP/1.1 503 Busy\r\nX-Request-Id: r0\r\nContent-Length: 0\r\n\r\n');
+    }, (socket, id) => writeStream(socket, id, buildToken(id, 'c') + DONE)]);
+    const call = await startCaller(context);
+    expect((await call('r1')).body).toBe(buildToken('r1', 'c') + DONE);
+    expect((await call('r2')).body).toBe(buildToken('r2', 'b') + DONE);
+    expect(connections.size).toBe(2);
+  });
 });
