Read nothing from positions of before a return of the store

Callers were served by a configuration older than the one that the store had acknowledged, for as long as no further change came, after the store had returned from an older copy.

Cause: every reader went on from its offset. Offsets are given out again, so what was written at a lower one since the return was never read, and the empty answer even proved the list of keys as current. A relay that had started over hid it from its readers in the same way. The client of the store is the one place that every answer passes through; it now combines the era and the offset into a position, and fails reads from, and conditional appends at, a position of a former era, answers of a former era, and pages of two eras. Positions of a later era are greater, so the copies of relays need no change.

--- a/packages/core/src/HttpJson.ts
+++ b/packages/core/src/HttpJson.ts
@@ -31,6 +31,7 @@
 /** Whole response, not decoded. */
 export interface BytesResponse {
   readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
   readonly bytes: Buffer;
 }
 
@@ -110,7 +111,11 @@
       });
       response.on('error', (error) => fail('connection', error));
       response.on('end', () => {
-        settle(Effect.succeed({ bytes: Buffer.concat(chunks), status: response.statusCode ?? 0 }));
+        settle(Effect.succeed({
+          bytes: Buffer.concat(chunks),
+          headers: response.headers,
+          status: response.statusCode ?? 0,
+        }));
       });
     });
     request.end(payload);
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -9,6 +9,7 @@
 import * as Either from 'effect/Either';
 import * as ClockReading from './ClockReading.js';
 import type * as FeedCopy from './FeedCopy.js';
+import * as LogPosition from './LogPosition.js';
 import type * as Ports from './Ports.js';
 
 /** Access to the copy of the feed at a relay. */
@@ -42,6 +43,11 @@
   readonly onSnapshot: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
   readonly onChanges: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
   readonly onFailure: (error: Ports.StoreUnavailable) => void;
+  /**
+   * Called when the feed returned from an older copy, before the snapshot that follows is passed
+   * on. The positions are those of the next change before and after the return.
+   */
+  readonly onRestored?: (previousNext: number, next: number) => void;
   /** Called when a relay reports a failed read that is newer than the last verified time. */
   readonly onRelayFailure?: () => void;
 }
@@ -80,6 +86,8 @@
 /** Starts to follow a feed. */
 export function startFeedLoop<T>(options: FeedOptions<T>): FeedLoop {
   let nextOffset: number | undefined;
+  /** Position after the newest page that was passed on. */
+  let lastNext: number | undefined;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let abortController = new AbortController();
@@ -104,6 +112,10 @@
     options.copy.apply({
       changes, isSnapshot, next: page.next, verifiedAt,
     });
+    const isRestored = lastNext !== undefined
+      && LogPosition.getGeneration(page.next) > LogPosition.getGeneration(lastNext);
+    if (isRestored) options.onRestored?.(lastNext as number, page.next);
+    lastNext = page.next;
     options.onContact(verifiedAt, contactMs);
     if (isSnapshot) options.onSnapshot(changes);
     else if (changes.length > 0) options.onChanges(changes);
--- a/packages/routing/src/Ports.ts
+++ b/packages/routing/src/Ports.ts
@@ -17,10 +17,17 @@
   }
 }
 
-/** The requested records were deleted; `first` is the oldest retained offset. */
+/**
+ * The requested records were deleted, or the log returned from an older copy; `first` is the
+ * position of the oldest retained record.
+ */
 export class HistoryLost extends Data.TaggedError('HistoryLost')<{ readonly first: number }> {}
 
-/** The log does not end at the offset that the append expected, so nothing was appended. */
+/**
+ * The log does not end at the position that the append expected. Nothing was appended, unless the
+ * log returned from an older copy and ends at the same offset; readers must not rely on such a
+ * record.
+ */
 export class EndMoved extends Data.TaggedError('EndMoved')<{ readonly end: number }> {}
 
 /** Change of one key; `raw` is undefined if the key was removed. */
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -76,6 +76,28 @@
     expect(createCopy().read(9, at(0))?.page).toEqual({ changes: [], next: 9 });
   });
 
+  // Guards against a reader whose offset exists again in a copy that was restored.
+  test('a reader of before the return of the store gets a snapshot', () => {
+    const copy = createCopy();
+    const inSecond = (offset: number): number => Routing.createPosition(2, offset);
+    copy.apply({
+      changes: [createChange('a', inSecond(3), 'old')],
+      isSnapshot: true,
+      next: inSecond(4),
+      verifiedAt: at(100),
+    });
+    copy.apply({
+      changes: [createChange('c', inSecond(4), 'new')],
+      isSnapshot: false,
+      next: inSecond(5),
+      verifiedAt: at(100),
+    });
+    const copyPage = copy.read(Routing.createPosition(1, 7), at(100));
+    expect(copyPage?.isSnapshot).toBe(true);
+    expect(listKeys(copyPage)).toEqual(['a=old', 'c=new']);
+    expect(copyPage?.page.next).toBe(inSecond(5));
+  });
+
   test('a page states its age and a recent failure, and is withheld after a suspension', () => {
     const copy = createCopy();
     copy.observeFailure(at(400));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 export * from './HandOverBatch.js';
 export * from './HeaderRules.js';
 export * from './HttpListeners.js';
+export * from './LogPosition.js';
 export * from './OrderPlan.js';
 export * from './OutcomeExchange.js';
 export * from './Ports.js';
