Let the holder of the duties go on after a return of the log

After the store had returned from an older copy nobody reported usage or ordered servers for about five seconds, or two daemons did so with one fencing token.

Positions make tokens rise with the generation, but a claim that is still there then has another token for those who read it again than for its holder. The claim now states its token. A holder whose log has returned stops at once, and claims again at once where nobody can have claimed within a term of its newest append; a claim that took effect at a position of an earlier generation holds nothing.

DutyRunner.test.ts: "the holder goes on after a short outage" failed before (no claim), passes now. "no two holders have the same fencing token" holds with the positions alone.

Daemons of earlier versions beside this one do not know the token of its claims: while versions are mixed and after a return of the store, the lease may change hands once more.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -1,7 +1,8 @@
 /**
  * Lease of the duties, kept in a log with conditional appends: an append that names the expected
- * end of the log takes effect only if no other record was appended in the meantime. The offset of a
- * claim is its fencing token.
+ * end of the log takes effect only if no other record was appended in the meantime. The position of
+ * a claim is its fencing token. The claim states it, because a log that returns from an older copy
+ * has the same record at a position of a later generation.
  *
  * The holder measures its term from before it sent the append, and an observer from when it read
  * the record. The holder therefore considers its lease expired before any observer may claim it.
@@ -12,12 +13,13 @@
 import type * as Core from '@berylyoke/core';
 import * as Schema from 'effect/Schema';
 import * as ClockReading from './ClockReading.js';
+import * as LogPosition from './LogPosition.js';
 
 /** Schema of a record of the duties log. `nonce` identifies the append and its process. */
 export const DutyRecord = Schema.Struct({
   /** Number of daemons that handed over counts recently, as known to the holder. */
   daemonCount: Schema.optional(Schema.Number),
-  /** Fencing token of the holder. Absent in a claim, whose offset becomes the token. */
+  /** Fencing token of the holder. A claim of an earlier version has none: its position is it. */
   fence: Schema.optional(Schema.Number),
   holder: Schema.String,
   kind: Schema.Literal('claim', 'release', 'renewal', 'seal'),
@@ -99,7 +101,7 @@
   if (record.kind === 'claim') {
     return {
       ...next,
-      fence: offset,
+      fence: record.fence ?? offset,
       holder: record.holder,
       nonce: record.nonce,
       observedAt: readAt,
@@ -154,6 +156,26 @@
   readonly termMs: Core.Millis;
 }
 
+/**
+ * Checks whether the holder of before the log returned from an older copy may claim the lease at
+ * once: within a term of its newest append nobody else can have claimed it, and nobody has claimed
+ * it since the return.
+ */
+export function canReclaim(
+  state: DutyState,
+  newestLease: HeldLease | undefined,
+  now: ClockReading.ClockReading,
+): boolean {
+  if (newestLease === undefined || ClockReading.hasDrifted(newestLease.sentAt, now)) return false;
+  const generation = LogPosition.getGeneration(state.end);
+  const isOfGeneration = (fence: number): boolean => (
+    LogPosition.getGeneration(fence) === generation
+  );
+  return now.monotonicMs - newestLease.sentAt.monotonicMs < newestLease.termMs
+    && !isOfGeneration(newestLease.fence)
+    && (state.fence === undefined || !isOfGeneration(state.fence));
+}
+
 /**
  * Computes the time for which this process still holds the lease, in milliseconds; 0 without a
  * lease, and after a suspension of the VM or a step of the time of day.
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -12,6 +12,7 @@
 import * as ClockReading from './ClockReading.js';
 import * as CountsRecord from './CountsRecord.js';
 import * as DutyLease from './DutyLease.js';
+import * as LogPosition from './LogPosition.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
 import * as RelayPlan from './RelayPlan.js';
@@ -138,6 +139,9 @@
 
   #heldLease: DutyLease.HeldLease | undefined;
 
+  /** Lease that this process held last, unless another daemon has had it since. */
+  #newestLease: DutyLease.HeldLease | undefined;
+
   /** Clock readings before each append whose outcome is not yet known, by nonce. */
   readonly #pendingAppends = new Map<string, ClockReading.ClockReading>();
 
@@ -186,6 +190,7 @@
     if (heldLease === undefined || this.#computeRemainingTerm() <= 0) return;
     await this.#append({ fence: heldLease.fence, kind: 'release' });
     this.#heldLease = undefined;
+    this.#newestLease = undefined;
   };
 
   stop = async (): Promise<void> => {
@@ -217,24 +222,34 @@
     this.#handOver.start();
     if (this.#hasResigned) return;
     if (this.#heldLease !== undefined && this.#computeRemainingTerm() <= 0) {
-      this.#loseLease('term over');
+      this.#pauseLease('term over');
     }
     if (this.#heldLease === undefined) await this.#followLease();
     else await this.#runDuties();
   }
 
-  #loseLease(reason: string): void {
+  /** Stops acting as the holder, although no other daemon is known to hold the lease. */
+  #pauseLease(reason: string): void {
     this.#context.logger.warn({ fence: this.#heldLease?.fence, reason }, 'duties lost');
     this.#heldLease = undefined;
     this.#claimAtMs = undefined;
   }
 
+  #loseLease(reason: string): void {
+    this.#pauseLease(reason);
+    this.#newestLease = undefined;
+  }
+
   async #followLease(): Promise<void> {
     const nowMs = this.#context.clock.readMonotonic();
     if (nowMs < this.#nextPollMs) return;
     const isRead = await this.#readDutyLog();
     this.#nextPollMs = nowMs + (isRead ? this.#computePollInterval() : MIN_POLL_MS);
     if (!isRead) return;
+    if (DutyLease.canReclaim(this.#state, this.#newestLease, this.#readClocks())) {
+      await this.#claim();
+      return;
+    }
     if (!DutyLease.canClaim(this.#state, this.#readClocks())) {
       this.#claimAtMs = undefined;
       return;
@@ -243,7 +258,11 @@
     this.#nextPollMs = this.#claimAtMs;
     if (nowMs < this.#claimAtMs) return;
     this.#claimAtMs = undefined;
-    await this.#append({ kind: 'claim' });
+    await this.#claim();
+  }
+
+  async #claim(): Promise<void> {
+    await this.#append({ fence: this.#state.end, kind: 'claim' });
   }
 
   /**
@@ -277,8 +296,9 @@
     const readAt = this.#readClocks();
     if (Either.isLeft(result)) {
       if (result.left._tag === 'HistoryLost') {
-        this.#state = DutyLease.applyDutyGap(this.#state, result.left.first, readAt);
-      } else this.#context.logger.warn({ detail: result.left.message }, 'duties log not read');
+        return this.#applyLostHistory(result.left.first, readAt);
+      }
+      this.#context.logger.warn({ detail: result.left.message }, 'duties log not read');
       return false;
     }
     result.right.records.forEach(({ offset, value }) => this.#applyRecord(offset, value, readAt));
@@ -286,6 +306,18 @@
     return true;
   }
 
+  /** Applies a gap in the log; resolves with whether the log was read after it. */
+  async #applyLostHistory(first: number, readAt: ClockReading.ClockReading): Promise<boolean> {
+    const { end } = this.#state;
+    this.#state = DutyLease.applyDutyGap(this.#state, first, readAt);
+    if (LogPosition.getGeneration(first) <= LogPosition.getGeneration(end)) return false;
+    this.#context.logger.warn({ first, previousEnd: end }, 'duties log is from an older copy');
+    // The claim of this lease may be gone, and its appends have no effect on other daemons.
+    if (this.#heldLease !== undefined) this.#pauseLease('the log returned from an older copy');
+    this.#pendingAppends.clear();
+    return this.#readDutyLog();
+  }
+
   #applyRecord(offset: number, value: unknown, readAt: ClockReading.ClockReading): void {
     const decoded = decodeDuty(value);
     if (decoded._tag === 'None') return;
@@ -320,6 +352,8 @@
     const { fence, holder, termMs } = this.#state;
     if (fence === undefined || holder !== this.#context.daemonId) return;
     if (this.#refusedFences.has(fence)) return;
+    // A claim at a position of an earlier generation may have the token of a claim that is gone.
+    if (LogPosition.getGeneration(fence) !== LogPosition.getGeneration(this.#state.end)) return;
     if (this.#heldLease?.fence !== fence) {
       this.#orderTracker = OrderPlan.createOrderTracker();
       this.#reportedWindows.clear();
@@ -327,6 +361,7 @@
       this.#countsReadMs = -Infinity;
     }
     this.#heldLease = { fence, sentAt, termMs };
+    this.#newestLease = this.#heldLease;
   }
 
   async #append(
--- a/packages/routing/src/__tests__/support/FakeDuties.ts
+++ b/packages/routing/src/__tests__/support/FakeDuties.ts
@@ -9,6 +9,8 @@
 export interface FakeLog {
   readonly records: readonly unknown[];
   readonly connect: (daemonId: string) => Routing.SharedLog;
+  /** Removes the records from an offset on, as a log that returns from an older copy. */
+  readonly restore: (length: number) => void;
 }
 
 const DELAY_MS = 600;
@@ -16,6 +18,8 @@
 /** Creates an empty log; `chooseFault` returns the fault of each call of a daemon. */
 export function createFakeLog(chooseFault: (daemonId: string, call: string) => Fault): FakeLog {
   const records: unknown[] = [];
+  let generation = 0;
+  const at = (offset: number): number => Routing.createPosition(generation, offset);
   const fail = (call: string, sent: boolean): Routing.StoreUnavailable => (
     new Routing.StoreUnavailable({ call, detail: 'fault', sent })
   );
@@ -23,11 +27,16 @@
     added: readonly unknown[],
     expectedEnd: number | undefined,
   ): Effect.Effect<number, Routing.EndMoved> => Effect.suspend(() => {
-    if (expectedEnd !== undefined && expectedEnd !== records.length) {
-      return Effect.fail(new Routing.EndMoved({ end: records.length }));
+    const isRestored = expectedEnd !== undefined
+      && Routing.getGeneration(expectedEnd) !== generation;
+    if (expectedEnd !== undefined && Routing.getOffset(expectedEnd) !== records.length) {
+      return Effect.fail(new Routing.EndMoved({ end: at(records.length) }));
     }
+    // The store compares the offset alone; only its answer states another generation.
     records.push(...added);
-    return Effect.succeed(records.length - added.length);
+    return isRestored
+      ? Effect.fail(new Routing.EndMoved({ end: at(records.length) }))
+      : Effect.succeed(at(records.length - added.length));
   });
   return {
     connect: (daemonId) => ({
@@ -43,10 +52,18 @@
         return effectsByFault[chooseFault(daemonId, 'append')]();
       },
       read: (from) => {
-        const read = Effect.sync(() => ({
-          next: records.length,
-          records: records.slice(from).map((value, index) => ({ offset: from + index, value })),
-        }));
+        const read = Effect.suspend(() => {
+          if (from !== 0 && Routing.getGeneration(from) !== generation) {
+            return Effect.fail(new Routing.HistoryLost({ first: at(0) }));
+          }
+          const offset = Routing.getOffset(from);
+          return Effect.succeed({
+            next: at(records.length),
+            records: records.slice(offset).map((value, index) => (
+              { offset: at(offset + index), value }
+            )),
+          });
+        });
         const effectsByFault = {
           delay: () => Effect.delay(read, DELAY_MS),
           'lost-answer': () => Effect.fail(fail('read', true)),
@@ -57,6 +74,10 @@
       },
     }),
     records,
+    restore: (length) => {
+      generation += 1;
+      records.splice(length);
+    },
   };
 }
 
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -15,6 +15,8 @@
 
 interface Fleet {
   readonly platform: FakeDuties.FakePlatform;
+  readonly dutyLog: FakeDuties.FakeLog;
+  readonly countsLog: FakeDuties.FakeLog;
   readonly usageCounters: readonly Routing.UsageCounter[];
   readonly runners: readonly Routing.DutyRunner[];
   /** Newest assignment of relays that each daemon received. */
@@ -72,6 +74,8 @@
     },
     platform,
     assignments,
+    countsLog,
+    dutyLog,
   };
 }
 
@@ -260,4 +264,73 @@
       expect(listReports(fleet).length).toBeGreaterThan(2);
     },
   );
+
+  describe('whose log returns from an older copy', () => {
+    let isDown = false;
+    beforeEach(() => {
+      isDown = false;
+    });
+
+    const startFleetWithOutages = (count: number): Fleet => (
+      startFleet(count, () => (isDown ? 'refusal' : 'none'))
+    );
+    const getHolderIndex = ({ runners }: Fleet): number => (
+      Number(runners[0]?.getHolder()?.slice('vm-'.length))
+    );
+    /** Makes the logs unavailable, and lets them return as they were at some lengths. */
+    const restoreLogs = async (
+      { countsLog, dutyLog }: Fleet,
+      lengths: { readonly counts: number; readonly duties: number },
+      outageMs: number,
+    ): Promise<void> => {
+      isDown = true;
+      await vi.advanceTimersByTimeAsync(outageMs);
+      dutyLog.restore(lengths.duties);
+      countsLog.restore(lengths.counts);
+      isDown = false;
+    };
+    const getLengths = ({ countsLog, dutyLog }: Fleet) => (
+      { counts: countsLog.records.length, duties: dutyLog.records.length }
+    );
+    const orderEach = (next: Fleet): readonly number[] => (
+      next.platform.seen.map(({ fence }) => fence)
+    );
+
+    // Guards against a claim whose offset, and so its fencing token, an earlier claim had.
+    test('no two holders have the same fencing token, and tokens never decrease', async () => {
+      fleet = startFleetWithOutages(4);
+      addRequests(fleet.usageCounters);
+      const lengths = { counts: 0, duties: 0 };
+      await vi.advanceTimersByTimeAsync(7_500);
+      const first = getHolderIndex(fleet);
+      fleet.kill(first);
+      await restoreLogs(fleet, lengths, 6_000);
+      const survivors = fleet.usageCounters.filter((_, index) => index !== first);
+      await vi.advanceTimersByTimeAsync(6_000);
+      addRequests(survivors);
+      await vi.advanceTimersByTimeAsync(WINDOW_MS + REPORT_DUE_MS);
+      const fences = orderEach(fleet);
+      expect(fences.length).toBeGreaterThan(1);
+      expect(fences).toEqual([...fences].sort((a, b) => a - b));
+      expect(new Set(listReports(fleet).map(({ holder }) => holder)).size).toBe(2);
+      checkInvariants(fleet);
+    });
+
+    // Guards against a fleet without a holder for a term after each return of the store.
+    test('the holder goes on after a short outage, with a new fencing token', async () => {
+      fleet = startFleetWithOutages(4);
+      await vi.advanceTimersByTimeAsync(6_000);
+      const lengths = getLengths(fleet);
+      const first = fleet.runners[0]?.getHolder();
+      addRequests(fleet.usageCounters);
+      await vi.advanceTimersByTimeAsync(2_500);
+      await restoreLogs(fleet, lengths, 1_000);
+      await vi.advanceTimersByTimeAsync(1_000);
+      const claims = fleet.dutyLog.records.slice(lengths.duties)
+        .filter((record) => (record as Routing.DutyRecord).kind === 'claim');
+      expect(claims).toMatchObject([{ holder: first }]);
+      await vi.advanceTimersByTimeAsync(3_000);
+      expect(fleet.runners.map((runner) => runner.getHolder())).toEqual(Array(4).fill(first));
+    });
+  });
 });
