Seal no usage window twice over a return of the log

Cause: the seals written since the copy are gone with the counts, and a window without a seal in the log counts as not sealed. Each daemon now notes the first window that cannot have been sealed before the return, and holders state it in their records for those who start later. The former holder, who goes on within its term, knows its seals and loses no window. A daemon that reads the log for the first time and finds no holder of this generation assumes a return.

DutyRunner.test.ts: without the rule two of the new tests fail (a window of before the return is sealed again, the claim states 0), with it they pass; "no window is reported with two sets of counts" passes without it too, as the survivors had read the seal. Windows that ended while the store was away are not reported by a new holder.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -28,6 +28,8 @@
   relays: Schema.optional(Schema.Record({
     key: Schema.String, value: Schema.Array(Schema.String),
   })),
+  /** First window that may be sealed; seals of earlier ones may have been lost with the log. */
+  sealFrom: Schema.optional(Schema.Number),
   seal: Schema.optional(Schema.Struct({
     counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
     window: Schema.Number,
@@ -59,6 +61,8 @@
   /** Time at which the holder wrote its newest record, by its estimate of the true time. */
   readonly writtenMs: Core.Millis | undefined;
   readonly seals: ReadonlyMap<number, Seal>;
+  /** First window that may be sealed. */
+  readonly sealFrom: number;
 }
 
 /** State before the first record. */
@@ -70,6 +74,7 @@
   nonce: undefined,
   observedAt: undefined,
   relays: {},
+  sealFrom: 0,
   seals: new Map(),
   termMs: 0,
   writtenMs: undefined,
@@ -90,6 +95,18 @@
   return new Map([...kept, [seal.window, seal]]);
 }
 
+/**
+ * Chooses the first window that may be sealed after a record. The holder of this generation of the
+ * log knows it best: its seals were not lost, or it claimed after the others noticed the return.
+ */
+function chooseSealFrom(state: DutyState, position: number, record: DutyRecord): number {
+  const { fence, kind, sealFrom } = record;
+  if (sealFrom === undefined) return state.sealFrom;
+  const isOfGeneration = fence !== undefined
+    && LogPosition.getGeneration(fence) === LogPosition.getGeneration(position);
+  return kind === 'claim' && isOfGeneration ? sealFrom : Math.max(sealFrom, state.sealFrom);
+}
+
 /** Applies one record; records come in log order. A record of a former holder has no effect. */
 export function applyDutyRecord(
   state: DutyState,
@@ -97,7 +114,8 @@
   record: DutyRecord,
   readAt: ClockReading.ClockReading,
 ): DutyState {
-  const next = { ...state, end: offset + 1 };
+  const sealFrom = chooseSealFrom(state, offset, record);
+  const next = { ...state, end: offset + 1, sealFrom };
   if (record.kind === 'claim') {
     return {
       ...next,
@@ -156,6 +174,12 @@
   readonly termMs: Core.Millis;
 }
 
+/** Checks whether the lease was claimed since the log returned from an older copy. */
+export function hasHolderOfGeneration({ end, fence }: DutyState): boolean {
+  return fence !== undefined
+    && LogPosition.getGeneration(fence) === LogPosition.getGeneration(end);
+}
+
 /**
  * Checks whether the holder of before the log returned from an older copy may claim the lease at
  * once: within a term of its newest append nobody else can have claimed it, and nobody has claimed
@@ -168,12 +192,9 @@
 ): boolean {
   if (newestLease === undefined || ClockReading.hasDrifted(newestLease.sentAt, now)) return false;
   const generation = LogPosition.getGeneration(state.end);
-  const isOfGeneration = (fence: number): boolean => (
-    LogPosition.getGeneration(fence) === generation
-  );
   return now.monotonicMs - newestLease.sentAt.monotonicMs < newestLease.termMs
-    && !isOfGeneration(newestLease.fence)
-    && (state.fence === undefined || !isOfGeneration(state.fence));
+    && LogPosition.getGeneration(newestLease.fence) !== generation
+    && !hasHolderOfGeneration(state);
 }
 
 /**
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -148,6 +148,8 @@
   /** Fencing tokens that the platform refused; they must not be used again. */
   readonly #refusedFences = new Set<number>();
 
+  #hasReadLog = false;
+
   #nextPollMs = -Infinity;
 
   #lastRenewMs = -Infinity;
@@ -303,6 +305,13 @@
     }
     result.right.records.forEach(({ offset, value }) => this.#applyRecord(offset, value, readAt));
     this.#state = { ...this.#state, end: result.right.next };
+    if (!this.#hasReadLog) {
+      this.#hasReadLog = true;
+      // Without a holder of this generation, the log may have returned before this daemon started.
+      if (!DutyLease.hasHolderOfGeneration(this.#state)) {
+        this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
+      }
+    }
     return true;
   }
 
@@ -311,6 +320,7 @@
     const { end } = this.#state;
     this.#state = DutyLease.applyDutyGap(this.#state, first, readAt);
     if (LogPosition.getGeneration(first) <= LogPosition.getGeneration(end)) return false;
+    this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
     this.#context.logger.warn({ first, previousEnd: end }, 'duties log is from an older copy');
     // The claim of this lease may be gone, and its appends have no effect on other daemons.
     if (this.#heldLease !== undefined) this.#pauseLease('the log returned from an older copy');
@@ -318,6 +328,21 @@
     return this.#readDutyLog();
   }
 
+  /**
+   * Computes the first window that may be sealed after the log returned from an older copy. The
+   * former holder knows its seals, also those that are gone. For any other daemon, each window that
+   * could be sealed by now may have been.
+   */
+  #computeSealFrom(): number {
+    const { seals, sealFrom } = this.#state;
+    if (DutyLease.canReclaim(this.#state, this.#newestLease, this.#readClocks())) {
+      return Math.max(sealFrom, ...[...seals.keys()].map((window) => window + 1));
+    }
+    const { trueTime, windowMs } = this.#context;
+    const firstOpen = UsageCounts.computeWindow(trueTime.read() - HAND_OVER_PERIOD_MS, windowMs);
+    return Math.max(sealFrom, firstOpen);
+  }
+
   #applyRecord(offset: number, value: unknown, readAt: ClockReading.ClockReading): void {
     const decoded = decodeDuty(value);
     if (decoded._tag === 'None') return;
@@ -372,6 +397,7 @@
       ...content,
       holder: this.#context.daemonId,
       nonce: Core.createId(),
+      sealFrom: this.#state.sealFrom,
       termMs: Math.round(this.#context.leaseMs * LEASE_TERM_FACTOR),
       writtenMs: Math.round(this.#context.trueTime.read()),
     };
@@ -426,7 +452,8 @@
   #listDueWindows(): readonly number[] {
     const nowMs = this.#context.trueTime.read();
     return this.#listRecentWindows().filter((window) => (
-      !this.#state.seals.has(window) && nowMs >= this.#computeHandOverEnd(window)
+      window >= this.#state.sealFrom && !this.#state.seals.has(window)
+      && nowMs >= this.#computeHandOverEnd(window)
     ));
   }
 
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -28,9 +28,12 @@
 function startFleet(
   count: number,
   chooseFault: (daemonId: string, call: string) => FakeDuties.Fault = () => 'none',
+  logs: Pick<Fleet, 'countsLog' | 'dutyLog'> = {
+    countsLog: FakeDuties.createFakeLog(chooseFault),
+    dutyLog: FakeDuties.createFakeLog(chooseFault),
+  },
 ): Fleet {
-  const dutyLog = FakeDuties.createFakeLog(chooseFault);
-  const countsLog = FakeDuties.createFakeLog(chooseFault);
+  const { countsLog, dutyLog } = logs;
   const platform = FakeDuties.createFakePlatform(() => performance.now());
   const assignments = new Map<string, Routing.RelayAssignment>();
   const daemons = Array.from({ length: count }, (_, index) => {
@@ -316,6 +319,67 @@
       checkInvariants(fleet);
     });
 
+    // Guards against a window that the next holder seals again, with the counts that are left.
+    test('no window is reported with two sets of counts', async () => {
+      fleet = startFleetWithOutages(4);
+      addRequests(fleet.usageCounters);
+      const window = Math.floor(Date.now() / WINDOW_MS);
+      const duties = fleet.dutyLog.records.length;
+      await vi.advanceTimersByTimeAsync((window + 1) * WINDOW_MS + 1_950 - Date.now());
+      expect(listReports(fleet)).toMatchObject([{ counts: '{"shop":4}', window }]);
+      fleet.kill(getHolderIndex(fleet));
+      // Two of the four counts of the window are left.
+      const counts = fleet.countsLog.records.length - 2;
+      await restoreLogs(fleet, { counts, duties }, 500);
+      addRequests(fleet.usageCounters);
+      await vi.advanceTimersByTimeAsync(4 * WINDOW_MS);
+      expect(listReports(fleet).length).toBeGreaterThan(1);
+      checkInvariants(fleet);
+    });
+
+    // Guards against a daemon that starts after the return, knows no seal and seals it once more.
+    test('no later holder seals a window that was sealed before the return', async () => {
+      fleet = startFleetWithOutages(4);
+      addRequests(fleet.usageCounters);
+      const window = Math.floor(Date.now() / WINDOW_MS);
+      await vi.advanceTimersByTimeAsync((window + 1) * WINDOW_MS + 1_950 - Date.now());
+      expect(listReports(fleet)).toHaveLength(1);
+      await restoreLogs(fleet, { counts: 0, duties: 0 }, 500);
+      await vi.advanceTimersByTimeAsync(1_500);
+      const claims = fleet.dutyLog.records as readonly Routing.DutyRecord[];
+      const state = claims.reduce(
+        (previous, record, offset) => Routing.applyDutyRecord(
+          previous,
+          Routing.createPosition(1, offset),
+          record,
+          Routing.readClocks(Core.systemClock),
+        ),
+        Routing.INITIAL_DUTY_STATE,
+      );
+      expect(state.seals.has(window)).toBe(false);
+      expect(state.sealFrom).toBe(window + 1);
+    });
+
+    test('a daemon that starts after the return seals no window of before', async () => {
+      fleet = startFleetWithOutages(2);
+      addRequests(fleet.usageCounters);
+      const window = Math.floor(Date.now() / WINDOW_MS);
+      await vi.advanceTimersByTimeAsync((window + 1) * WINDOW_MS + 1_950 - Date.now());
+      expect(listReports(fleet)).toHaveLength(1);
+      fleet.kill(0);
+      fleet.kill(1);
+      const counts = fleet.countsLog.records.length - 1;
+      await restoreLogs(fleet, { counts, duties: 1 }, 500);
+      const restarted = startFleet(2, () => 'none', fleet);
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      addRequests(restarted.usageCounters);
+      await vi.advanceTimersByTimeAsync(WINDOW_MS + REPORT_DUE_MS);
+      restarted.runners.forEach((runner) => runner.stop());
+      const windows = listReports(restarted).map((report) => report.window);
+      expect(windows.length).toBeGreaterThan(0);
+      expect(Math.min(...windows as number[])).toBeGreaterThan(window);
+    });
+
     // Guards against a fleet without a holder for a term after each return of the store.
     test('the holder goes on after a short outage, with a new fencing token', async () => {
       fleet = startFleetWithOutages(4);
