Write again what the store lost of usage counts and crash reports

Usage that had been handed over before the store returned from an older copy was missing in the reports of a new holder, and a daemon that started later did not know the prompt parts that crash servers.

Cause: counts count as handed over, and reports as written, for good. When the configuration turns out to come from an older copy, from the store or through a relay, each daemon hands its counts of the recent windows over again and writes its own reports, within half a second at random; counts go through the relays where there are some. Readers know counts that arrive twice.

--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -68,6 +68,8 @@
   readonly applyChanges: (
     changes: readonly FeedCopy.DecodedChange<CrashSuspects.PartReport>[],
   ) => void;
+  /** Writes the reports of this daemon again, after the store returned from an older copy. */
+  readonly rewrite: () => void;
   readonly stop: () => void;
 }
 
@@ -179,6 +181,7 @@
     observeServerAnswer: (server, elapsedMs) => {
       suspects.observeServerAnswer(server, readTrueTime() - elapsedMs);
     },
+    rewrite: () => reportParts([...written]),
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -85,6 +85,8 @@
   readonly relayChoice: RelayChoice.RelayChoice;
   /** Called with reports of prompt parts that crash servers. */
   readonly onCrashReports: CrashReports.CrashReports['applyChanges'];
+  /** Called when the store returned from an older copy; what daemons wrote since is gone. */
+  readonly onRestored: () => void;
   /** Called when a new version of the configuration takes effect. */
   readonly onConfig: (config: RoutingConfig.RoutingConfig) => void;
 }
@@ -209,6 +211,10 @@
       configContact.onContact();
     },
     onFailure: configContact.onFailure,
+    onRestored: (previousNext, next) => {
+      logger.warn({ next, previousNext }, 'configuration is read from an older copy');
+      context.onRestored();
+    },
     onSnapshot: (changes) => applyOperatorRecords(changes, new Map()),
     readClocks,
     relay: createUpstreamRelay('configuration', configMaxCopyAgeMs),
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -99,6 +99,12 @@
   };
 }
 
+/**
+ * Time over which the daemons of a fleet write again what the store lost; well below the time from
+ * the end of a window to its seal.
+ */
+const REWRITE_SPREAD_MS = 500;
+
 /** Starts a daemon; resolves when it listens. */
 export async function startRoutingDaemon(options: DaemonOptions): Promise<RoutingDaemon> {
   const {
@@ -169,6 +175,13 @@
     metrics,
     onCrashReports: crashReports.applyChanges,
     onConfig: ({ limits }) => entry?.setLimits(limits),
+    onRestored: () => {
+      // A fleet must not write everything again at the same moment.
+      setTimeout(() => {
+        usageCounter.resetHandOver();
+        crashReports.rewrite();
+      }, Math.random() * REWRITE_SPREAD_MS);
+    },
     readRelay: relayClient.read,
     relayChoice,
     serverFeed,
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -29,6 +29,8 @@
   readonly listChanged: () => readonly LocalCounts[];
   /** Records that counts of a window were handed over as they were listed. */
   readonly recordHandOver: (localCounts: LocalCounts) => void;
+  /** Forgets what was handed over, because the log that stored it returned from an older copy. */
+  readonly resetHandOver: () => void;
 }
 
 /** Computes the number of the usage window that contains a moment of true time. */
@@ -87,6 +89,7 @@
     recordHandOver: (localCounts) => {
       handedOver.set(localCounts.window, sumCounts(localCounts));
     },
+    resetHandOver: () => handedOver.clear(),
   };
 }
 
--- a/packages/routing/src/__tests__/unit/CrashReports.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashReports.test.ts
@@ -44,6 +44,23 @@
   await expect.poll(() => written.flat().map(({ key }) => key)).toEqual(['bad/vm-1']);
 });
 
+// Guards against knowledge that is gone with a store that returned from an older copy.
+test('reports are written again on request, those of this daemon only', async () => {
+  const written: Written[] = [];
+  const reports = startReports('vm-1', (values) => {
+    written.push(values);
+    return Effect.void;
+  });
+  reports.observeCrash(['bad'], 's1');
+  applyWritten(reports, [{
+    key: 'other/vm-2',
+    raw: Buffer.from('{"clearedMs":0,"crashes":[{"atMs":1000000,"server":"s2"}]}'),
+  }]);
+  await expect.poll(() => written.length).toBe(1);
+  reports.rewrite();
+  await expect.poll(() => written.flat().map(({ key }) => key)).toEqual(['bad/vm-1', 'bad/vm-1']);
+});
+
 test('part ids of callers may contain any character', async () => {
   const written: Written[] = [];
   const times = [1_000_000, 1_001_000, 1_002_000];
--- a/packages/routing/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/routing/src/__tests__/unit/UsageCounts.test.ts
@@ -21,6 +21,14 @@
     expect(usageCounter.listChanged()).toHaveLength(1);
   });
 
+  test('counts whose log was lost are listed again', () => {
+    const usageCounter = Routing.createUsageCounter(WINDOW_MS);
+    usageCounter.addStart('shop', 1_000);
+    usageCounter.listChanged().forEach(usageCounter.recordHandOver);
+    usageCounter.resetHandOver();
+    expect(usageCounter.listChanged()).toMatchObject([{ counts: { shop: 1 }, window: 0 }]);
+  });
+
   test('demand is handed over even if no request could be served', () => {
     const usageCounter = Routing.createUsageCounter(WINDOW_MS);
     usageCounter.addDemand('chat', 17_000, 1_000);
