Keep what is known of servers when the store returns from an older copy

After the store had returned from an older copy, requests went to servers that were leaving or had left, whose entries the copy had as ready, and none to servers that had started since, until all had written their entries again.

Cause: the first read of the entries after the return replaced everything that was known. Known incarnations now keep their newer state, incarnations that were removed are not believed from a copy, and those that the copy lacks are kept for two seconds, as after an outage; what servers write after the return counts as ever.

ServerTable.test.ts: three of the four new tests fail when such a read is applied as any other, and pass now.

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -225,6 +225,8 @@
   const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
     logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
   };
+  /** Whether the next snapshot of the entries is from an older copy of the store. */
+  let areServersRestored = false;
   const serverLoop = FeedLoop.startFeedLoop({
     copy: copies.servers,
     decode: decodeServer,
@@ -246,10 +248,17 @@
       serverContact.onFailure(error);
     },
     onRelayFailure: servers.observeReadFailure,
-    onSnapshot: (changes) => servers.applySnapshot(
-      changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
-      clock.readMonotonic(),
-    ),
+    onRestored: () => {
+      areServersRestored = true;
+    },
+    onSnapshot: (changes) => {
+      const apply = areServersRestored ? servers.applyRestored : servers.applySnapshot;
+      areServersRestored = false;
+      apply(
+        changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
+        clock.readMonotonic(),
+      );
+    },
     readClocks,
     relay: createUpstreamRelay('servers', bounds.drainMs * MAX_COPY_AGE_SHARE),
     retryMs: SERVERS_RETRY_DELAY_MS,
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -3,7 +3,7 @@
  * outage of the store may belong to a running server that could not renew it. Such an entry is
  * retained until a running server would have renewed it after the outage.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 
 /** Entry of one backend server. */
 export interface BackendServer {
@@ -33,8 +33,8 @@
   return `${id}@${bornMs}`;
 }
 
-/** Time after an outage of the store within which running servers renew their entries. */
-const RENEWAL_GRACE_MS = 2_000;
+/** Time after an outage of the store within which everyone has written again what it lost. */
+export const RENEWAL_GRACE_MS = 2_000;
 
 /**
  * Time between successful reads, with a failed one between them, from which entries may have
@@ -42,12 +42,20 @@
  */
 const OUTAGE_MS = 1_500;
 
+/** Number of removed incarnations that are remembered, in case an older copy lists them again. */
+const MAX_REMOVED = 1_000;
+
 /** Table of the backend servers that one daemon knows. */
 export interface ServerTable {
   /** Applies a change of an entry; `undefined` removes it. */
   readonly applyEntry: (id: string, server: BackendServer | undefined, nowMs: Core.Millis) => void;
   /** Replaces all entries by those of a complete read. */
   readonly applySnapshot: (servers: readonly BackendServer[], nowMs: Core.Millis) => void;
+  /**
+   * Applies the entries of a store that returned from an older copy. Newer knowledge of the same
+   * incarnations is kept; servers write their entries again.
+   */
+  readonly applyRestored: (servers: readonly BackendServer[], nowMs: Core.Millis) => void;
   /** Records a successful read of the entries; to be called before its records are applied. */
   readonly observeRead: (nowMs: Core.Millis) => void;
   /** Records a failed read of the entries. */
@@ -68,12 +76,17 @@
   /** Time at which each retained entry is removed. */
   const expiryMs = new Map<string, Core.Millis>();
   const coldUntilMs = new Map<string, Core.Millis>();
+  const removedIncarnations = new Map<string, true>();
   let lastReadMs: Core.Millis | undefined;
   let recoveredMs: Core.Millis | undefined;
   let hasFailed = false;
   let evacuated: ReadonlySet<string> = new Set();
 
   const deleteServer = (id: string): void => {
+    const server = servers.get(id);
+    if (server !== undefined) {
+      Core.setBounded(removedIncarnations, formatIncarnation(server), true, MAX_REMOVED);
+    }
     servers.delete(id);
     coldUntilMs.delete(id);
   };
@@ -89,6 +102,16 @@
     if (server.coldMs === undefined) coldUntilMs.delete(server.id);
     else coldUntilMs.set(server.id, nowMs + server.coldMs);
   };
+  const removeMissing = (list: readonly BackendServer[], nowMs: Core.Millis): void => {
+    const present = new Set(list.map(({ id }) => id));
+    [...servers.keys()].filter((id) => !present.has(id)).forEach((id) => removeEntry(id, nowMs));
+  };
+  /** Checks whether an entry of an older copy tells of an incarnation that is not known yet. */
+  const isNews = (server: BackendServer): boolean => {
+    const known = servers.get(server.id);
+    if (known !== undefined) return server.bornMs > known.bornMs;
+    return !removedIncarnations.has(formatIncarnation(server));
+  };
   const removeExpired = (nowMs: Core.Millis): void => expiryMs.forEach((untilMs, id) => {
     if (nowMs < untilMs) return;
     expiryMs.delete(id);
@@ -100,9 +123,13 @@
       if (server === undefined) removeEntry(id, nowMs);
       else setEntry(server, nowMs);
     },
+    applyRestored: (list, nowMs) => {
+      recoveredMs = nowMs;
+      removeMissing(list, nowMs);
+      list.filter(isNews).forEach((server) => setEntry(server, nowMs));
+    },
     applySnapshot: (list, nowMs) => {
-      const present = new Set(list.map(({ id }) => id));
-      [...servers.keys()].filter((id) => !present.has(id)).forEach((id) => removeEntry(id, nowMs));
+      removeMissing(list, nowMs);
       list.forEach((server) => setEntry(server, nowMs));
     },
     isCold: (id, nowMs) => nowMs < (coldUntilMs.get(id) ?? -Infinity),
--- a/packages/routing/src/__tests__/unit/ServerTable.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerTable.test.ts
@@ -50,6 +50,39 @@
     expect(listIds(10_000)).toEqual([]);
   });
 
+  describe('after the store returned from an older copy', () => {
+    // Guards against requests to a leaving server that is ready again in the copy.
+    test('a draining server gets no requests, also if the copy has it as ready', () => {
+      table.applyEntry('s1', createServer('s1', 'draining'), 100);
+      table.applyRestored([createServer('s1')], 200);
+      expect(listIds(200)).toEqual([]);
+      expect(listIds(9_000)).toEqual([]);
+    });
+
+    // Guards against requests to a server that has left, whose address may be another one's.
+    test('a removed server is not back, but a restarted one with its id is', () => {
+      table.applyEntry('s1', undefined, 100);
+      table.applyRestored([createServer('s1')], 200);
+      expect(listIds(200)).toEqual([]);
+      table.applyRestored([{ ...createServer('s1'), bornMs: 7 }], 300);
+      expect(listIds(300)).toEqual(['s1']);
+    });
+
+    test('a removed server that writes its entry again is back', () => {
+      table.applyEntry('s1', undefined, 100);
+      table.applyRestored([createServer('s1')], 200);
+      table.applyEntry('s1', createServer('s1'), 300);
+      expect(listIds(300)).toEqual(['s1']);
+    });
+
+    // Guards against a service without servers until they have written their entries again.
+    test('a server that the copy does not have yet is retained for two seconds', () => {
+      table.applyRestored([], 1_000);
+      expect(listIds(2_900)).toEqual(['s1']);
+      expect(listIds(3_000)).toEqual([]);
+    });
+  });
+
   test('a retained entry that is renewed in time stays', () => {
     table.observeReadFailure();
     table.observeRead(8_000);
