Believe no operator records of an older copy over newer ones

After the store had returned from an older copy, keys that had been withdrawn could stay trusted by daemons that had not read the withdrawal, and requests went to a data centre whose evacuation was acknowledged, until the operator had written both again.

Cause: each read of the operator's records proved the list of keys as current, whatever version the store had, and the first read after the return replaced the evacuations.

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -162,6 +162,11 @@
   };
   /** Evacuated data centres by the key of their record. */
   let evacuations: ReadonlyMap<string, string> = new Map();
+  /** Version of the configuration that the store had at the last read. */
+  let storedVersion = -Infinity;
+  /** Keys of evacuations that the store lacks since it returned from an older copy. */
+  const unconfirmedEvacuations = new Set<string>();
+  let confirmationTimer: NodeJS.Timeout | undefined;
   const setEvacuations = (next: ReadonlyMap<string, string>): void => {
     const dataCentres = [...new Set(next.values())].sort();
     const previous = [...new Set(evacuations.values())].sort();
@@ -177,12 +182,34 @@
   ): void => {
     const nextEvacuations = new Map(knownEvacuations);
     changes.forEach(({ key, value }) => {
-      if (value?._tag === 'Configuration') applyConfig(value.config);
-      else if (value?._tag === 'Evacuation') nextEvacuations.set(key, value.dataCentre);
+      unconfirmedEvacuations.delete(key);
+      if (value?._tag === 'Configuration') {
+        storedVersion = value.config.version;
+        applyConfig(value.config);
+      } else if (value?._tag === 'Evacuation') nextEvacuations.set(key, value.dataCentre);
       else nextEvacuations.delete(key);
     });
     setEvacuations(nextEvacuations);
   };
+  /** Keeps the known evacuations until the operator has had time to write them again. */
+  const retainEvacuations = (): void => {
+    unconfirmedEvacuations.clear();
+    [...evacuations.keys()].forEach((key) => unconfirmedEvacuations.add(key));
+    clearTimeout(confirmationTimer);
+    confirmationTimer = setTimeout(() => {
+      const confirmed = [...evacuations].filter(([key]) => !unconfirmedEvacuations.has(key));
+      unconfirmedEvacuations.clear();
+      setEvacuations(new Map(confirmed));
+    }, ServerTable.RENEWAL_GRACE_MS);
+  };
+  const applyOperatorSnapshot = (
+    changes: readonly FeedCopy.DecodedChange<RoutingConfig.OperatorRecord>[],
+  ): void => {
+    storedVersion = -Infinity;
+    applyOperatorRecords(changes, new Map(
+      [...evacuations].filter(([key]) => unconfirmedEvacuations.has(key)),
+    ));
+  };
   const createUpstreamRelay = (
     feed: keyof typeof copies,
     maxAgeMs: Core.Millis,
@@ -206,16 +233,21 @@
     feed: configFeed,
     getPauseMs: () => 0,
     onChanges: (changes) => applyOperatorRecords(changes, evacuations),
-    onContact: (verifiedAt) => {
-      keysVerifiedAt = verifiedAt;
-      configContact.onContact();
+    onApplied: (verifiedAt) => {
+      // A store that has an older version lacks keys that were withdrawn since.
+      const isCurrent = active === undefined || storedVersion >= active.config.version;
+      if (isCurrent) keysVerifiedAt = verifiedAt;
     },
+    onContact: configContact.onContact,
     onFailure: configContact.onFailure,
     onRestored: (previousNext, next) => {
-      logger.warn({ next, previousNext }, 'configuration is read from an older copy');
+      logger.warn({
+        evacuations: evacuations.size, next, previousNext, version: active?.config.version,
+      }, 'configuration is read from an older copy');
+      retainEvacuations();
       context.onRestored();
     },
-    onSnapshot: (changes) => applyOperatorRecords(changes, new Map()),
+    onSnapshot: applyOperatorSnapshot,
     readClocks,
     relay: createUpstreamRelay('configuration', configMaxCopyAgeMs),
     retryMs: CONFIG_RETRY_DELAY_MS,
@@ -314,6 +346,7 @@
     },
     servers,
     stop: () => {
+      clearTimeout(confirmationTimer);
       configLoop.stop();
       crashLoop.stop();
       serverLoop.stop();
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -40,6 +40,8 @@
    * last contact with the store.
    */
   readonly onContact: (verifiedAt: ClockReading.ClockReading, contactMs: Core.Millis) => void;
+  /** Called after each successful read, when its changes were passed on. */
+  readonly onApplied?: (verifiedAt: ClockReading.ClockReading) => void;
   readonly onSnapshot: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
   readonly onChanges: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
   readonly onFailure: (error: Ports.StoreUnavailable) => void;
@@ -119,6 +121,7 @@
     options.onContact(verifiedAt, contactMs);
     if (isSnapshot) options.onSnapshot(changes);
     else if (changes.length > 0) options.onChanges(changes);
+    options.onApplied?.(verifiedAt);
   };
 
   /** Reads the copy at a relay; resolves with false if there is no usable relay. */
