--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -101,8 +101,18 @@
   'crashes not reported': Schema.Struct({
     ...COMMON_FIELDS, detail: Schema.String, parts: Count,
   }),
+  'configuration is read from an older copy': Schema.Struct({
+    ...COMMON_FIELDS,
+    evacuations: Count,
+    next: Schema.String,
+    previousNext: Schema.String,
+    version: Schema.optional(Count),
+  }),
   'dependency lost': Schema.Struct({ ...DEPENDENCY_FIELDS, detail: Schema.String }),
   'dependency regained': Schema.Struct(DEPENDENCY_FIELDS),
+  'duties log is from an older copy': Schema.Struct({
+    ...COMMON_FIELDS, first: Schema.String, previousEnd: Schema.String,
+  }),
   'duties log not read': FailureWithDetail,
   'duties lost': Schema.Struct({
     ...COMMON_FIELDS, fence: Schema.optional(Count), reason: Schema.String,
@@ -205,6 +215,9 @@
     isFatal: Schema.Boolean,
     requestId: Schema.optional(Schema.String),
   }),
+  'store returned from an older copy': Schema.Struct({
+    ...COMMON_FIELDS, generation: Count, previous: Count,
+  }),
   'usage counts not handed over': FailureWithDetail,
   'usage counts not read': FailureWithDetail,
   'usage reported': Schema.Struct({
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -10,6 +10,7 @@
 import type * as CrashSuspects from './CrashSuspects.js';
 import * as FeedCopy from './FeedCopy.js';
 import * as FeedLoop from './FeedLoop.js';
+import * as LogPosition from './LogPosition.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
 import type * as RelayCalls from './RelayCalls.js';
@@ -242,7 +243,10 @@
     onFailure: configContact.onFailure,
     onRestored: (previousNext, next) => {
       logger.warn({
-        evacuations: evacuations.size, next, previousNext, version: active?.config.version,
+        evacuations: evacuations.size,
+        next: LogPosition.formatPosition(next),
+        previousNext: LogPosition.formatPosition(previousNext),
+        version: active?.config.version,
       }, 'configuration is read from an older copy');
       retainEvacuations();
       context.onRestored();
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -321,7 +321,9 @@
     this.#state = DutyLease.applyDutyGap(this.#state, first, readAt);
     if (LogPosition.getGeneration(first) <= LogPosition.getGeneration(end)) return false;
     this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
-    this.#context.logger.warn({ first, previousEnd: end }, 'duties log is from an older copy');
+    this.#context.logger.warn({
+      first: LogPosition.formatPosition(first), previousEnd: LogPosition.formatPosition(end),
+    }, 'duties log is from an older copy');
     // The claim of this lease may be gone, and its appends have no effect on other daemons.
     if (this.#heldLease !== undefined) this.#pauseLease('the log returned from an older copy');
     this.#pendingAppends.clear();
--- a/packages/routing/src/LogPosition.ts
+++ b/packages/routing/src/LogPosition.ts
@@ -24,3 +24,8 @@
 export function getOffset(position: number): number {
   return position % OFFSETS_PER_GENERATION;
 }
+
+/** Formats a position for the log, as `GENERATION:OFFSET`. */
+export function formatPosition(position: number): string {
+  return `${getGeneration(position)}:${getOffset(position)}`;
+}
