Distrust the store's configuration only after a return

The check that a store with an older version proves no keys applied at any time; an operator who writes a lower version, which daemons ignore, would have made them refuse every request with a key once the bound had passed. It now applies from a return of the store until it has the configuration in force again.

RestoredStore, Evacuation, Daemons, FeedLoop and Relays tests pass.

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -163,8 +163,8 @@
   };
   /** Evacuated data centres by the key of their record. */
   let evacuations: ReadonlyMap<string, string> = new Map();
-  /** Version of the configuration that the store had at the last read. */
-  let storedVersion = -Infinity;
+  /** Whether the store returned from an older copy and lacks the configuration in force. */
+  let isStoreBehind = false;
   /** Keys of evacuations that the store lacks since it returned from an older copy. */
   const unconfirmedEvacuations = new Set<string>();
   let confirmationTimer: NodeJS.Timeout | undefined;
@@ -185,7 +185,7 @@
     changes.forEach(({ key, value }) => {
       unconfirmedEvacuations.delete(key);
       if (value?._tag === 'Configuration') {
-        storedVersion = value.config.version;
+        isStoreBehind &&= value.config.version < (active?.config.version ?? -Infinity);
         applyConfig(value.config);
       } else if (value?._tag === 'Evacuation') nextEvacuations.set(key, value.dataCentre);
       else nextEvacuations.delete(key);
@@ -203,14 +203,6 @@
       setEvacuations(new Map(confirmed));
     }, ServerTable.RENEWAL_GRACE_MS);
   };
-  const applyOperatorSnapshot = (
-    changes: readonly FeedCopy.DecodedChange<RoutingConfig.OperatorRecord>[],
-  ): void => {
-    storedVersion = -Infinity;
-    applyOperatorRecords(changes, new Map(
-      [...evacuations].filter(([key]) => unconfirmedEvacuations.has(key)),
-    ));
-  };
   const createUpstreamRelay = (
     feed: keyof typeof copies,
     maxAgeMs: Core.Millis,
@@ -235,9 +227,8 @@
     getPauseMs: () => 0,
     onChanges: (changes) => applyOperatorRecords(changes, evacuations),
     onApplied: (verifiedAt) => {
-      // A store that has an older version lacks keys that were withdrawn since.
-      const isCurrent = active === undefined || storedVersion >= active.config.version;
-      if (isCurrent) keysVerifiedAt = verifiedAt;
+      // A store with an older version does not know which keys were withdrawn since.
+      if (!isStoreBehind) keysVerifiedAt = verifiedAt;
     },
     onContact: configContact.onContact,
     onFailure: configContact.onFailure,
@@ -248,10 +239,13 @@
         previousNext: LogPosition.formatPosition(previousNext),
         version: active?.config.version,
       }, 'configuration is read from an older copy');
+      isStoreBehind = active !== undefined;
       retainEvacuations();
       context.onRestored();
     },
-    onSnapshot: applyOperatorSnapshot,
+    onSnapshot: (changes) => applyOperatorRecords(changes, new Map(
+      [...evacuations].filter(([key]) => unconfirmedEvacuations.has(key)),
+    )),
     readClocks,
     relay: createUpstreamRelay('configuration', configMaxCopyAgeMs),
     retryMs: CONFIG_RETRY_DELAY_MS,
@@ -261,8 +255,6 @@
   const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
     logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
   };
-  /** Whether the next snapshot of the entries is from an older copy of the store. */
-  let areServersRestored = false;
   const serverLoop = FeedLoop.startFeedLoop({
     copy: copies.servers,
     decode: decodeServer,
@@ -284,12 +276,8 @@
       serverContact.onFailure(error);
     },
     onRelayFailure: servers.observeReadFailure,
-    onRestored: () => {
-      areServersRestored = true;
-    },
-    onSnapshot: (changes) => {
-      const apply = areServersRestored ? servers.applyRestored : servers.applySnapshot;
-      areServersRestored = false;
+    onSnapshot: (changes, isRestored) => {
+      const apply = isRestored ? servers.applyRestored : servers.applySnapshot;
       apply(
         changes.flatMap(({ value }) => (value === undefined ? [] : [value])),
         clock.readMonotonic(),
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -42,7 +42,10 @@
   readonly onContact: (verifiedAt: ClockReading.ClockReading, contactMs: Core.Millis) => void;
   /** Called after each successful read, when its changes were passed on. */
   readonly onApplied?: (verifiedAt: ClockReading.ClockReading) => void;
-  readonly onSnapshot: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
+  /** `isRestored` if the snapshot is the first one after a return from an older copy. */
+  readonly onSnapshot: (
+    changes: readonly FeedCopy.DecodedChange<T>[], isRestored: boolean,
+  ) => void;
   readonly onChanges: (changes: readonly FeedCopy.DecodedChange<T>[]) => void;
   readonly onFailure: (error: Ports.StoreUnavailable) => void;
   /**
@@ -119,7 +122,7 @@
     if (isRestored) options.onRestored?.(lastNext as number, page.next);
     lastNext = page.next;
     options.onContact(verifiedAt, contactMs);
-    if (isSnapshot) options.onSnapshot(changes);
+    if (isSnapshot) options.onSnapshot(changes, isRestored);
     else if (changes.length > 0) options.onChanges(changes);
     options.onApplied?.(verifiedAt);
   };
