--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -2,12 +2,9 @@
  * Sends one HTTP call to a backend server with Node's `http`. Uses callbacks instead of Effect,
  * which would run a fiber for every chunk of a relayed stream.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 
-/** Lowest status of a final response; Node.js passes on 101 as one. */
-const FIRST_FINAL_STATUS = 200;
-
 /** A call to a backend server. */
 export interface BackendRequest {
   readonly address: string;
@@ -94,7 +91,7 @@
     // A request that is destroyed without an error emits only `close`.
     request.on('close', handleFailure);
     request.on('response', (response) => {
-      if ((response.statusCode ?? 0) < FIRST_FINAL_STATUS) {
+      if (!Core.isFinalStatus(response.statusCode ?? 0)) {
         request.destroy();
         return;
       }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -36,9 +36,6 @@
 /** Shortest silence that counts as a failure of the server. */
 const MIN_SILENCE_MS = 900;
 
-/** Lowest status of a final response; Node.js passes on 101 as one. */
-const FIRST_FINAL_STATUS = 200;
-
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** An attempt in progress. */
@@ -467,7 +464,7 @@
       return;
     }
     const isSuccess = BackendExchange.isSuccessStatus(head.status);
-    const isValid = head.hasRequestId && head.status >= FIRST_FINAL_STATUS
+    const isValid = head.hasRequestId && Core.isFinalStatus(head.status)
       && head.headers['content-encoding'] === undefined
       && (!isSuccess || head.headers[names.serverSignature] !== undefined);
     if (!isValid) {
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -295,8 +295,8 @@
     const getLengths = ({ countsLog, dutyLog }: Fleet) => (
       { counts: countsLog.records.length, duties: dutyLog.records.length }
     );
-    const orderEach = (next: Fleet): readonly number[] => (
-      next.platform.seen.map(({ fence }) => fence)
+    const listFences = ({ platform }: Fleet): readonly number[] => (
+      platform.seen.map(({ fence }) => fence)
     );
 
     // Guards against a claim whose offset, and so its fencing token, an earlier claim had.
@@ -312,7 +312,7 @@
       await vi.advanceTimersByTimeAsync(6_000);
       addRequests(survivors);
       await vi.advanceTimersByTimeAsync(WINDOW_MS + REPORT_DUE_MS);
-      const fences = orderEach(fleet);
+      const fences = listFences(fleet);
       expect(fences.length).toBeGreaterThan(1);
       expect(fences).toEqual([...fences].sort((a, b) => a - b));
       expect(new Set(listReports(fleet).map(({ holder }) => holder)).size).toBe(2);
@@ -346,8 +346,8 @@
       expect(listReports(fleet)).toHaveLength(1);
       await restoreLogs(fleet, { counts: 0, duties: 0 }, 500);
       await vi.advanceTimersByTimeAsync(1_500);
-      const claims = fleet.dutyLog.records as readonly Routing.DutyRecord[];
-      const state = claims.reduce(
+      const records = fleet.dutyLog.records as readonly Routing.DutyRecord[];
+      const state = records.reduce(
         (previous, record, offset) => Routing.applyDutyRecord(
           previous,
           Routing.createPosition(1, offset),
