Log the fingerprint of requests whose attempt broke

Change: `attempt failed` with `broken` has a digest of account, method, host, path, body and prompt. No decision uses it yet.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -37,6 +37,8 @@
   choice: Schema.optional(ServerChoice),
   elapsedMs: Schema.Number,
   end: Schema.Literal('broken', 'failed', 'misdirected', 'not-run', 'not-sent', 'silent'),
+  /** What repeats of the request share; stated when the attempt is broken. */
+  fingerprint: Schema.optional(Schema.String),
   lastEventId: Schema.optional(Schema.Union(Schema.Number, Schema.String)),
   /** Parts of the prompt that other requests may share, in order. */
   promptParts: Schema.optional(Schema.Array(Schema.String)),
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -15,6 +15,7 @@
 import type * as PathContext from './PathContext.js';
 import * as PromptAttempt from './PromptAttempt.js';
 import * as Refusals from './Refusals.js';
+import * as RequestFingerprint from './RequestFingerprint.js';
 import * as RequestHead from './RequestHead.js';
 import * as ResponseAbort from './ResponseAbort.js';
 import * as RouteTable from './RouteTable.js';
@@ -725,6 +726,7 @@
       choice: this.#describeChoice(),
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end: kind,
+      fingerprint: kind === 'broken' ? this.#hashRequest() : undefined,
       lastEventId: this.#lastEventId,
       promptParts: this.#head.prompt === undefined ? undefined : this.#sharedPartIds,
       reason,
@@ -737,6 +739,12 @@
     }, 'attempt failed');
   }
 
+  #hashRequest(): string {
+    return RequestFingerprint.hashRequest({
+      account: this.#account, body: this.#body, head: this.#head,
+    });
+  }
+
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
     this.#context.bufferBudget.release(attempt.held.getLength());
