Call what crashes servers a trait of requests, not a part of prompts

No behaviour changes. The reports of crashes will also be about requests without a prompt; their modules no longer say that they are about parts of prompts only. Names on the wire, in logs and in metrics stay.

--- a/packages/routing/src/PromptAttempt.ts
+++ b/packages/routing/src/CrashEvidence.ts
@@ -1,22 +1,22 @@
 /**
- * Tells from the course of one attempt whether its server began to answer a prompt without harm or
- * ended under it, and reports that for the parts of the prompt that other requests may share.
+ * Tells from the course of one attempt whether its server began to answer the request without harm
+ * or ended under it, and reports that for the traits of the request.
  */
 import type * as Core from '@berylyoke/core';
 import type * as PathContext from './PathContext.js';
 import * as ServerTable from './ServerTable.js';
 
-/** Attempt to have a prompt answered by one server. */
-export interface PromptAttempt {
+/** Observes an attempt to have a request answered by one server. */
+export interface CrashEvidence {
   /** Records that the server began to respond to a request that was sent `elapsedMs` ago. */
   readonly observeHead: (elapsedMs: Core.Millis) => void;
-  /** Records an event of a stream; clears the parts once the stream has gone on for a while. */
+  /** Records an event of a stream; clears the traits once the stream has gone on for a while. */
   readonly observeEvent: () => void;
   /** Records that the response is whole. */
   readonly observeAnswer: () => void;
   /** Records that the connection ended by itself; reports a crash unless the stream had gone on. */
   readonly observeEnd: () => void;
-  /** Whether the parts were reported as answered. */
+  /** Whether the traits were reported as answered. */
   readonly isAnswered: () => boolean;
 }
 
@@ -26,12 +26,12 @@
  */
 const SOUND_START_MS = 500;
 
-/** Creates an attempt before its server has responded. */
-export function createPromptAttempt(
+/** Starts before the server has responded. */
+export function createCrashEvidence(
   { clock, crashReports }: Pick<PathContext.PathContext, 'clock' | 'crashReports'>,
-  partIds: readonly string[],
+  traits: readonly string[],
   incarnation: ServerTable.ServerIncarnation,
-): PromptAttempt {
+): CrashEvidence {
   const server = ServerTable.formatIncarnation(incarnation);
   let firstEventMs: Core.Millis | undefined;
   let isAnswered = false;
@@ -41,13 +41,13 @@
   const observeAnswer = (): void => {
     if (isAnswered) return;
     isAnswered = true;
-    crashReports.observeAnswer(partIds);
+    crashReports.observeAnswer(traits);
   };
   return {
     isAnswered: () => isAnswered,
     observeAnswer,
     observeEnd: () => {
-      if (!hasGoneOn()) crashReports.observeCrash(partIds, server);
+      if (!hasGoneOn()) crashReports.observeCrash(traits, server);
     },
     observeEvent: () => {
       firstEventMs ??= clock.readMonotonic();
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -1,6 +1,6 @@
 /**
  * Feeds that a daemon follows to serve requests: the configuration, which includes the list of
- * keys, the server entries, and the reports of prompt parts that crash servers. The daemon reads
+ * keys, the server entries, and the reports of requests that crash servers. The daemon reads
  * them from a relay if there is a usable one, else from the store, and keeps a copy of each that
  * other daemons can read.
  */
@@ -84,7 +84,7 @@
   readonly metrics: RoutingMetrics.RoutingMetrics;
   readonly readRelay: RelayCalls.RelayClient['read'];
   readonly relayChoice: RelayChoice.RelayChoice;
-  /** Called with reports of prompt parts that crash servers. */
+  /** Called with reports of traits of requests that crash servers. */
   readonly onCrashReports: CrashReports.CrashReports['applyChanges'];
   /** Called when the store returned from an older copy; what daemons wrote since is gone. */
   readonly onRestored: () => void;
@@ -139,7 +139,7 @@
   const servers = ServerTable.createServerTable();
   const copies = {
     configuration: FeedCopy.createFeedCopy<RoutingConfig.OperatorRecord>(),
-    crashReports: FeedCopy.createFeedCopy<CrashSuspects.PartReport>(),
+    crashReports: FeedCopy.createFeedCopy<CrashSuspects.TraitReport>(),
     servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
   };
   let active: PathContext.ActiveConfig | undefined;
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -59,7 +59,7 @@
   readonly availability: ServerAvailability.ServerAvailability;
   readonly requestLimits: RequestLimits.RequestLimits;
   readonly coldLimits: ColdLimits.ColdLimits;
-  /** Prompt parts that crash servers, exchanged with other daemons. */
+  /** Traits of requests that crash servers, exchanged with other daemons. */
   readonly crashReports: Pick<
     CrashReports.CrashReports,
     'findBlocked' | 'isSuspect' | 'observeAnswer' | 'observeCrash' | 'observeServerAnswer'
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -10,10 +10,10 @@
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
 import * as ByteCollector from './ByteCollector.js';
+import * as CrashEvidence from './CrashEvidence.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
-import * as PromptAttempt from './PromptAttempt.js';
 import * as Refusals from './Refusals.js';
 import * as RequestFingerprint from './RequestFingerprint.js';
 import * as RequestHead from './RequestHead.js';
@@ -45,7 +45,7 @@
   readonly exchange: BackendExchange.Exchange;
   readonly startedMs: Core.Millis;
   readonly pendingPromptTokens: number;
-  readonly prompt: PromptAttempt.PromptAttempt;
+  readonly crashEvidence: CrashEvidence.CrashEvidence;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
   /** Whether the server sent a complete event. */
@@ -103,8 +103,8 @@
 
   #service = '';
 
-  /** Part of the prompt because of which the request must not be sent. */
-  #blockedPart: string | undefined;
+  /** Trait because of which the request must not be sent. */
+  #blockedTrait: string | undefined;
 
   /** Most recent choice of a server, for the log. */
   #lastChoice: ChoiceSummary | undefined;
@@ -285,13 +285,13 @@
     }
     const chosen = this.#chooseServer();
     if (chosen !== undefined) this.#forward(chosen, this.#route);
-    else if (this.#blockedPart !== undefined && !this.#mayHaveRun) this.#refuse('prompt_blocked');
+    else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) this.#refuse('prompt_blocked');
     else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
   }
 
   #chooseServer(): ServerSelection.ChosenServer | undefined {
-    this.#blockedPart = this.#context.crashReports.findBlocked(this.#sharedPartIds);
-    if (this.#blockedPart !== undefined) return undefined;
+    this.#blockedTrait = this.#context.crashReports.findBlocked(this.#sharedPartIds);
+    if (this.#blockedTrait !== undefined) return undefined;
     return ServerSelection.chooseServer(
       this.#context,
       this.#service,
@@ -345,6 +345,7 @@
     this.#sentMs = this.#context.clock.readMonotonic();
     this.#attempt = {
       chosen,
+      crashEvidence: CrashEvidence.createCrashEvidence(this.#context, this.#sharedPartIds, server),
       exchange,
       framer: undefined,
       hasEvents: false,
@@ -354,7 +355,6 @@
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#sentMs,
       pendingPromptTokens,
-      prompt: PromptAttempt.createPromptAttempt(this.#context, this.#sharedPartIds, server),
     };
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
   }
@@ -475,7 +475,7 @@
     }
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
-    attempt.prompt.observeHead(this.#context.clock.readMonotonic() - attempt.startedMs);
+    attempt.crashEvidence.observeHead(this.#context.clock.readMonotonic() - attempt.startedMs);
     if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
@@ -565,7 +565,7 @@
     // Comments and events without data keep the connection open but show no progress of the server.
     if (!events.some(({ hasData }) => hasData)) return;
     this.#recordStart(attempt);
-    attempt.prompt.observeEvent();
+    attempt.crashEvidence.observeEvent();
     const last = events.findLast(({ hasData, id }) => hasData || id !== undefined);
     this.#hasUnidentifiedEvent = last?.id === undefined;
     this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
@@ -635,7 +635,7 @@
       this.#handleServerEnd('empty-stream');
       return;
     }
-    attempt.prompt.observeAnswer();
+    attempt.crashEvidence.observeAnswer();
     if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
@@ -665,7 +665,7 @@
       }
     }
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, isFailure);
-    if (!isFailure) attempt.prompt.observeAnswer();
+    if (!isFailure) attempt.crashEvidence.observeAnswer();
     this.#context.bufferBudget.release(attempt.held.getLength());
     const body = attempt.held.take();
     this.#writeHead(head, body.length);
@@ -675,7 +675,7 @@
 
   /** Handles the end of a connection that an end of its server may have caused. */
   #handleServerEnd(reason: string): void {
-    this.#attempt?.prompt.observeEnd();
+    this.#attempt?.crashEvidence.observeEnd();
     this.#handleAttemptFailure('broken', reason);
   }
 
@@ -689,11 +689,11 @@
 
   #handleAttemptFailure(kind: RetryPolicy.FailureKind, reason: string): void {
     if (this.#isEnded) return;
-    const { prompt } = this.#attempt as Attempt;
+    const { crashEvidence } = this.#attempt as Attempt;
     this.#closeAttempt(kind, reason);
     const state = this.#getState();
     // A request that may have ended several servers must not be sent to one more.
-    const isSuspect = kind === 'broken' && !prompt.isAnswered()
+    const isSuspect = kind === 'broken' && !crashEvidence.isAnswered()
       && this.#context.crashReports.isSuspect(this.#sharedPartIds);
     this.#apply(isSuspect
       ? RetryPolicy.chooseFinalStep(kind, state)
@@ -852,7 +852,7 @@
     if (suppressed === undefined) return;
     logger.info({
       account: this.#account?.name,
-      blockedPart: this.#blockedPart,
+      blockedPart: this.#blockedTrait,
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
       choice: this.#describeChoice(),
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -148,8 +148,8 @@
   readonly setCanRetry: (canClaim: boolean) => void;
   /** Makes the next count of a started request throw an unexpected error. */
   readonly throwOnce: () => void;
-  /** Applies the report of another daemon on a prompt part. */
-  readonly applyCrashReport: (partId: string, report: Routing.PartReport) => void;
+  /** Applies the report of another daemon on a trait of requests. */
+  readonly applyCrashReport: (trait: string, report: Routing.TraitReport) => void;
   /** Lists the servers that are ejected because of failures. */
   readonly listEjected: () => readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
@@ -286,8 +286,8 @@
     port,
   });
   return {
-    applyCrashReport: (partId, report) => crashReports.applyChanges([{
-      key: `${partId}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
+    applyCrashReport: (trait, report) => crashReports.applyChanges([{
+      key: `${trait}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
     }]),
     applyServer,
     call: ({
--- a/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
@@ -3,14 +3,14 @@
 
 const START_MS = 1_000_000;
 
-/** Records crashes of different servers under requests with these parts, 400 ms apart. */
+/** Records crashes of different servers under requests with these traits, 400 ms apart. */
 function observeCrashes(
   suspects: CrashSuspects.CrashSuspects,
-  partIds: readonly string[],
+  traits: readonly string[],
   servers: readonly string[],
 ): void {
   servers.forEach((server, index) => {
-    suspects.observeCrash(partIds, server, START_MS + 400 * index);
+    suspects.observeCrash(traits, server, START_MS + 400 * index);
   });
 }
 
