Keep requests that crash their servers from further ones when they return

A request without a prompt ended each server that ran it, came again at other daemons, and was sent to servers 8 and 9 times more after the third end; all four servers of its service were gone for three seconds at a time, three times.

Cause: crashes were remembered by parts of prompts only. A request without a prompt has none, so no daemon ever recorded its crashes. The same held for a prompt that comes again while other prompts with its parts are answered, since its last part did not count.

Ruled out: servers that end by themselves.

Change: the fingerprint of a request is one more trait under which crashes count, beside the parts of its prompt. It goes the same way: reports in the store, three separate crashes block it, an answer clears it. Reports of single crashes are dropped first, since each server that ends breaks sound requests as well.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -59,6 +59,8 @@
   choice: Schema.optional(ServerChoice),
   configVersion: Schema.optional(Schema.Number),
   elapsedMs: Schema.Number,
+  /** What repeats of the request share; stated when it was not sent because of that. */
+  fingerprint: Schema.optional(Schema.String),
   firstMs: Schema.optional(Schema.Number),
   /** Time since the key list was last confirmed to be current; -1 when it never was. */
   keyProofAgeMs: Schema.Number,
@@ -156,7 +158,14 @@
     offset: Count,
     relays: Schema.Record({ key: Schema.String, value: Schema.Array(Schema.String) }),
   }),
+  'request blocked': Schema.Struct({
+    ...COMMON_FIELDS,
+    fingerprint: Schema.String,
+    /** Names of the incarnations that ended under the request. */
+    servers: Schema.Array(Schema.String),
+  }),
   'request ended': RequestEnded,
+  'request no longer blocked': Schema.Struct({ ...COMMON_FIELDS, fingerprint: Schema.String }),
   'request limit of a server changed': Schema.Struct({
     ...SERVER_NOTICE_FIELDS,
     previousPerS: Schema.optional(Schema.Number),
--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -25,6 +25,7 @@
   outcome_unknown: 'the connection to the backend server failed after the request was sent',
   prompt_blocked: 'backend servers crashed under other requests with a part of its prompt, so it '
     + 'was not sent',
+  request_blocked: 'backend servers crashed under the same request, so it was not sent',
   server_failed: 'the backend server returned an error',
   stopping: 'the daemon was shutting down',
   stream_cut: 'the stream was interrupted and could not be resumed on another backend server',
--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -9,6 +9,7 @@
 import * as CrashSuspects from './CrashSuspects.js';
 import type * as FeedCopy from './FeedCopy.js';
 import type * as Ports from './Ports.js';
+import * as RequestTraits from './RequestTraits.js';
 
 /** Delay after a failed write. */
 const RETRY_DELAY_MS = 400;
@@ -42,6 +43,20 @@
   return crashes.length === 0 && nowMs - clearedMs > CLEARED_RETENTION_MS;
 }
 
+/** Describes a trait in a log line about it, by its kind. */
+const TRAIT_LOGS = {
+  fingerprint: {
+    blocked: 'request blocked',
+    describe: (fingerprint: string) => ({ fingerprint }),
+    unblocked: 'request no longer blocked',
+  },
+  promptPart: {
+    blocked: 'prompt part blocked',
+    describe: (promptPart: string) => ({ promptPart }),
+    unblocked: 'prompt part no longer blocked',
+  },
+} as const satisfies Record<RequestTraits.TraitKind, unknown>;
+
 /** Settings and dependencies of the reports of a daemon. */
 export interface CrashReportsContext {
   readonly daemonId: string;
@@ -63,7 +78,8 @@
   readonly findBlocked: (traits: readonly string[]) => string | undefined;
   /** Checks whether a request has a trait under which several servers ended. */
   readonly isSuspect: (traits: readonly string[]) => boolean;
-  readonly countBlocked: () => number;
+  /** Counts the blocked traits of a kind. */
+  readonly countBlocked: (kind: RequestTraits.TraitKind) => number;
   /** Applies reports that were read. */
   readonly applyChanges: (
     changes: readonly FeedCopy.DecodedChange<CrashSuspects.TraitReport>[],
@@ -94,13 +110,15 @@
     const nowMs = readTrueTime();
     const blocked = suspects.listBlocked(nowMs);
     blocked.filter((trait) => !loggedBlocked.includes(trait)).forEach((trait) => {
+      const { id, kind } = RequestTraits.parseTrait(trait);
       logger.warn({
-        promptPart: trait,
+        ...TRAIT_LOGS[kind].describe(id),
         servers: suspects.getReport(trait, nowMs).crashes.map(({ server }) => server),
-      }, 'prompt part blocked');
+      }, TRAIT_LOGS[kind].blocked);
     });
-    loggedBlocked.filter((trait) => !blocked.includes(trait)).forEach((promptPart) => {
-      logger.info({ promptPart }, 'prompt part no longer blocked');
+    loggedBlocked.filter((trait) => !blocked.includes(trait)).forEach((trait) => {
+      const { id, kind } = RequestTraits.parseTrait(trait);
+      logger.info(TRAIT_LOGS[kind].describe(id), TRAIT_LOGS[kind].unblocked);
     });
     loggedBlocked = blocked;
   };
@@ -171,7 +189,8 @@
       });
       logChanges();
     },
-    countBlocked: () => suspects.listBlocked(readTrueTime()).length,
+    countBlocked: (kind) => suspects.listBlocked(readTrueTime())
+      .filter((trait) => RequestTraits.parseTrait(trait).kind === kind).length,
     findBlocked: (traits) => suspects.findBlocked(traits, readTrueTime()),
     isSuspect: (traits) => suspects.isSuspect(traits, readTrueTime()),
     observeAnswer: (traits) => reportTraits(suspects.observeAnswer(traits, readTrueTime())),
--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -77,9 +77,12 @@
 /** Time after an answer in which a crash does not make a trait of its request a suspect. */
 const ANSWER_VALID_MS = 3_000;
 
-/** Maximum number of stored traits and servers; more are in use only in an attack. */
+/** Maximum number of stored reports and servers. */
 const MAX_ENTRIES = 2_000;
 
+/** Maximum number of stored answers; enough for those of `ANSWER_VALID_MS` at a busy daemon. */
+const MAX_ANSWERED_TRAITS = 20_000;
+
 /** Maximum number of crashes of one trait that are kept and reported. */
 const MAX_CRASHES = 16;
 
@@ -110,6 +113,18 @@
   return crashes.filter(({ server }) => !servers.has(server)).length;
 }
 
+/**
+ * Chooses the report to drop when there are too many: the oldest one of a single crash, since each
+ * server that ends breaks many requests that have nothing to do with it.
+ */
+function chooseDispensable(reports: ReadonlyMap<string, TraitReport>): string {
+  const traits = [...reports.keys()];
+  const single = traits.find((trait) => (
+    (reports.get(trait)?.crashes.length ?? 0) < MIN_SUSPECT_CRASHES
+  ));
+  return single ?? traits[0] as string;
+}
+
 /** Creates a view in which no trait is suspected. */
 export function createCrashSuspects(): CrashSuspects {
   const reports = new Map<string, TraitReport>();
@@ -143,7 +158,9 @@
       Core.setBounded(endKnownMs, server, nowMs, MAX_ENTRIES);
     });
     const merged = mergeReports(reports.get(trait) ?? EMPTY_REPORT, report);
-    Core.setBounded(reports, trait, merged, MAX_ENTRIES);
+    reports.delete(trait);
+    if (reports.size >= MAX_ENTRIES) reports.delete(chooseDispensable(reports));
+    reports.set(trait, merged);
   };
   /**
    * Checks whether a trait is to blame for a request with `traits`. It is not if another trait has
@@ -178,7 +195,7 @@
     listBlocked,
     mergeReport,
     observeAnswer: (traits, nowMs) => traits.filter((trait) => {
-      Core.setBounded(answeredMs, trait, nowMs, MAX_ENTRIES);
+      Core.setBounded(answeredMs, trait, nowMs, MAX_ANSWERED_TRAITS);
       const crashes = listCrashes(trait, nowMs);
       if (crashes.length === 0) return false;
       // A crash may bear the time of another daemon, whose estimate is ahead.
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -3,6 +3,7 @@
  * request has not run and never will; 502 and 504 guarantee nothing.
  */
 import type * as Core from '@berylyoke/core';
+import * as CrashSuspects from './CrashSuspects.js';
 
 /** An error response: its status, a message for people, and the delay after which to retry. */
 export interface Refusal {
@@ -10,6 +11,8 @@
   readonly message: string;
   /** Minimum delay before a retry; undefined if a retry does not help. */
   readonly retryAfterMs?: Core.Millis;
+  /** Whether any earlier return would be refused as well. */
+  readonly isLasting?: boolean;
 }
 
 /** Retry-After of a blocked prompt, which an answer to another request may unblock. */
@@ -47,10 +50,17 @@
     message: 'the connection to the backend server broke; the request may have run', status: 502,
   },
   prompt_blocked: {
+    isLasting: true,
     message: 'backend servers crashed under requests with a part of this prompt; it was not sent',
     retryAfterMs: BLOCKED_RETRY_AFTER_MS,
     status: 503,
   },
+  request_blocked: {
+    isLasting: true,
+    message: 'backend servers crashed under this request; it was not sent',
+    retryAfterMs: CrashSuspects.BLOCK_MS,
+    status: 503,
+  },
   stopping: { message: 'the daemon is stopping', retryAfterMs: 50, status: 503 },
   timed_out: { message: 'the time limit passed; the request may have run', status: 504 },
   timed_out_not_run: {
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -17,6 +17,7 @@
 import * as Refusals from './Refusals.js';
 import * as RequestFingerprint from './RequestFingerprint.js';
 import * as RequestHead from './RequestHead.js';
+import * as RequestTraits from './RequestTraits.js';
 import * as ResponseAbort from './ResponseAbort.js';
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
@@ -39,6 +40,11 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** Refusals of requests that must not be sent, by the kind of the trait because of which. */
+const BLOCKED_REFUSALS = {
+  fingerprint: 'request_blocked', promptPart: 'prompt_blocked',
+} as const satisfies Record<RequestTraits.TraitKind, Refusals.RefusalCode>;
+
 /** An attempt in progress. */
 interface Attempt {
   readonly chosen: ServerSelection.ChosenServer;
@@ -97,6 +103,12 @@
   /** Ids of the prompt's parts that other requests may share; empty without a prompt. */
   readonly #sharedPartIds: readonly string[];
 
+  /** Fingerprint of the request; empty until its body was read. */
+  #fingerprint = '';
+
+  /** Traits under which servers may crash; empty until the body was read. */
+  #traits: readonly string[] = [];
+
   readonly #triedIds = new Set<string>();
 
   #route: RoutingConfig.Route | undefined;
@@ -280,17 +292,22 @@
   #dispatch(): void {
     if (this.#isEnded || this.#route === undefined) return;
     if (this.#sends === 0 && this.#undelivered === 0) {
+      this.#fingerprint = RequestFingerprint.hashRequest({
+        account: this.#account, body: this.#body, head: this.#head,
+      });
+      this.#traits = RequestTraits.listTraits(this.#sharedPartIds, this.#fingerprint);
       this.#context.countRequest(this.#service);
       this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
     }
     const chosen = this.#chooseServer();
     if (chosen !== undefined) this.#forward(chosen, this.#route);
-    else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) this.#refuse('prompt_blocked');
-    else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
+    else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) {
+      this.#refuse(BLOCKED_REFUSALS[RequestTraits.parseTrait(this.#blockedTrait).kind]);
+    } else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
   }
 
   #chooseServer(): ServerSelection.ChosenServer | undefined {
-    this.#blockedTrait = this.#context.crashReports.findBlocked(this.#sharedPartIds);
+    this.#blockedTrait = this.#context.crashReports.findBlocked(this.#traits);
     if (this.#blockedTrait !== undefined) return undefined;
     return ServerSelection.chooseServer(
       this.#context,
@@ -345,7 +362,7 @@
     this.#sentMs = this.#context.clock.readMonotonic();
     this.#attempt = {
       chosen,
-      crashEvidence: CrashEvidence.createCrashEvidence(this.#context, this.#sharedPartIds, server),
+      crashEvidence: CrashEvidence.createCrashEvidence(this.#context, this.#traits, server),
       exchange,
       framer: undefined,
       hasEvents: false,
@@ -694,7 +711,7 @@
     const state = this.#getState();
     // A request that may have ended several servers must not be sent to one more.
     const isSuspect = kind === 'broken' && !crashEvidence.isAnswered()
-      && this.#context.crashReports.isSuspect(this.#sharedPartIds);
+      && this.#context.crashReports.isSuspect(this.#traits);
     this.#apply(isSuspect
       ? RetryPolicy.chooseFinalStep(kind, state)
       : RetryPolicy.chooseNextStep(kind, state, () => this.#claimRetry()));
@@ -726,7 +743,7 @@
       choice: this.#describeChoice(),
       elapsedMs: Math.round(this.#context.clock.readMonotonic() - attempt.startedMs),
       end: kind,
-      fingerprint: kind === 'broken' ? this.#hashRequest() : undefined,
+      fingerprint: kind === 'broken' ? this.#fingerprint : undefined,
       lastEventId: this.#lastEventId,
       promptParts: this.#head.prompt === undefined ? undefined : this.#sharedPartIds,
       reason,
@@ -739,12 +756,6 @@
     }, 'attempt failed');
   }
 
-  #hashRequest(): string {
-    return RequestFingerprint.hashRequest({
-      account: this.#account, body: this.#body, head: this.#head,
-    });
-  }
-
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
     this.#context.bufferBudget.release(attempt.held.getLength());
@@ -799,10 +810,9 @@
 
   #computeRetryAfter(
     code: Refusals.RefusalCode,
-    { retryAfterMs }: Refusals.Refusal,
+    { isLasting, retryAfterMs }: Refusals.Refusal,
   ): Core.Millis | undefined {
-    // An earlier return within the caller's time would be refused as well.
-    if (retryAfterMs === undefined || code === 'prompt_blocked') return retryAfterMs;
+    if (retryAfterMs === undefined || isLasting === true) return retryAfterMs;
     const pauseMs = code === 'no_server'
       ? ServerSelection.computeRetryDelay(this.#context, this.#service)
       : 0;
@@ -841,6 +851,12 @@
     return { candidates, costMs: Math.round(costMs), limitPerS };
   }
 
+  #describeBlock(): { readonly blockedPart?: string; readonly fingerprint?: string } {
+    if (this.#blockedTrait === undefined) return {};
+    const { id, kind } = RequestTraits.parseTrait(this.#blockedTrait);
+    return kind === 'fingerprint' ? { fingerprint: id } : { blockedPart: id };
+  }
+
   #logEnd(
     outcome: string,
     status: number | undefined,
@@ -852,7 +868,7 @@
     if (suppressed === undefined) return;
     logger.info({
       account: this.#account?.name,
-      blockedPart: this.#blockedTrait,
+      ...this.#describeBlock(),
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
       choice: this.#describeChoice(),
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -137,7 +137,8 @@
   });
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
-    countBlockedParts: crashReports.countBlocked,
+    countBlockedParts: () => crashReports.countBlocked('promptPart'),
+    countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
     countDroppedLogs: log.countDroppedRecords,
     countLimitedServers: () => {
       const nowMs = clock.readMonotonic();
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -31,6 +31,7 @@
 export interface MetricSources {
   readonly countActive: () => number;
   readonly countBlockedParts: () => number;
+  readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
   readonly countLimitedServers: () => number;
 }
@@ -83,6 +84,11 @@
     'Prompt parts that crashed backend servers and are not sent to any',
     sources.countBlockedParts,
   );
+  registerGauge(
+    'berylyoke_blocked_requests',
+    'Repeated requests that crashed backend servers and are not sent to any',
+    sources.countBlockedRequests,
+  );
   registerGauge(
     'berylyoke_limited_servers',
     'Backend servers that announce a request limit',
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -248,6 +248,7 @@
     metrics: RoutingMetrics.createRoutingMetrics({
       countActive: () => 0,
       countBlockedParts: () => 0,
+      countBlockedRequests: () => 0,
       countDroppedLogs: () => 0,
       countLimitedServers: () => 0,
     }),
--- a/packages/routing/src/__tests__/unit/CrashReports.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashReports.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, expect, test } from 'vitest';
 import * as CrashReports from '../../CrashReports.js';
 import * as Ports from '../../Ports.js';
+import * as RequestTraits from '../../RequestTraits.js';
 
 const started: CrashReports.CrashReports[] = [];
 
@@ -75,10 +76,23 @@
   expect(reader.findBlocked(['a'])).toBeUndefined();
 });
 
+test('requests and prompt parts that are blocked are counted apart', () => {
+  const reports = startReports('vm-1', () => Effect.void);
+  const [part = '', request = ''] = RequestTraits.listTraits(['part'], 'digest');
+  const raw = Buffer.from(JSON.stringify({
+    clearedMs: 0,
+    crashes: [1, 2, 3].map((index) => ({ atMs: 1_000_000 - index * 1_000, server: `s${index}` })),
+  }));
+  applyWritten(reports, [{ key: `${request}/vm-2`, raw }]);
+  expect([reports.countBlocked('fingerprint'), reports.countBlocked('promptPart')]).toEqual([1, 0]);
+  applyWritten(reports, [{ key: `${part}/vm-2`, raw }]);
+  expect([reports.countBlocked('fingerprint'), reports.countBlocked('promptPart')]).toEqual([1, 1]);
+});
+
 test('a malformed report is ignored', () => {
   const reader = startReports('vm-1', () => Effect.void);
   applyWritten(reader, [
     { key: 'bad/vm-2', raw: Buffer.from('{"crashes":1}') }, { key: 'bad', raw: Buffer.from('x') },
   ]);
-  expect(reader.countBlocked()).toBe(0);
+  expect(reader.countBlocked('promptPart')).toBe(0);
 });
--- a/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
@@ -119,6 +119,19 @@
   expect(suspects.findBlocked(['bad'], START_MS)).toBe('bad');
 });
 
+// Guards against a blocked trait that is forgotten because many servers end, each of which breaks
+// requests that have nothing to do with it.
+test('a blocked trait is kept when many single crashes are reported', () => {
+  const suspects = CrashSuspects.createCrashSuspects();
+  observeCrashes(suspects, ['bad'], ['s1', 's2', 's3']);
+  Array.from({ length: 5_000 }, (_, index) => suspects.observeCrash(
+    [`request-${index}`],
+    's4',
+    NOW_MS,
+  ));
+  expect(suspects.findBlocked(['bad'], NOW_MS)).toBe('bad');
+});
+
 // Guards against the refusal of a popular part because a whole data centre was lost: requests with
 // the part were waiting at each of its servers.
 test('servers that end at the same time block nothing, and requests are retried', () => {
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -2,6 +2,9 @@
   afterEach, describe, expect, test,
 } from 'vitest';
 import type * as net from 'node:net';
+import * as CrashSuspects from '../../CrashSuspects.js';
+import * as RequestFingerprint from '../../RequestFingerprint.js';
+import * as RequestTraits from '../../RequestTraits.js';
 import * as PathHarness from '../support/PathHarness.js';
 import type * as Routing from '../../index.js';
 
@@ -580,6 +583,54 @@
   });
 });
 
+// Guards against a request without a prompt that crashes one server after the other.
+describe('a request under which two servers ended', () => {
+  const reportCrashes = (path: PathHarness.PathHarness): void => {
+    const nowMs = performance.now();
+    const fingerprint = RequestFingerprint.hashRequest({
+      account: { name: 'shop', priority: undefined },
+      body: Buffer.from('body'),
+      head: {
+        host: 'shop.example', method: 'POST', path: '/a/b', prompt: undefined,
+      },
+    });
+    path.applyCrashReport(RequestTraits.listTraits([], fingerprint)[0] as string, {
+      clearedMs: 0,
+      crashes: [{ atMs: nowMs - 600, server: 'a@0' }, { atMs: nowMs - 300, server: 'b@0' }],
+    });
+  };
+
+  test('is not sent to a further one after the end of its own', async () => {
+    const { path, servers } = await setUp([resetConnection, respondPlain], { kind: 'repeatable' });
+    reportCrashes(path);
+    expect(await path.call()).toMatchObject({ status: 502 });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('is refused as not run when a third one has ended, in other chunks too', async () => {
+    const { path, servers } = await setUp([resetConnection]);
+    reportCrashes(path);
+    await path.call();
+    const response = await path.call({ chunks: ['bo', 'dy'], requestId: 'r2' });
+    expect([response.status, Number(response.headers['retry-after'])])
+      .toEqual([503, CrashSuspects.BLOCK_MS / 1_000]);
+    expect(servers[0]?.heads).toHaveLength(1);
+    expect(await path.call({ chunks: ['other'], requestId: 'r3' })).toMatchObject({ status: 502 });
+    expect(servers[0]?.heads).toHaveLength(2);
+  });
+
+  test('is sent again after an answer', async () => {
+    const { path, servers } = await setUp([(socket, id, count) => (
+      count === 1 ? respondPlain(socket, id, count) : socket.destroy()
+    )]);
+    reportCrashes(path);
+    await path.call();
+    await path.call({ requestId: 'r2' });
+    await path.call({ requestId: 'r3' });
+    expect(servers[0]?.heads).toHaveLength(3);
+  });
+});
+
 // Guards against a load under which a server that has just started crashes again.
 describe('a cold server', () => {
   const callTimes = async (path: PathHarness.PathHarness, count: number): Promise<void> => {
