Count crashes under the retry of a request as separate

Cause: crashes within 0.3 s counted as one, so that a lost data centre blames no popular request. A request that was sent after an end cannot have been waiting when it happened, so its own crash is another one.

Change: a report has the time at which the request was sent; a crash is separate if it is 0.3 s after the last one, as before, or if its request was sent after that. Reports without the time, of older daemons, count as before.

Before and after: two of the three tests added to CrashSuspects.test.ts fail with the former rule and pass now; that servers which end together blame nobody is tested as before.

--- a/packages/routing/src/CrashEvidence.ts
+++ b/packages/routing/src/CrashEvidence.ts
@@ -26,13 +26,14 @@
  */
 const SOUND_START_MS = 500;
 
-/** Starts before the server has responded. */
+/** Starts to observe an attempt as its request is sent. */
 export function createCrashEvidence(
   { clock, crashReports }: Pick<PathContext.PathContext, 'clock' | 'crashReports'>,
   traits: readonly string[],
   incarnation: ServerTable.ServerIncarnation,
 ): CrashEvidence {
   const server = ServerTable.formatIncarnation(incarnation);
+  const sentMs = clock.readMonotonic();
   let firstEventMs: Core.Millis | undefined;
   let isAnswered = false;
   const hasGoneOn = (): boolean => (
@@ -47,7 +48,8 @@
     isAnswered: () => isAnswered,
     observeAnswer,
     observeEnd: () => {
-      if (!hasGoneOn()) crashReports.observeCrash(traits, server);
+      if (hasGoneOn()) return;
+      crashReports.observeCrash(traits, server, clock.readMonotonic() - sentMs);
     },
     observeEvent: () => {
       firstEventMs ??= clock.readMonotonic();
--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -27,7 +27,11 @@
 
 const ReportDocument = Schema.parseJson(Schema.Struct({
   clearedMs: Schema.Number,
-  crashes: Schema.Array(Schema.Struct({ atMs: Schema.Number, server: Schema.String })),
+  crashes: Schema.Array(Schema.Struct({
+    atMs: Schema.Number,
+    sentMs: Schema.optionalWith(Schema.Number, { exact: true }),
+    server: Schema.String,
+  })),
 }));
 
 const decodeDocument = Schema.decodeUnknownOption(ReportDocument);
@@ -68,8 +72,10 @@
 
 /** Crash reports as requests use them. */
 export interface CrashReports {
-  /** Records that a server ended under a request with these traits. */
-  readonly observeCrash: (traits: readonly string[], server: string) => void;
+  /** Records that a server ended under a request with these traits, sent `elapsedMs` ago. */
+  readonly observeCrash: (
+    traits: readonly string[], server: string, elapsedMs: Core.Millis,
+  ) => void;
   /** Records that a request with these traits was answered. */
   readonly observeAnswer: (traits: readonly string[]) => void;
   /** Records that a server answered a request that was sent `elapsedMs` ago. */
@@ -194,8 +200,9 @@
     findBlocked: (traits) => suspects.findBlocked(traits, readTrueTime()),
     isSuspect: (traits) => suspects.isSuspect(traits, readTrueTime()),
     observeAnswer: (traits) => reportTraits(suspects.observeAnswer(traits, readTrueTime())),
-    observeCrash: (traits, server) => {
-      reportTraits(suspects.observeCrash(traits, server, readTrueTime()));
+    observeCrash: (traits, server, elapsedMs) => {
+      const nowMs = readTrueTime();
+      reportTraits(suspects.observeCrash(traits, { sentMs: nowMs - elapsedMs, server }, nowMs));
     },
     observeServerAnswer: (server, elapsedMs) => {
       suspects.observeServerAnswer(server, readTrueTime() - elapsedMs);
--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -14,6 +14,8 @@
   /** Name of the server's incarnation. */
   readonly server: string;
   readonly atMs: Core.Millis;
+  /** Time at which the request was sent; undefined in reports of older daemons. */
+  readonly sentMs?: Core.Millis;
 }
 
 /** What is known of one trait; reports of several daemons are merged. */
@@ -31,7 +33,7 @@
    * @returns the traits to report; not those that were answered a moment ago
    */
   readonly observeCrash: (
-    traits: readonly string[], server: string, nowMs: Core.Millis,
+    traits: readonly string[], crash: Omit<Crash, 'atMs'>, nowMs: Core.Millis,
   ) => readonly string[];
   /**
    * Records that a request with these traits was answered.
@@ -60,8 +62,9 @@
 const MIN_SUSPECT_CRASHES = 2;
 
 /**
- * Time within which crashes count as one. Servers that end together, such as those of a data centre
- * that is lost, have another cause than the requests that wait at each of them.
+ * Time within which crashes count as one, unless the request of the later one was sent after the
+ * earlier one. Servers that end together, such as those of a data centre that is lost, have another
+ * cause than the requests that wait at each of them.
  */
 const SEPARATE_CRASHES_MS = 300;
 
@@ -90,18 +93,23 @@
 
 function mergeReports(a: TraitReport, b: TraitReport): TraitReport {
   const clearedMs = Math.max(a.clearedMs, b.clearedMs);
-  const byServer = new Map([...a.crashes, ...b.crashes].map((crash) => [crash.server, crash]));
+  const byServer = new Map<string, Crash>();
+  [...a.crashes, ...b.crashes].forEach((crash) => {
+    const { sentMs = -Infinity } = byServer.get(crash.server) ?? {};
+    // The request that was sent last tells most about what it had in common with other crashes.
+    if ((crash.sentMs ?? -Infinity) >= sentMs) byServer.set(crash.server, crash);
+  });
   const crashes = [...byServer.values()].filter(({ atMs }) => atMs > clearedMs)
     .sort((one, other) => one.atMs - other.atMs).slice(-MAX_CRASHES);
   return { clearedMs, crashes };
 }
 
-/** Counts crashes that are not at the same time as another one; they are sorted by time. */
+/** Counts crashes that have not the same cause as another one; they are sorted by time. */
 function countSeparate(crashes: readonly Crash[]): number {
   let count = 0;
   let lastMs = -Infinity;
-  crashes.forEach(({ atMs }) => {
-    if (atMs - lastMs < SEPARATE_CRASHES_MS) return;
+  crashes.forEach(({ atMs, sentMs = -Infinity }) => {
+    if (atMs - lastMs < SEPARATE_CRASHES_MS && sentMs < lastMs) return;
     count += 1;
     lastMs = atMs;
   });
@@ -207,9 +215,9 @@
       if (sentMs <= (endKnownMs.get(server) ?? Infinity)) return;
       Core.setBounded(aliveServers, server, true, MAX_ENTRIES);
     },
-    observeCrash: (traits, server, nowMs) => traits.filter((trait) => {
+    observeCrash: (traits, crash, nowMs) => traits.filter((trait) => {
       if (nowMs - (answeredMs.get(trait) ?? -Infinity) < ANSWER_VALID_MS) return false;
-      mergeReport(trait, { clearedMs: 0, crashes: [{ atMs: nowMs, server }] }, nowMs);
+      mergeReport(trait, { clearedMs: 0, crashes: [{ ...crash, atMs: nowMs }] }, nowMs);
       return true;
     }),
   };
--- a/packages/routing/src/__tests__/unit/CrashReports.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashReports.test.ts
@@ -41,7 +41,7 @@
     written.push(values);
     return Effect.void;
   });
-  reports.observeCrash(['bad'], 's1');
+  reports.observeCrash(['bad'], 's1', 10);
   await expect.poll(() => written.flat().map(({ key }) => key)).toEqual(['bad/vm-1']);
 });
 
@@ -52,7 +52,7 @@
     written.push(values);
     return Effect.void;
   });
-  reports.observeCrash(['bad'], 's1');
+  reports.observeCrash(['bad'], 's1', 10);
   applyWritten(reports, [{
     key: 'other/vm-2',
     raw: Buffer.from('{"clearedMs":0,"crashes":[{"atMs":1000000,"server":"s2"}]}'),
@@ -68,7 +68,7 @@
   times.forEach((nowMs, index) => startReports(`vm-${index}`, (values) => {
     written.push(values);
     return Effect.void;
-  }, () => nowMs).observeCrash(['a/b c'], `s${index}`));
+  }, () => nowMs).observeCrash(['a/b c'], `s${index}`, 10));
   await expect.poll(() => written.length).toBe(3);
   const reader = startReports('vm-9', () => Effect.void, () => 1_003_000);
   applyWritten(reader, written.flat());
--- a/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashSuspects.test.ts
@@ -3,6 +3,9 @@
 
 const START_MS = 1_000_000;
 
+/** Time at which a request was sent that waited at its server when others ended. */
+const EARLIER_MS = START_MS - 1_000;
+
 /** Records crashes of different servers under requests with these traits, 400 ms apart. */
 function observeCrashes(
   suspects: CrashSuspects.CrashSuspects,
@@ -10,7 +13,7 @@
   servers: readonly string[],
 ): void {
   servers.forEach((server, index) => {
-    suspects.observeCrash(traits, server, START_MS + 400 * index);
+    suspects.observeCrash(traits, { sentMs: EARLIER_MS, server }, START_MS + 400 * index);
   });
 }
 
@@ -22,7 +25,7 @@
     observeCrashes(suspects, ['bad'], ['s1', 's2']);
     expect(suspects.findBlocked(['bad'], NOW_MS)).toBeUndefined();
     expect(suspects.isSuspect(['bad'], NOW_MS)).toBe(true);
-    suspects.observeCrash(['bad'], 's3', NOW_MS);
+    suspects.observeCrash(['bad'], { sentMs: EARLIER_MS, server: 's3' }, NOW_MS);
     expect(suspects.findBlocked(['other', 'bad'], NOW_MS)).toBe('bad');
     expect(suspects.findBlocked(['other'], NOW_MS)).toBeUndefined();
   });
@@ -30,7 +33,7 @@
   test('is blocked also if the crashes were seen by different daemons', () => {
     const daemons = ['s1', 's2', 's3'].map((server, index) => {
       const suspects = CrashSuspects.createCrashSuspects();
-      suspects.observeCrash(['bad'], server, START_MS + 400 * index);
+      suspects.observeCrash(['bad'], { sentMs: EARLIER_MS, server }, START_MS + 400 * index);
       return suspects;
     });
     const reader = CrashSuspects.createCrashSuspects();
@@ -49,7 +52,7 @@
     observeCrashes(suspects, ['bad'], ['s1', 's2', 's3']);
     const laterMs = NOW_MS + CrashSuspects.BLOCK_MS;
     expect(suspects.findBlocked(['bad'], laterMs)).toBeUndefined();
-    suspects.observeCrash(['bad'], 's4', laterMs);
+    suspects.observeCrash(['bad'], { sentMs: EARLIER_MS, server: 's4' }, laterMs);
     expect(suspects.findBlocked(['bad'], laterMs)).toBe('bad');
   });
 });
@@ -85,7 +88,7 @@
   test('is not blamed for crashes that a part with more of them explains', () => {
     const suspects = CrashSuspects.createCrashSuspects();
     observeCrashes(suspects, ['rare', 'bad'], ['s1', 's2', 's3']);
-    suspects.observeCrash(['common', 'bad'], 's4', NOW_MS);
+    suspects.observeCrash(['common', 'bad'], { sentMs: EARLIER_MS, server: 's4' }, NOW_MS);
     expect(suspects.findBlocked(['rare'], NOW_MS)).toBeUndefined();
     expect(suspects.findBlocked(['common', 'bad'], NOW_MS)).toBe('bad');
   });
@@ -110,7 +113,7 @@
   const suspects = CrashSuspects.createCrashSuspects();
   Array.from({ length: 5_000 }, (_, index) => suspects.observeCrash(
     [`part-${index}`],
-    's',
+    { sentMs: EARLIER_MS, server: 's' },
     START_MS,
   ));
   observeCrashes(suspects, ['bad'], Array.from({ length: 100 }, (_, index) => `s${index}`));
@@ -126,7 +129,7 @@
   observeCrashes(suspects, ['bad'], ['s1', 's2', 's3']);
   Array.from({ length: 5_000 }, (_, index) => suspects.observeCrash(
     [`request-${index}`],
-    's4',
+    { sentMs: EARLIER_MS, server: 's4' },
     NOW_MS,
   ));
   expect(suspects.findBlocked(['bad'], NOW_MS)).toBe('bad');
@@ -137,16 +140,64 @@
 test('servers that end at the same time block nothing, and requests are retried', () => {
   const suspects = CrashSuspects.createCrashSuspects();
   ['s1', 's2', 's3', 's4', 's5'].forEach((server, index) => {
-    suspects.observeCrash(['popular'], server, START_MS + 20 * index);
+    suspects.observeCrash(['popular'], { sentMs: EARLIER_MS, server }, START_MS + 20 * index);
   });
   expect(suspects.findBlocked(['popular'], NOW_MS)).toBeUndefined();
   expect(suspects.isSuspect(['popular'], NOW_MS)).toBe(false);
 });
 
+// Guards against a request whose retries end further servers within the time in which those of a
+// lost data centre would end: four servers, each one sent the request after the last one ended.
+describe('a request that was sent to a server after the last one had ended', () => {
+  const observeRetry = (
+    suspects: CrashSuspects.CrashSuspects,
+    server: string,
+    sentMs: number,
+  ): void => {
+    suspects.observeCrash(['bad'], { sentMs, server }, sentMs + 60);
+  };
+
+  test('is not retried after the second crash, and blocked after the third', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    observeRetry(suspects, 's1', START_MS);
+    expect(suspects.isSuspect(['bad'], NOW_MS)).toBe(false);
+    observeRetry(suspects, 's2', START_MS + 61);
+    expect(suspects.isSuspect(['bad'], NOW_MS)).toBe(true);
+    observeRetry(suspects, 's3', START_MS + 140);
+    expect(suspects.findBlocked(['bad'], NOW_MS)).toBe('bad');
+  });
+
+  test('is recognised if other daemons sent it', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    ['s1', 's2', 's3'].forEach((server, index) => {
+      const other = CrashSuspects.createCrashSuspects();
+      observeRetry(other, server, START_MS + 70 * index);
+      suspects.mergeReport('bad', other.getReport('bad', NOW_MS), NOW_MS);
+    });
+    expect(suspects.findBlocked(['bad'], NOW_MS)).toBe('bad');
+  });
+
+  test('is not blamed if it was waiting at all of them when they ended', () => {
+    const suspects = CrashSuspects.createCrashSuspects();
+    ['s1', 's2', 's3', 's4'].forEach((server, index) => {
+      suspects.observeCrash(
+        ['popular'],
+        { sentMs: START_MS - 20 * index, server },
+        START_MS + 20 * index,
+      );
+    });
+    expect(suspects.findBlocked(['popular'], NOW_MS)).toBeUndefined();
+  });
+});
+
 test('a burst of requests with the part blocks it within a second', () => {
   const suspects = CrashSuspects.createCrashSuspects();
   Array.from({ length: 10 }, (_, index) => (
-    suspects.observeCrash(['bad'], `s${index}`, START_MS + 100 * index)
+    suspects.observeCrash(
+      ['bad'],
+      { sentMs: EARLIER_MS, server: `s${index}` },
+      START_MS + 100 * index,
+    )
   ));
   expect(suspects.findBlocked(['bad'], NOW_MS)).toBe('bad');
 });
