Send no suspect request to a further server while its own is silent

Cause: a request under which two servers ended is not retried when its server ends too, but a server that is silent for too long was replaced without that check, so the request could end a fourth server.

Change: one check serves both places.

Tests: the one added to RoutedRequest.test.ts failed before (the second server got the request) and passes now.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -428,6 +428,11 @@
     );
   }
 
+  /** Checks whether the request may end the server of an attempt, as it may have ended others. */
+  #isSuspect({ crashEvidence }: Attempt): boolean {
+    return !crashEvidence.isAnswered() && this.#context.crashReports.isSuspect(this.#traits);
+  }
+
   /**
    * Abandons a silent server only if another one can take over the request at once; otherwise
    * keeps waiting, because the response may still arrive.
@@ -435,6 +440,7 @@
   #handleSilence(maxSilenceMs: Core.Millis): void {
     const chosen = this.#chooseServer();
     const canReplace = chosen !== undefined
+      && !this.#isSuspect(this.#attempt as Attempt)
       && RetryPolicy.canRetry('silent', this.#getState())
       && this.#claimRetry();
     if (!canReplace) {
@@ -706,13 +712,10 @@
 
   #handleAttemptFailure(kind: RetryPolicy.FailureKind, reason: string): void {
     if (this.#isEnded) return;
-    const { crashEvidence } = this.#attempt as Attempt;
+    const attempt = this.#attempt as Attempt;
     this.#closeAttempt(kind, reason);
     const state = this.#getState();
-    // A request that may have ended several servers must not be sent to one more.
-    const isSuspect = kind === 'broken' && !crashEvidence.isAnswered()
-      && this.#context.crashReports.isSuspect(this.#traits);
-    this.#apply(isSuspect
+    this.#apply(kind === 'broken' && this.#isSuspect(attempt)
       ? RetryPolicy.chooseFinalStep(kind, state)
       : RetryPolicy.chooseNextStep(kind, state, () => this.#claimRetry()));
   }
--- a/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
+++ b/packages/routing/src/__tests__/unit/RoutedRequest.test.ts
@@ -607,6 +607,13 @@
     expect(servers[1]?.heads).toEqual([]);
   });
 
+  test('is not sent to a further one while its own is silent', async () => {
+    const { path, servers } = await setUp([() => undefined, respondPlain], { kind: 'repeatable' });
+    reportCrashes(path);
+    expect(await path.call()).toMatchObject({ status: 504 });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
   test('is refused as not run when a third one has ended, in other chunks too', async () => {
     const { path, servers } = await setUp([resetConnection]);
     reportCrashes(path);
