Retry a request whose own retry was the second one to break

Change: the send time decides when a trait is blocked, at the third crash; whether a request is retried is decided by crashes 0.3 s apart, as before. A guilty request of one caller ends at most three servers either way.

--- a/packages/routing/src/CrashSuspects.ts
+++ b/packages/routing/src/CrashSuspects.ts
@@ -58,7 +58,10 @@
 /** Number of separate crashes under a trait before requests with it are blocked. */
 const MIN_BLOCKING_CRASHES = 3;
 
-/** Number of separate crashes under a trait before requests with it are not retried. */
+/**
+ * Number of crashes under a trait, apart in time, before requests with it are not retried. Those of
+ * one request and its retries are not: two faulty servers must not cost a sound stream.
+ */
 const MIN_SUSPECT_CRASHES = 2;
 
 /**
@@ -104,18 +107,30 @@
   return { clearedMs, crashes };
 }
 
-/** Counts crashes that have not the same cause as another one; they are sorted by time. */
-function countSeparate(crashes: readonly Crash[]): number {
+/** Counts crashes that are separate from the one counted before; they are sorted by time. */
+function countSeparate(
+  crashes: readonly Crash[],
+  isSeparate: (crash: Crash, lastMs: Core.Millis) => boolean,
+): number {
   let count = 0;
   let lastMs = -Infinity;
-  crashes.forEach(({ atMs, sentMs = -Infinity }) => {
-    if (atMs - lastMs < SEPARATE_CRASHES_MS && sentMs < lastMs) return;
+  crashes.forEach((crash) => {
+    if (!isSeparate(crash, lastMs)) return;
     count += 1;
-    lastMs = atMs;
+    lastMs = crash.atMs;
   });
   return count;
 }
 
+function isApart({ atMs }: Crash, lastMs: Core.Millis): boolean {
+  return atMs - lastMs >= SEPARATE_CRASHES_MS;
+}
+
+/** Checks whether a crash has another cause than whatever ended a server at `lastMs`. */
+function isIndependent(crash: Crash, lastMs: Core.Millis): boolean {
+  return isApart(crash, lastMs) || (crash.sentMs ?? -Infinity) >= lastMs;
+}
+
 function countUnshared(crashes: readonly Crash[], others: readonly Crash[]): number {
   const servers = new Set(others.map(({ server }) => server));
   return crashes.filter(({ server }) => !servers.has(server)).length;
@@ -156,7 +171,7 @@
     getReport(trait, nowMs).crashes
   );
   const hasBlockingCrashes = (crashes: readonly Crash[], nowMs: Core.Millis): boolean => (
-    countSeparate(crashes) >= MIN_BLOCKING_CRASHES
+    countSeparate(crashes, isIndependent) >= MIN_BLOCKING_CRASHES
     && crashes.some(({ atMs }) => nowMs - atMs < BLOCK_MS)
   );
   const listBlocked = (nowMs: Core.Millis): readonly string[] => [...reports.keys()]
@@ -184,8 +199,8 @@
     if (!hasBlockingCrashes(crashes, nowMs)) return false;
     return listBlocked(nowMs).every((other) => {
       const others = listCrashes(other, nowMs);
-      const isIndependent = countUnshared(crashes, others) >= MIN_BLOCKING_CRASHES;
-      return isIndependent || others.length < crashes.length
+      const hasOwnCrashes = countUnshared(crashes, others) >= MIN_BLOCKING_CRASHES;
+      return hasOwnCrashes || others.length < crashes.length
         || (others.length === crashes.length && traits.includes(other));
     });
   };
@@ -198,7 +213,7 @@
     ),
     getReport,
     isSuspect: (traits, nowMs) => traits.some((trait) => (
-      countSeparate(listCrashes(trait, nowMs)) >= MIN_SUSPECT_CRASHES
+      countSeparate(listCrashes(trait, nowMs), isApart) >= MIN_SUSPECT_CRASHES
     )),
     listBlocked,
     mergeReport,
