Resume streams only at servers of the version that began them

The rest of a stream came from a server of another software version when its own had ended.

Cause: servers were chosen without their version, which was decoded and used nowhere.

Change: the version of the server whose bytes reached the caller first is a requirement for every further server of that request. Lines of attempts and requests name it.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -49,6 +49,8 @@
   server: Schema.String,
   service: Schema.String,
   suppressed: Count,
+  /** Software version of the server by its entry. */
+  version: Schema.optional(Schema.String),
 });
 
 const RequestEnded = Schema.Struct({
@@ -78,6 +80,8 @@
   service: Schema.optional(Schema.String),
   status: Schema.optional(Schema.Number),
   suppressed: Count,
+  /** Software version that began the stream. */
+  version: Schema.optional(Schema.String),
 });
 
 const FailureWithDetail = Schema.Struct({ ...COMMON_FIELDS, detail: Schema.String });
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -48,6 +48,8 @@
 /** An attempt in progress. */
 interface Attempt {
   readonly chosen: ServerSelection.ChosenServer;
+  /** Software version of the server by its entry when the request was sent. */
+  readonly version: string;
   readonly exchange: BackendExchange.Exchange;
   readonly startedMs: Core.Millis;
   readonly pendingPromptTokens: number;
@@ -118,6 +120,9 @@
   /** Trait because of which the request must not be sent. */
   #blockedTrait: string | undefined;
 
+  /** Software version that began the stream; undefined as long as any version can. */
+  #version: string | undefined;
+
   /** Most recent choice of a server, for the log. */
   #lastChoice: ChoiceSummary | undefined;
 
@@ -309,12 +314,12 @@
   #chooseServer(): ServerSelection.ChosenServer | undefined {
     this.#blockedTrait = this.#context.crashReports.findBlocked(this.#traits);
     if (this.#blockedTrait !== undefined) return undefined;
-    return ServerSelection.chooseServer(
-      this.#context,
-      this.#service,
-      this.#head.prompt,
-      this.#triedIds,
-    );
+    return ServerSelection.chooseServer(this.#context, {
+      prompt: this.#head.prompt,
+      service: this.#service,
+      triedIds: this.#triedIds,
+      version: this.#version,
+    });
   }
 
   #forward(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
@@ -372,6 +377,7 @@
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#sentMs,
       pendingPromptTokens,
+      version: server.version,
     };
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
   }
@@ -582,6 +588,7 @@
 
   #handleEvents(attempt: Attempt, events: readonly EventFramer.StreamEvent[]): void {
     if (events.length === 0) return;
+    this.#version ??= attempt.version;
     this.#relay(events.length === 1
       ? (events[0] as EventFramer.StreamEvent).bytes
       : Buffer.concat(events.map((event) => event.bytes)));
@@ -756,6 +763,7 @@
       server: server.id,
       service: this.#service,
       suppressed,
+      version: attempt.version,
     }, 'attempt failed');
   }
 
@@ -894,6 +902,7 @@
       service: this.#service,
       status,
       suppressed,
+      version: this.#version,
     }, 'request ended');
   }
 }
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -18,6 +18,16 @@
 const MIN_SLOWDOWN = 0.5;
 const MAX_SLOWDOWN = 10;
 
+/** What a request needs of its next server. */
+export interface ServerRequirements {
+  readonly service: string;
+  readonly prompt: ServerPicker.Prompt | undefined;
+  /** Servers that were tried already. */
+  readonly triedIds: ReadonlySet<string>;
+  /** Software version that began the stream; undefined if any version can serve the request. */
+  readonly version: string | undefined;
+}
+
 /** A server that was chosen for an attempt. */
 export interface ChosenServer {
   readonly pooled: ServerPool.PooledServer;
@@ -75,12 +85,12 @@
   if (cold !== undefined) context.coldLimits.recordSend(cold, nowMs);
 }
 
-/** Chooses among the available servers of a service that were not tried yet. */
+/** Chooses among the available servers that meet the requirements. */
 export function chooseServer(
   context: PathContext.PathContext,
-  service: string,
-  prompt: ServerPicker.Prompt | undefined,
-  triedIds: ReadonlySet<string>,
+  {
+    prompt, service, triedIds, version,
+  }: ServerRequirements,
 ): ChosenServer | undefined {
   const nowMs = context.clock.readMonotonic();
   const serving = context.servers.listServing(service, nowMs);
@@ -89,6 +99,7 @@
   const suspects = context.health.selectEjected(service, servingIds);
   const pooled = serving
     .filter((server) => !triedIds.has(server.id)
+      && (version === undefined || server.version === version)
       && context.availability.canAcceptRequests(server, nowMs)
       && context.requestLimits.canSend(server, nowMs)
       && computeColdWait(context, server, nowMs) === 0)
--- a/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
@@ -103,3 +103,26 @@
   )]);
   expect(await path.call()).toMatchObject({ body: FIRST_EVENT, isTruncated: false });
 });
+
+// Guards against a stream whose events were written by two software versions of its service.
+describe('a stream that broke off beside servers of another version', () => {
+  test('goes on at a server of the version that began it', async () => {
+    const { path, servers } = await setUp([breakOff, respondWithRest, respondWithRest]);
+    path.applyServer(1, { version: 'v2' });
+    expect(await path.call()).toMatchObject({ body: `${FIRST_EVENT}${SECOND_EVENT}`, status: 200 });
+    expect(servers.map(({ heads }) => heads.length)).toEqual([1, 0, 1]);
+  });
+
+  test('is broken off if no other server has that version', async () => {
+    const { path, servers } = await setUp([breakOff, respondWithRest]);
+    path.applyServer(1, { version: 'v2' });
+    expect(await path.call()).toMatchObject({ body: FIRST_EVENT, isTruncated: true });
+    expect(servers[1]?.heads).toEqual([]);
+  });
+
+  test('goes to any of them if no event had reached the caller', async () => {
+    const { path } = await setUp([(socket) => socket.resetAndDestroy(), respondWithRest]);
+    path.applyServer(1, { version: 'v2' });
+    expect(await path.call()).toMatchObject({ body: SECOND_EVENT, status: 200 });
+  });
+});
