Record the version of streams that callers may resume elsewhere

A caller whose stream had broken off took it up at another daemon, or after all daemons had been killed, and got the rest from another software version, answered 200 to the end.

Cause: nothing outlived a daemon that told which version had begun a stream, and `Resumes`, by which callers name the request with the first event, was not read.

Change: each service has a base version in the store; a stream that any other version begins is recorded before its caller has the first event. A caller that resumes a stream gets the rest from the recorded version, else from the base version; where that cannot be read, it is refused as not run. With one version in service nothing is written or waited for.

Found with it: the service of a resumed stream was chosen by the id of the new request, so a route with shares could send the rest to another service.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -72,6 +72,8 @@
   outcome: Schema.String,
   requestId: Schema.String,
   responseEnd: Schema.optional(ResponseEnd),
+  /** Request that brought the first event of the stream that the caller resumes. */
+  resumedRequestId: Schema.optional(Schema.String),
   route: Schema.optional(Schema.String),
   sends: Count,
   /** Time from the receipt of the request to its last attempt. */
@@ -100,6 +102,23 @@
     ...COMMON_FIELDS, detail: Schema.String, kind: Schema.String,
   }),
   'attempt failed': AttemptFailed,
+  'base version chosen': Schema.Struct({
+    ...COMMON_FIELDS,
+    detail: Schema.optional(Schema.String),
+    isWritten: Schema.Boolean,
+    previous: Schema.optional(Schema.String),
+    service: Schema.String,
+    version: Schema.String,
+  }),
+  'base version in force': Schema.Struct({
+    ...COMMON_FIELDS,
+    previous: Schema.optional(Schema.String),
+    service: Schema.String,
+    version: Schema.String,
+  }),
+  'beginnings of streams not recorded': Schema.Struct({
+    ...COMMON_FIELDS, detail: Schema.String, records: Count,
+  }),
   'configuration in force': Schema.Struct({
     ...COMMON_FIELDS,
     accounts: Schema.optional(Count),
--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -22,6 +22,8 @@
   no_server: 'no backend server was listed or accepted requests, or nothing was sent to those '
     + 'that were tried',
   not_run: 'each backend server that was reached reported that it did not run the request',
+  origin_unknown: 'the caller resumed a stream, and the daemon could not read which software '
+    + 'version had begun it',
   outcome_unknown: 'the connection to the backend server failed after the request was sent',
   prompt_blocked: 'backend servers crashed under other requests with a part of its prompt, so it '
     + 'was not sent',
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -5,6 +5,7 @@
  * other daemons can read.
  */
 import type * as Core from '@berylyoke/core';
+import * as BaseVersions from './BaseVersions.js';
 import * as ClockReading from './ClockReading.js';
 import * as CrashReports from './CrashReports.js';
 import type * as CrashSuspects from './CrashSuspects.js';
@@ -84,6 +85,8 @@
   readonly metrics: RoutingMetrics.RoutingMetrics;
   readonly readRelay: RelayCalls.RelayClient['read'];
   readonly relayChoice: RelayChoice.RelayChoice;
+  /** Called with base versions of services. */
+  readonly onBaseVersions: BaseVersions.BaseVersions['applyChanges'];
   /** Called with reports of traits of requests that crash servers. */
   readonly onCrashReports: CrashReports.CrashReports['applyChanges'];
   /** Called when the store returned from an older copy; what daemons wrote since is gone. */
@@ -92,6 +95,19 @@
   readonly onConfig: (config: RoutingConfig.RoutingConfig) => void;
 }
 
+/** Record that daemons write for each other. */
+type FleetRecord = { readonly _tag: 'BaseVersion'; readonly base: BaseVersions.BaseVersion }
+  | { readonly _tag: 'CrashReport'; readonly report: CrashSuspects.TraitReport };
+
+function decodeFleetRecord(key: string, raw: Buffer): FleetRecord | undefined {
+  if (BaseVersions.isBaseVersionKey(key)) {
+    const base = BaseVersions.decodeBaseVersion(key, raw);
+    return base === undefined ? undefined : { _tag: 'BaseVersion', base };
+  }
+  const report = CrashReports.decodeCrashReport(raw);
+  return report === undefined ? undefined : { _tag: 'CrashReport', report };
+}
+
 /** Feeds of a daemon. */
 export interface DaemonFeeds extends Pick<
   PathContext.PathContext,
@@ -102,6 +118,10 @@
    * reports were read or could not be read.
    */
   readonly isComplete: () => boolean;
+  /** Checks whether the base versions were read within `BaseVersions.MAX_BASE_AGE_MS`. */
+  readonly areBasesCurrent: () => boolean;
+  /** Returns the position up to which the feed of base versions and crash reports was read. */
+  readonly getBasePosition: () => number | undefined;
   readonly readCopy: RelayCalls.RelayHandlers['readCopy'];
   readonly stop: () => void;
 }
@@ -133,13 +153,13 @@
 export function startDaemonFeeds(context: FeedsContext): DaemonFeeds {
   const {
     bounds, clock, configFeed, crashReportFeed, decodeConfig, decodeServer, logger,
-    onCrashReports, readRelay, relayChoice, serverFeed,
+    onBaseVersions, onCrashReports, readRelay, relayChoice, serverFeed,
   } = context;
   const readClocks = (): ClockReading.ClockReading => ClockReading.readClocks(clock);
   const servers = ServerTable.createServerTable();
   const copies = {
     configuration: FeedCopy.createFeedCopy<RoutingConfig.OperatorRecord>(),
-    crashReports: FeedCopy.createFeedCopy<CrashSuspects.TraitReport>(),
+    crashReports: FeedCopy.createFeedCopy<FleetRecord>(),
     servers: FeedCopy.createFeedCopy<ServerTable.BackendServer>(),
   };
   let active: PathContext.ActiveConfig | undefined;
@@ -290,13 +310,25 @@
   });
 
   let hasTriedCrashReports = false;
+  let basesVerifiedAt: ClockReading.ClockReading | undefined;
+  const applyFleetRecords = (changes: readonly FeedCopy.DecodedChange<FleetRecord>[]): void => {
+    onBaseVersions(changes.flatMap((change) => (
+      change.value?._tag === 'BaseVersion' ? [{ ...change, value: change.value.base }] : []
+    )));
+    onCrashReports(changes.flatMap((change) => (
+      change.value?._tag === 'CrashReport' ? [{ ...change, value: change.value.report }] : []
+    )));
+  };
   const crashContact = createContactHandlers(context, 'crash reports');
   const crashLoop = FeedLoop.startFeedLoop({
     copy: copies.crashReports,
-    decode: (_, raw) => CrashReports.decodeCrashReport(raw),
+    decode: decodeFleetRecord,
     feed: crashReportFeed,
     getPauseMs: () => 0,
-    onChanges: onCrashReports,
+    onApplied: (verifiedAt) => {
+      basesVerifiedAt = verifiedAt;
+    },
+    onChanges: applyFleetRecords,
     onContact: () => {
       hasTriedCrashReports = true;
       crashContact.onContact();
@@ -305,7 +337,7 @@
       hasTriedCrashReports = true;
       crashContact.onFailure(error);
     },
-    onSnapshot: onCrashReports,
+    onSnapshot: applyFleetRecords,
     readClocks,
     // A relay that lacks these reports can still be used for the other feeds.
     relay: createUpstreamRelay('crashReports', configMaxCopyAgeMs, {
@@ -316,7 +348,13 @@
   });
 
   return {
+    areBasesCurrent: () => ClockReading.isReadingFresh(
+      basesVerifiedAt,
+      readClocks(),
+      BaseVersions.MAX_BASE_AGE_MS,
+    ),
     areKeysCurrent,
+    getBasePosition: crashLoop.getPosition,
     getActiveConfig: () => active,
     getKeyProofAge: () => (
       keysVerifiedAt === undefined ? undefined : clock.readMonotonic() - keysVerifiedAt.monotonicMs
--- a/packages/routing/src/FeedLoop.ts
+++ b/packages/routing/src/FeedLoop.ts
@@ -65,6 +65,8 @@
    * Does nothing if the last refresh ended less than `retryMs` ago.
    */
   readonly refresh: () => Promise<void>;
+  /** Returns the position up to which the feed was read; undefined before the first read. */
+  readonly getPosition: () => number | undefined;
   readonly stop: () => void;
 }
 
@@ -209,6 +211,7 @@
   });
 
   return {
+    getPosition: () => lastNext,
     refresh: () => {
       const nowMs = options.readClocks().monotonicMs;
       if (activeRefresh === undefined && nowMs - lastRefreshMs < options.retryMs) {
--- a/packages/routing/src/HeaderRules.ts
+++ b/packages/routing/src/HeaderRules.ts
@@ -27,6 +27,8 @@
   /** Number of prompt tokens and limit of output tokens, separated by a comma. */
   readonly tokenCounts: string;
   readonly lastEventId: string;
+  /** Id of the request that brought the first event of a resumed stream. */
+  readonly resumedRequestId: string;
   /** Other headers that only the system may set. */
   readonly systemOnly: readonly string[];
 }
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -16,6 +16,7 @@
 import type * as ServerAvailability from './ServerAvailability.js';
 import type * as ServerPool from './ServerPool.js';
 import type * as ServerTable from './ServerTable.js';
+import type * as StreamVersions from './StreamVersions.js';
 
 /** A version of the configuration with its route table. */
 export interface ActiveConfig {
@@ -64,6 +65,8 @@
     CrashReports.CrashReports,
     'findBlocked' | 'isSuspect' | 'observeAnswer' | 'observeCrash' | 'observeServerAnswer'
   >;
+  /** Software versions that began streams. */
+  readonly streamVersions: StreamVersions.StreamVersions;
   /** Outcomes of requests at servers, exchanged with other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   readonly cache: Scheduling.CacheIndex;
--- a/packages/routing/src/Ports.ts
+++ b/packages/routing/src/Ports.ts
@@ -41,6 +41,8 @@
 export interface FeedPage {
   readonly changes: readonly KeyedChange[];
   readonly next: number;
+  /** Whether the feed had further changes, which did not fit into the page. */
+  readonly hasMore?: boolean;
 }
 
 /** Feed of values by key. */
@@ -58,10 +60,13 @@
 
 /** Feed of values by key that daemons write themselves. */
 export interface WritableKeyedFeed extends KeyedFeed {
-  /** Writes values of keys; `raw` is undefined to remove a key. */
+  /**
+   * Writes values of keys; `raw` is undefined to remove a key. If `expectedEnd` is given, the write
+   * fails unless the feed ends there.
+   */
   readonly write: (
-    values: readonly Pick<KeyedChange, 'key' | 'raw'>[],
-  ) => Effect.Effect<void, StoreUnavailable>;
+    values: readonly Pick<KeyedChange, 'key' | 'raw'>[], expectedEnd?: number,
+  ) => Effect.Effect<void, EndMoved | StoreUnavailable>;
 }
 
 /** Record of a log. */
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -46,6 +46,11 @@
   not_run: {
     message: 'the backend server did not run the request', retryAfterMs: 150, status: 503,
   },
+  origin_unknown: {
+    message: 'it is not known now which software version began the stream; it was not resumed',
+    retryAfterMs: 250,
+    status: 503,
+  },
   outcome_unknown: {
     message: 'the connection to the backend server broke; the request may have run', status: 502,
   },
--- a/packages/routing/src/RequestHead.ts
+++ b/packages/routing/src/RequestHead.ts
@@ -18,8 +18,15 @@
   readonly prompt: ServerPicker.Prompt | undefined;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /** Whether the caller resumes a stream, also if the id of its last event is malformed. */
+  readonly isResumption: boolean;
+  /** Id of the request that brought the first event of the resumed stream, if it is well-formed. */
+  readonly resumedRequestId: string | undefined;
 }
 
+/** A request id; a header that is repeated contains a comma. */
+const REQUEST_ID = /^[!-+\--~]{1,200}$/;
+
 const BEARER = /^bearer +(\S+) *$/i;
 
 function parseNumber(text: string | undefined): number | undefined {
@@ -53,10 +60,12 @@
   names: HeaderRules.HeaderNames,
 ): RequestHead {
   const { headers } = request;
+  const resumedRequestId = getHeader(headers, names.resumedRequestId);
   return {
     bearerKey: BEARER.exec(headers.authorization ?? '')?.[1],
     callerTimeoutMs: parseNumber(getHeader(headers, names.timeLeft)),
     host: headers.host ?? '',
+    isResumption: getHeader(headers, names.lastEventId) !== undefined,
     lastEventId: parseNumber(getHeader(headers, names.lastEventId)),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
@@ -66,5 +75,8 @@
     ),
     rawHeaders: request.rawHeaders,
     requestId: getHeader(headers, names.requestId) ?? '',
+    resumedRequestId: resumedRequestId !== undefined && REQUEST_ID.test(resumedRequestId)
+      ? resumedRequestId
+      : undefined,
   };
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -56,6 +56,8 @@
   readonly crashEvidence: CrashEvidence.CrashEvidence;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
+  /** Events that wait until the beginning of the stream is recorded; undefined if none has to. */
+  heldEvents: EventFramer.StreamEvent[] | undefined;
   /** Whether the server sent a complete event. */
   hasEvents: boolean;
   /** Body of a non-streaming response, buffered until it is complete. */
@@ -88,6 +90,10 @@
   return events.findIndex(({ hasStatusLine }) => hasStatusLine);
 }
 
+function countBytes(events: readonly EventFramer.StreamEvent[]): number {
+  return events.reduce((sum, { bytes }) => sum + bytes.length, 0);
+}
+
 /** A request in progress. */
 export class RoutedRequest {
   readonly #context: PathContext.PathContext;
@@ -123,6 +129,12 @@
   /** Software version that began the stream; undefined as long as any version can. */
   #version: string | undefined;
 
+  /** Whether an attempt was recorded as the beginning of the stream; later ones must be as well. */
+  #hasRecord = false;
+
+  /** Called with whether the caller has the whole stream when the request ends. */
+  readonly #recordEnds: ((isComplete: boolean) => void)[] = [];
+
   /** Most recent choice of a server, for the log. */
   #lastChoice: ChoiceSummary | undefined;
 
@@ -244,7 +256,9 @@
       return;
     }
     this.#route = route;
-    this.#service = RouteTable.chooseService(route, this.#head.requestId) ?? '';
+    // The rest of a stream comes from the service that began it.
+    const streamId = this.#head.resumedRequestId ?? this.#head.requestId;
+    this.#service = RouteTable.chooseService(route, streamId) ?? '';
     this.#timeoutMs = Math.min(this.#head.callerTimeoutMs ?? Infinity, route.timeoutMs);
     const handleTimeout = this.#withDefectHandler(() => this.#handleTimeout());
     this.#timeoutTimer = setTimeout(handleTimeout, this.#timeoutMs);
@@ -296,16 +310,45 @@
 
   #dispatch(): void {
     if (this.#isEnded || this.#route === undefined) return;
-    if (this.#sends === 0 && this.#undelivered === 0) {
-      this.#fingerprint = RequestFingerprint.hashRequest({
-        account: this.#account, body: this.#body, head: this.#head,
-      });
-      this.#traits = RequestTraits.listTraits(this.#sharedPartIds, this.#fingerprint);
-      this.#context.countRequest(this.#service);
-      this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
-    }
+    const isFirst = this.#sends === 0 && this.#undelivered === 0;
+    if (isFirst) this.#identify();
+    if (isFirst && this.#isResumable() && this.#head.isResumption) this.#findVersion();
+    else this.#sendToServer(this.#route);
+  }
+
+  /** Counts the request and computes the traits by which daemons recognise it. */
+  #identify(): void {
+    this.#context.countRequest(this.#service);
+    this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
+    this.#fingerprint = RequestFingerprint.hashRequest({
+      account: this.#account, body: this.#body, head: this.#head,
+    });
+    this.#traits = RequestTraits.listTraits(this.#sharedPartIds, this.#fingerprint);
+  }
+
+  #isResumable(): boolean {
+    return this.#route?.kind === 'stream' && this.#route.isResumable;
+  }
+
+  /** Finds the version that began the stream which the caller resumes, and sends the request. */
+  #findVersion(): void {
+    this.#context.streamVersions.findVersion({
+      account: this.#account?.name,
+      requestId: this.#head.resumedRequestId,
+      service: this.#service,
+    }).then(this.#withDefectHandler((version: string | undefined) => {
+      if (this.#isEnded) return;
+      this.#version = version;
+      if (version === undefined) this.#refuse('origin_unknown');
+      else this.#sendToServer(this.#route as RoutingConfig.Route);
+    }), this.#withDefectHandler((error: unknown) => {
+      throw error;
+    }));
+  }
+
+  #sendToServer(route: RoutingConfig.Route): void {
     const chosen = this.#chooseServer();
-    if (chosen !== undefined) this.#forward(chosen, this.#route);
+    if (chosen !== undefined) this.#forward(chosen, route);
     else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) {
       this.#refuse(BLOCKED_REFUSALS[RequestTraits.parseTrait(this.#blockedTrait).kind]);
     } else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
@@ -372,6 +415,7 @@
       framer: undefined,
       hasEvents: false,
       hasStarted: false,
+      heldEvents: undefined,
       head: undefined,
       isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
@@ -379,9 +423,34 @@
       pendingPromptTokens,
       version: server.version,
     };
+    this.#recordBeginning(this.#attempt);
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
   }
 
+  /**
+   * Records the version of the server before the caller has an event of it, unless a stream without
+   * a record is known to be of that version. Events wait until the store has the record.
+   */
+  #recordBeginning(attempt: Attempt): void {
+    const { streamVersions } = this.#context;
+    const { requestId } = this.#head;
+    // Without an id, a caller cannot name the stream to resume it.
+    const canBegin = this.#isResumable() && this.#version === undefined && requestId !== '';
+    if (!canBegin) return;
+    if (!this.#hasRecord && !streamVersions.needsRecord(this.#service, attempt.version)) return;
+    this.#hasRecord = true;
+    // eslint-disable-next-line no-param-reassign
+    attempt.heldEvents = [];
+    this.#recordEnds.push(streamVersions.record({
+      account: this.#account?.name,
+      attempt: this.#triedIds.size,
+      requestId,
+      version: attempt.version,
+    }, this.#withDefectHandler(() => {
+      if (this.#attempt === attempt) this.#releaseEvents(attempt);
+    })));
+  }
+
   /**
    * Records that the server will have the prompt's shared prefix in its cache.
    *
@@ -588,22 +657,53 @@
 
   #handleEvents(attempt: Attempt, events: readonly EventFramer.StreamEvent[]): void {
     if (events.length === 0) return;
+    // Comments and events without data keep the connection open but show no progress of the server.
+    const hasData = events.some((event) => event.hasData);
+    if (hasData) {
+      this.#recordStart(attempt);
+      attempt.crashEvidence.observeEvent();
+    }
+    if (attempt.heldEvents === undefined) this.#relayEvents(attempt, events);
+    else if (!this.#holdEvents(attempt.heldEvents, events)) {
+      this.#abortResponse(attempt, 'no-room-for-events');
+      return;
+    }
+    if (!hasData) return;
+    const route = this.#route as RoutingConfig.Route;
+    const canResume = RetryPolicy.canRepeat(route, this.#sends);
+    this.#startSilenceTimer(canResume
+      ? Math.max(MIN_SILENCE_MS, route.pauseTargetMs * MAX_SILENCE_PAUSES)
+      : undefined);
+  }
+
+  /** Keeps events until they may be relayed; returns false if there is no room for them. */
+  #holdEvents(
+    held: EventFramer.StreamEvent[],
+    events: readonly EventFramer.StreamEvent[],
+  ): boolean {
+    if (!this.#context.bufferBudget.claim(countBytes(events))) return false;
+    held.push(...events);
+    return true;
+  }
+
+  /** Relays the events that waited for the record of the stream's beginning. */
+  #releaseEvents(attempt: Attempt): void {
+    const { heldEvents = [] } = attempt;
+    // eslint-disable-next-line no-param-reassign
+    attempt.heldEvents = undefined;
+    this.#context.bufferBudget.release(countBytes(heldEvents));
+    if (heldEvents.length > 0) this.#relayEvents(attempt, heldEvents);
+  }
+
+  #relayEvents(attempt: Attempt, events: readonly EventFramer.StreamEvent[]): void {
     this.#version ??= attempt.version;
     this.#relay(events.length === 1
       ? (events[0] as EventFramer.StreamEvent).bytes
       : Buffer.concat(events.map((event) => event.bytes)));
-    // Comments and events without data keep the connection open but show no progress of the server.
     if (!events.some(({ hasData }) => hasData)) return;
-    this.#recordStart(attempt);
-    attempt.crashEvidence.observeEvent();
     const last = events.findLast(({ hasData, id }) => hasData || id !== undefined);
     this.#hasUnidentifiedEvent = last?.id === undefined;
     this.#lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.#lastEventId;
-    const route = this.#route as RoutingConfig.Route;
-    const canResume = RetryPolicy.canRepeat(route, this.#sends);
-    this.#startSilenceTimer(canResume
-      ? Math.max(MIN_SILENCE_MS, route.pauseTargetMs * MAX_SILENCE_PAUSES)
-      : undefined);
   }
 
   #relay(bytes: Buffer): void {
@@ -666,6 +766,8 @@
       return;
     }
     attempt.crashEvidence.observeAnswer();
+    // The caller gets the whole stream at once, so it has none to resume.
+    this.#releaseEvents(attempt);
     if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
     this.#response.end();
@@ -769,7 +871,9 @@
 
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
-    this.#context.bufferBudget.release(attempt.held.getLength());
+    this.#context.bufferBudget.release(
+      attempt.held.getLength() + countBytes(attempt.heldEvents ?? []),
+    );
     pooled.inFlight -= 1;
     if (!attempt.hasStarted) pooled.pendingPromptTokens -= attempt.pendingPromptTokens;
     this.#setStreaming(attempt, false);
@@ -839,6 +943,7 @@
     this.#isEnded = true;
     clearTimeout(this.#timeoutTimer);
     clearTimeout(this.#silenceTimer);
+    this.#recordEnds.forEach((endRecord) => endRecord(outcome === 'answered'));
     const server = this.#attempt?.chosen.pooled.server.id;
     if (this.#attempt !== undefined) {
       const attempt = this.#attempt;
@@ -893,6 +998,7 @@
       outcome,
       requestId: this.#head.requestId,
       responseEnd: this.#lastEnd,
+      resumedRequestId: this.#head.resumedRequestId,
       route: this.#route?.name,
       sends: this.#sends,
       sentMs: this.#sentMs === undefined
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -98,3 +98,9 @@
 /** Record of the operator: the configuration, or a data centre whose servers get no requests. */
 export type OperatorRecord = { readonly _tag: 'Configuration'; readonly config: RoutingConfig }
   | { readonly _tag: 'Evacuation'; readonly dataCentre: string };
+
+/** Lists the services to which a route sends streams that can be resumed. */
+export function listResumableServices(config: RoutingConfig | undefined): readonly string[] {
+  const routes = config?.routes.filter(({ isResumable, kind }) => isResumable && kind === 'stream');
+  return [...new Set(routes?.flatMap(({ shares }) => shares.map(({ service }) => service)))];
+}
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -4,6 +4,7 @@
  */
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import * as BaseVersions from './BaseVersions.js';
 import * as ByteBudget from './ByteBudget.js';
 import * as ClockReading from './ClockReading.js';
 import * as ColdLimits from './ColdLimits.js';
@@ -24,11 +25,14 @@
 import * as RequestLimits from './RequestLimits.js';
 import * as RoutedRequest from './RoutedRequest.js';
 import * as RoutingMetrics from './RoutingMetrics.js';
+import * as RoutingConfig from './RoutingConfig.js';
 import type * as RoutingSettings from './RoutingSettings.js';
 import * as ServerAvailability from './ServerAvailability.js';
 import * as ServerHealth from './ServerHealth.js';
 import * as ServerPool from './ServerPool.js';
 import type * as ServerTable from './ServerTable.js';
+import * as StreamRecords from './StreamRecords.js';
+import * as StreamVersions from './StreamVersions.js';
 import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 
@@ -59,6 +63,7 @@
   readonly names: HeaderRules.HeaderNames;
   readonly clock: Core.Clock;
   readonly log: Core.BufferedLogger;
+  readonly streamRecordFeed: Ports.WritableKeyedFeed;
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Ports.SharedLog;
   readonly calls: Ports.DutyCalls;
@@ -109,7 +114,7 @@
 export async function startRoutingDaemon(options: DaemonOptions): Promise<RoutingDaemon> {
   const {
     calls, clock, configFeed, countsLog, crashReportFeed, decodeConfig, decodeServer, dutyLog, log,
-    names, serverFeed, settings,
+    names, serverFeed, settings, streamRecordFeed,
   } = options;
   const logger = Core.getPartLogger(log.logger, 'routing');
   const trueTime = TrueTime.createTrueTime(() => ClockReading.readClocks(clock));
@@ -135,6 +140,10 @@
     readTrueTime: trueTime.read,
     write: crashReportFeed.write,
   });
+  const streamRecords = StreamRecords.startStreamRecords({
+    clock, feed: streamRecordFeed, logger, readTrueTime: trueTime.read,
+  });
+  let applyBaseVersions: BaseVersions.BaseVersions['applyChanges'] = () => undefined;
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
@@ -174,6 +183,7 @@
     decodeServer,
     logger,
     metrics,
+    onBaseVersions: (changes) => applyBaseVersions(changes),
     onCrashReports: crashReports.applyChanges,
     onConfig: ({ limits }) => entry?.setLimits(limits),
     onRestored: () => {
@@ -181,6 +191,9 @@
       setTimeout(() => {
         usageCounter.resetHandOver();
         crashReports.rewrite();
+        streamRecords.rewrite();
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        baseVersions.rewrite();
       }, Math.random() * REWRITE_SPREAD_MS);
     },
     readRelay: relayClient.read,
@@ -189,6 +202,22 @@
   });
   const { getActiveConfig, servers } = feeds;
   listServers = servers.listAll;
+  const listVersions = (service: string): ReadonlySet<string> => new Set(
+    servers.listAll().filter((server) => server.service === service)
+      .map(({ version }) => version),
+  );
+  const baseVersions = BaseVersions.startBaseVersions({
+    clock,
+    countDaemons,
+    getPosition: feeds.getBasePosition,
+    isCurrent: feeds.areBasesCurrent,
+    listServices: () => RoutingConfig.listResumableServices(getActiveConfig()?.config),
+    listVersions,
+    logger,
+    random: Math.random,
+    write: crashReportFeed.write,
+  });
+  applyBaseVersions = baseVersions.applyChanges;
   const outcomes = OutcomeExchange.startOutcomeExchange({
     choice: relayChoice,
     client: relayClient,
@@ -235,6 +264,11 @@
     renewKeys: feeds.renewKeys,
     requestLimits,
     servers,
+    streamVersions: StreamVersions.createStreamVersions(
+      baseVersions,
+      streamRecords,
+      listVersions,
+    ),
   };
 
   entry = await HttpListeners.startIngressListener(settings.listen.entry, (request, response) => {
@@ -318,6 +352,8 @@
     await stopDuties();
     feeds.stop();
     crashReports.stop();
+    baseVersions.stop();
+    streamRecords.stop();
     outcomes.stop();
     clearInterval(poolCheck);
     pool.close();
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -24,6 +24,7 @@
   promptParts: 'x-parts',
   requestId: 'x-id',
   requestLimit: 'x-limit',
+  resumedRequestId: 'x-resumes',
   serverSignature: 'x-signature',
   systemOnly: [],
   timeLeft: 'x-left',
@@ -153,6 +154,12 @@
   /** Lists the servers that are ejected because of failures. */
   readonly listEjected: () => readonly string[];
   readonly setKeysCurrent: (areCurrent: boolean) => void;
+  /** Sets the software version that begins streams without a record; at first `v1`. */
+  readonly setBaseVersion: (version: string | undefined) => void;
+  /** Versions that were recorded as the beginning of streams, by request id. */
+  readonly streamRecords: Map<string, string>;
+  /** Sets whether the beginnings of streams are stored, at once, or wait until they can be. */
+  readonly setRecordsStored: (areStored: boolean) => void;
   /** Applies the entry of a server again, as a read of the store does. */
   readonly applyServer: (index: number, extra?: Partial<Routing.BackendServer>) => void;
   readonly close: () => void;
@@ -217,6 +224,29 @@
     readTrueTime: Core.systemClock.readMonotonic,
     write: () => Effect.void,
   });
+  let baseVersion: string | undefined = 'v1';
+  const streamRecords = new Map<string, string>();
+  const waitingRecords: (() => void)[] = [];
+  let areRecordsStored = true;
+  const streamVersions = Routing.createStreamVersions(
+    { get: () => baseVersion },
+    {
+      find: async ({ requestId }) => {
+        const version = streamRecords.get(requestId);
+        return version === undefined ? { _tag: 'Absent' } : { _tag: 'Recorded', version };
+      },
+      record: ({ requestId, version }, onStored) => {
+        const store = (): void => {
+          streamRecords.set(requestId, version);
+          onStored();
+        };
+        if (areRecordsStored) setImmediate(store);
+        else waitingRecords.push(store);
+        return () => undefined;
+      },
+    },
+    () => new Set(servers.listAll().map(({ version }) => version)),
+  );
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
@@ -260,6 +290,7 @@
     requestLimits: RequestLimits.createRequestLimits({ getShare: () => 1, random: () => 0 }),
     renewKeys: async () => areKeysCurrent,
     servers,
+    streamVersions,
   };
   const listener = http.createServer((request, response) => {
     new RoutedRequest.RoutedRequest(context, request, response, () => undefined).start();
@@ -347,7 +378,15 @@
     setCanRetry: (can) => {
       canRetry = can;
     },
+    setBaseVersion: (version) => {
+      baseVersion = version;
+    },
+    setRecordsStored: (areStored) => {
+      areRecordsStored = areStored;
+      if (areStored) waitingRecords.splice(0).forEach((store) => store());
+    },
     startedAccounts,
+    streamRecords,
     takeObservedOutcomes: observed.take,
   };
 }
--- a/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
@@ -126,3 +126,144 @@
     expect(await path.call()).toMatchObject({ body: SECOND_EVENT, status: 200 });
   });
 });
+
+const respondWithStream: PathHarness.RawResponder = (socket, id) => (
+  PathHarness.writeResponse(
+    socket,
+    id,
+    `${FIRST_EVENT}${SECOND_EVENT}`,
+    `X-Signature: s\r\n${EVENT_STREAM}`,
+  )
+);
+
+/** Sends one event and no more. */
+const beginStream: PathHarness.RawResponder = (socket, id) => (
+  socket.write(`${buildHead(id, '200 OK', EVENT_STREAM)}${FIRST_EVENT}`)
+);
+
+/** Time after which a caller has what was sent at once. */
+const RECEIVED_MS = 150;
+
+// Guards against a stream whose version nobody knows when all daemons have ended.
+describe('the beginning of a stream', () => {
+  test('is not recorded at the base version', async () => {
+    const { path } = await setUp([respondWithStream]);
+    expect(await path.call()).toMatchObject({ status: 200 });
+    expect(path.streamRecords.size).toBe(0);
+  });
+
+  test('is recorded at any other version before its first event reaches the caller', async () => {
+    const { path } = await setUp([beginStream]);
+    path.setBaseVersion('v0');
+    path.setRecordsStored(false);
+    expect(await path.call({ disconnectAfterMs: RECEIVED_MS })).toMatchObject({ body: '' });
+    path.setRecordsStored(true);
+    expect(await path.call({ disconnectAfterMs: RECEIVED_MS, requestId: 'r2' }))
+      .toMatchObject({ body: FIRST_EVENT });
+    expect(path.streamRecords.get('r2')).toBe('v1');
+  });
+
+  test('is recorded while the base version is not known', async () => {
+    const { path } = await setUp([respondWithStream]);
+    path.setBaseVersion(undefined);
+    await path.call();
+    expect(path.streamRecords.get('r1')).toBe('v1');
+  });
+
+  // Guards against ready answers that are withheld while the store is away.
+  test('needs no record if the whole stream is ready', async () => {
+    const { path } = await setUp([respondWithStream]);
+    path.setBaseVersion('v0');
+    path.setRecordsStored(false);
+    expect(await path.call())
+      .toMatchObject({ body: `${FIRST_EVENT}${SECOND_EVENT}`, isTruncated: false, status: 200 });
+  });
+
+  test('is made anew at another version if no event of the first one got out', async () => {
+    const { path } = await setUp([breakOff, respondWithStream]);
+    path.applyServer(1, { version: 'v2' });
+    path.setBaseVersion('v0');
+    path.setRecordsStored(false);
+    expect(await path.call())
+      .toMatchObject({ body: `${FIRST_EVENT}${SECOND_EVENT}`, isTruncated: false, status: 200 });
+    path.setRecordsStored(true);
+    expect(path.streamRecords.get('r1')).toBe('v2');
+  });
+
+  // Guards against the record of a failed attempt that outlasts one at the base version.
+  test('is recorded at the base version as well after an attempt at another one', async () => {
+    const { path } = await setUp([(socket) => socket.resetAndDestroy(), respondWithStream]);
+    path.applyServer(0, { version: 'v2' });
+    await path.call();
+    expect(path.streamRecords.get('r1')).toBe('v1');
+  });
+});
+
+// Guards against the rest of a stream from another version at a daemon that did not begin it.
+describe('a caller that resumes a stream', () => {
+  const setUpVersions = async (): Promise<PathHarness.PathSetUp> => {
+    const started = await setUp([respondWithRest, respondWithRest]);
+    started.path.applyServer(1, { version: 'v2' });
+    started.path.streamRecords.set('began', 'v2');
+    return started;
+  };
+  const callAgain = (
+    path: PathHarness.PathHarness,
+    resumes: Readonly<Record<string, string>>,
+  ): Promise<PathHarness.CallerResponse> => (
+    path.call({ headers: { 'last-event-id': '1', ...resumes }, requestId: 'again' })
+  );
+  const countRequests = ({ servers }: PathHarness.PathSetUp): readonly number[] => (
+    servers.map(({ heads }) => heads.length)
+  );
+
+  test('gets the rest from the recorded version', async () => {
+    const started = await setUpVersions();
+    expect(await callAgain(started.path, { 'x-resumes': 'began' })).toMatchObject({ status: 200 });
+    expect(countRequests(started)).toEqual([0, 1]);
+  });
+
+  test('gets the rest from the base version if there is no record', async () => {
+    const started = await setUpVersions();
+    expect(await callAgain(started.path, { 'x-resumes': 'other' })).toMatchObject({ status: 200 });
+    expect(countRequests(started)).toEqual([1, 0]);
+  });
+
+  test('is refused as not run while the base version is not known', async () => {
+    const started = await setUpVersions();
+    started.path.setBaseVersion(undefined);
+    const response = await callAgain(started.path, { 'x-resumes': 'other' });
+    expect([response.status, Number(response.headers['retry-after']) > 0]).toEqual([503, true]);
+    expect(countRequests(started)).toEqual([0, 0]);
+  });
+
+  test('is refused as not run without a server of the version', async () => {
+    const started = await setUpVersions();
+    started.path.streamRecords.set('began', 'v3');
+    expect(await callAgain(started.path, { 'x-resumes': 'began' })).toMatchObject({ status: 503 });
+    expect(countRequests(started)).toEqual([0, 0]);
+  });
+
+  test.each([
+    { name: undefined, what: 'none' },
+    { name: 'began, other', what: 'two' },
+    { name: 'x'.repeat(300), what: 'an endless one' },
+  ])('and names $what as its beginning, gets the rest only beside one version', async ({
+    name,
+  }) => {
+    const resumes: Readonly<Record<string, string>> = name === undefined
+      ? {}
+      : { 'x-resumes': name };
+    const started = await setUpVersions();
+    expect(await callAgain(started.path, resumes)).toMatchObject({ status: 503 });
+    started.path.applyServer(1);
+    expect(await callAgain(started.path, resumes)).toMatchObject({ status: 200 });
+  });
+
+  // Guards against a record that names the try in the middle, which brought no first event.
+  test('is not recorded as a beginning itself', async () => {
+    const { path } = await setUpVersions();
+    await callAgain(path, { 'x-resumes': 'began' });
+    expect(path.streamRecords.has('again')).toBe(false);
+  });
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** Routing daemon: request path, server selection and duties, with its ports and settings. */
 export * from './BackendExchange.js';
+export * from './BaseVersions.js';
 export * from './ByteCollector.js';
 export * from './ClockReading.js';
 export * from './ColdLimits.js';
@@ -37,6 +38,8 @@
 export * from './ServerPicker.js';
 export * from './ServerSilence.js';
 export * from './ServerTable.js';
+export * from './StreamRecords.js';
+export * from './StreamVersions.js';
 export * from './TrueTime.js';
 export * from './UsageCounts.js';
 export * from './WindowHandOver.js';
