--- a/packages/routing/src/CountsRecord.ts
+++ b/packages/routing/src/CountsRecord.ts
@@ -6,9 +6,9 @@
   /** `IP:PORT` at which the daemon answers other daemons; absent if it does not listen. */
   address: Schema.optional(Schema.String),
   /** Processor cores that the daemon may use; may be a fraction. */
-  cores: Schema.Number,
+  cores: Schema.Finite,
   /** Requests by client account. */
-  counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
+  counts: Schema.Record({ key: Schema.String, value: Schema.Finite }),
   daemonId: Schema.String,
   dataCentre: Schema.String,
   /** Identifies one start of the daemon's process. */
@@ -17,12 +17,12 @@
   region: Schema.optional(Schema.String),
   /** Requested prompt tokens by service. */
   tokens: Schema.optionalWith(
-    Schema.Record({ key: Schema.String, value: Schema.Number }),
+    Schema.Record({ key: Schema.String, value: Schema.Finite }),
     { default: () => ({}) },
   ),
-  window: Schema.Number,
+  window: Schema.Finite,
   /** Time of writing by the writer's estimate of the true time, in Unix milliseconds. */
-  writtenMs: Schema.Number,
+  writtenMs: Schema.Finite,
 });
 
 /** Counts of one process for one window. */
--- a/packages/routing/src/CrashReports.ts
+++ b/packages/routing/src/CrashReports.ts
@@ -26,10 +26,10 @@
 const MAX_TRAIT_LENGTH = 64;
 
 const ReportDocument = Schema.parseJson(Schema.Struct({
-  clearedMs: Schema.Number,
+  clearedMs: Schema.Finite,
   crashes: Schema.Array(Schema.Struct({
-    atMs: Schema.Number,
-    sentMs: Schema.optionalWith(Schema.Number, { exact: true }),
+    atMs: Schema.Finite,
+    sentMs: Schema.optionalWith(Schema.Finite, { exact: true }),
     server: Schema.String,
   })),
 }));
--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -18,9 +18,9 @@
 /** Schema of a record of the duties log. `nonce` identifies the append and its process. */
 export const DutyRecord = Schema.Struct({
   /** Number of daemons that handed over counts recently, as known to the holder. */
-  daemonCount: Schema.optional(Schema.Number),
+  daemonCount: Schema.optional(Schema.Finite),
   /** Fencing token of the holder. A claim of an earlier version has none: its position is it. */
-  fence: Schema.optional(Schema.Number),
+  fence: Schema.optional(Schema.Finite),
   holder: Schema.String,
   kind: Schema.Literal('claim', 'release', 'renewal', 'seal'),
   nonce: Schema.String,
@@ -29,14 +29,14 @@
     key: Schema.String, value: Schema.Array(Schema.String),
   })),
   /** First window that may be sealed; seals of earlier ones may have been lost with the log. */
-  sealFrom: Schema.optional(Schema.Number),
+  sealFrom: Schema.optional(Schema.Finite),
   seal: Schema.optional(Schema.Struct({
-    counts: Schema.Record({ key: Schema.String, value: Schema.Number }),
-    window: Schema.Number,
+    counts: Schema.Record({ key: Schema.String, value: Schema.Finite }),
+    window: Schema.Finite,
   })),
-  termMs: Schema.Number,
+  termMs: Schema.Finite,
   /** Time of writing by the writer's estimate of the true time, in Unix milliseconds. */
-  writtenMs: Schema.Number,
+  writtenMs: Schema.Finite,
 });
 
 /** Record of the duties log. */
--- a/packages/routing/src/StreamRecords.ts
+++ b/packages/routing/src/StreamRecords.ts
@@ -37,7 +37,7 @@
 const KEY_SEPARATOR = '/';
 
 const RecordDocument = Schema.parseJson(Schema.Struct({
-  atMs: Schema.Number, version: Schema.String,
+  atMs: Schema.Finite, version: Schema.String,
 }));
 
 const decodeDocument = Schema.decodeUnknownOption(RecordDocument);
--- a/packages/routing/src/__tests__/unit/CrashReports.test.ts
+++ b/packages/routing/src/__tests__/unit/CrashReports.test.ts
@@ -89,6 +89,15 @@
   expect([reports.countBlocked('fingerprint'), reports.countBlocked('promptPart')]).toEqual([1, 1]);
 });
 
+// Guards against a crash at an infinite time, which would block its trait for good.
+test('a report with a number that is too large is ignored', () => {
+  const crash = '{"atMs":1e999,"server":"s"}';
+  expect(CrashReports.decodeCrashReport(Buffer.from(`{"clearedMs":0,"crashes":[${crash}]}`)))
+    .toBeUndefined();
+  expect(CrashReports.decodeCrashReport(Buffer.from('{"clearedMs":1e999,"crashes":[]}')))
+    .toBeUndefined();
+});
+
 test('a malformed report is ignored', () => {
   const reader = startReports('vm-1', () => Effect.void);
   applyWritten(reader, [
