Answer every request that a stopping daemon has passed on

It happened here: orders with 5 s of work, sent 2.1 to 2.5 s after SIGTERM, and orders whose body takes 2.5 s, sent from 1.6 s on, ended with a closed connection.

Cause: until the listener closed, 2.6 s after SIGTERM, a request was passed on whatever time it could take, and one whose body was still being read even later; at the end of the grace time all connections were closed.

Change: a request that may run once is passed on only if its own time limit ends before the daemon does, any other one if twice its target fits; otherwise it is refused as not run. 0.2 s before the end, what is still without an answer gets 502, or 503 if it was not sent.

--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -29,6 +29,7 @@
     + 'was not sent',
   request_blocked: 'backend servers crashed under the same request, so it was not sent',
   server_failed: 'the backend server returned an error',
+  stopped: 'the daemon ended before the backend server answered',
   stopping: 'the daemon was shutting down',
   stream_cut: 'the stream was interrupted and could not be resumed on another backend server',
   stream_timed_out: 'the time limit expired while the response was being streamed',
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -47,6 +47,8 @@
   readonly getActiveConfig: () => ActiveConfig | undefined;
   /** Read at each use, unlike the configuration, of which a request keeps one version. */
   readonly getPhase: () => Phase;
+  /** Returns the time until the daemon ends; infinite if it is not stopping. */
+  readonly computeStopWait: () => Core.Millis;
   readonly countDaemons: () => number;
   /** Whether the list of API keys is proven to be recent enough to authenticate with. */
   readonly areKeysCurrent: () => boolean;
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -66,6 +66,10 @@
     retryAfterMs: CrashSuspects.BLOCK_MS,
     status: 503,
   },
+  stopped: {
+    message: 'the daemon ended before the backend server answered; the request may have run',
+    status: 502,
+  },
   stopping: { message: 'the daemon is stopping', retryAfterMs: 50, status: 503 },
   timed_out: { message: 'the time limit passed; the request may have run', status: 504 },
   timed_out_not_run: {
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -25,6 +25,7 @@
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPicker from './ServerPicker.js';
 import * as ServerPool from './ServerPool.js';
+import * as StopPolicy from './StopPolicy.js';
 
 /** Time limit of a request until its route is known. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -347,6 +348,15 @@
   }
 
   #sendToServer(route: RoutingConfig.Route): void {
+    const canPassOn = StopPolicy.canPassOn(
+      route,
+      this.#computeRemainingMs(),
+      this.#context.computeStopWait(),
+    );
+    if (!canPassOn && !this.#mayHaveRun) {
+      this.#refuse('stopping');
+      return;
+    }
     const chosen = this.#chooseServer();
     if (chosen !== undefined) this.#forward(chosen, route);
     else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) {
@@ -897,6 +907,20 @@
   }
 
   #handleTimeout(): void {
+    this.#abandon('stream_timed_out', 'timed_out', 'timed_out_not_run');
+  }
+
+  /** Ends the request because the daemon ends. */
+  stop(): void {
+    this.#withDefectHandler(() => this.#abandon('stream_cut', 'stopped', 'stopping'))();
+  }
+
+  /** Ends the request without waiting for its server, by what its caller has and by what ran. */
+  #abandon(
+    streamOutcome: string,
+    ifRun: Refusals.RefusalCode,
+    ifNotRun: Refusals.RefusalCode,
+  ): void {
     if (this.#isEnded) return;
     if (this.#attempt !== undefined) {
       this.#mayHaveRun = true;
@@ -905,8 +929,8 @@
     }
     if (this.#isHeadSent) {
       ResponseAbort.abortResponse(this.#response);
-      this.#end('stream_timed_out', undefined);
-    } else this.#refuse(this.#mayHaveRun ? 'timed_out' : 'timed_out_not_run');
+      this.#end(streamOutcome, undefined);
+    } else this.#refuse(this.#mayHaveRun ? ifRun : ifNotRun);
   }
 
   #refuse(code: Refusals.RefusalCode): void {
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -31,6 +31,7 @@
 import * as ServerHealth from './ServerHealth.js';
 import * as ServerPool from './ServerPool.js';
 import type * as ServerTable from './ServerTable.js';
+import * as StopPolicy from './StopPolicy.js';
 import * as StreamRecords from './StreamRecords.js';
 import * as StreamVersions from './StreamVersions.js';
 import * as TrueTime from './TrueTime.js';
@@ -121,7 +122,8 @@
   const windowMs = settings.bounds.usageWindowS * MS_PER_S;
   const usageCounter = UsageCounts.createUsageCounter(windowMs);
   let phase: PathContext.Phase = 'running';
-  let activeRequests = 0;
+  const activeRequests = new Set<RoutedRequest.RoutedRequest>();
+  let stopDeadlineMs = Infinity;
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
   let listServers: ServerTable.ServerTable['listAll'] = () => [];
@@ -145,7 +147,7 @@
   });
   let applyBaseVersions: BaseVersions.BaseVersions['applyChanges'] = () => undefined;
   const metrics = RoutingMetrics.createRoutingMetrics({
-    countActive: () => activeRequests,
+    countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
     countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
     countDroppedLogs: log.countDroppedRecords,
@@ -239,6 +241,7 @@
     areKeysCurrent: feeds.areKeysCurrent,
     cache: Scheduling.createCacheIndex(),
     clock,
+    computeStopWait: () => stopDeadlineMs - clock.readMonotonic(),
     coldLimits: ColdLimits.createColdLimits({ getShare: getFleetShare, random: Math.random }),
     countDaemons,
     crashReports,
@@ -272,10 +275,11 @@
   };
 
   entry = await HttpListeners.startIngressListener(settings.listen.entry, (request, response) => {
-    activeRequests += 1;
-    new RoutedRequest.RoutedRequest(context, request, response, () => {
-      activeRequests -= 1;
-    }).start();
+    const routed = new RoutedRequest.RoutedRequest(context, request, response, () => {
+      activeRequests.delete(routed);
+    });
+    activeRequests.add(routed);
+    routed.start();
   });
   const limits = getActiveConfig()?.config.limits;
   if (limits !== undefined) entry.setLimits(limits);
@@ -341,13 +345,20 @@
   let stopping: Promise<void> | undefined;
   const stop = async (): Promise<void> => {
     phase = 'draining';
-    logger.info({ activeRequests }, 'stopping');
+    logger.info({ activeRequests: activeRequests.size }, 'stopping');
     const listener = entry;
+    const limitMs = settings.bounds.graceS * MS_PER_S - EXIT_MARGIN_MS;
+    stopDeadlineMs = clock.readMonotonic() + limitMs;
+    const answerTimer = setTimeout(
+      () => activeRequests.forEach((request) => request.stop()),
+      limitMs - StopPolicy.ANSWER_MARGIN_MS,
+    );
     const { resign, stop: stopDuties } = duties;
     const resigned = resign();
     await listener.stop(() => {
       phase = 'refusing';
-    }, settings.bounds.graceS * MS_PER_S - EXIT_MARGIN_MS);
+    }, limitMs);
+    clearTimeout(answerTimer);
     await resigned;
     await stopDuties();
     feeds.stop();
@@ -361,7 +372,7 @@
     unregister();
     relayListener?.close();
     metricsListener?.close();
-    logger.info({ activeRequests }, 'stopped');
+    logger.info({ activeRequests: activeRequests.size }, 'stopped');
     log.flush();
   };
   return {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -255,6 +255,7 @@
     claimRetry: () => canRetry,
     clock: Core.systemClock,
     coldLimits: Routing.createColdLimits({ getShare: () => 1, random: () => 0 }),
+    computeStopWait: () => Infinity,
     countDaemons: () => 1,
     countDemand: () => undefined,
     countRequest: () => undefined,
