Move the table of stream records to a module of its own

No behaviour changes. StreamRecords had two jobs, the table of what is known and the writes and reads of the store; the base versions of a daemon are wired like its other late parts, without a placeholder function.

--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -126,6 +126,7 @@
   let stopDeadlineMs = Infinity;
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
+  let baseVersions: BaseVersions.BaseVersions | undefined;
   let listServers: ServerTable.ServerTable['listAll'] = () => [];
 
   const countDaemons = (): number => (
@@ -145,7 +146,6 @@
   const streamRecords = StreamRecords.startStreamRecords({
     clock, feed: streamRecordFeed, logger, readTrueTime: trueTime.read,
   });
-  let applyBaseVersions: BaseVersions.BaseVersions['applyChanges'] = () => undefined;
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
@@ -185,7 +185,7 @@
     decodeServer,
     logger,
     metrics,
-    onBaseVersions: (changes) => applyBaseVersions(changes),
+    onBaseVersions: (changes) => baseVersions?.applyChanges(changes),
     onCrashReports: crashReports.applyChanges,
     onConfig: ({ limits }) => entry?.setLimits(limits),
     onRestored: () => {
@@ -194,8 +194,7 @@
         usageCounter.resetHandOver();
         crashReports.rewrite();
         streamRecords.rewrite();
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define
-        baseVersions.rewrite();
+        baseVersions?.rewrite();
       }, Math.random() * REWRITE_SPREAD_MS);
     },
     readRelay: relayClient.read,
@@ -208,7 +207,7 @@
     servers.listAll().filter((server) => server.service === service)
       .map(({ version }) => version),
   );
-  const baseVersions = BaseVersions.startBaseVersions({
+  baseVersions = BaseVersions.startBaseVersions({
     clock,
     countDaemons,
     getPosition: feeds.getBasePosition,
@@ -219,7 +218,6 @@
     random: Math.random,
     write: crashReportFeed.write,
   });
-  applyBaseVersions = baseVersions.applyChanges;
   const outcomes = OutcomeExchange.startOutcomeExchange({
     choice: relayChoice,
     client: relayClient,
@@ -363,7 +361,7 @@
     await stopDuties();
     feeds.stop();
     crashReports.stop();
-    baseVersions.stop();
+    baseVersions?.stop();
     streamRecords.stop();
     outcomes.stop();
     clearInterval(poolCheck);
--- a/packages/routing/src/StreamRecords.ts
+++ b/packages/routing/src/StreamRecords.ts
@@ -5,10 +5,9 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
-import * as Schema from 'effect/Schema';
-import * as crypto from 'node:crypto';
 import * as LogPosition from './LogPosition.js';
 import type * as Ports from './Ports.js';
+import * as StreamRecordTable from './StreamRecordTable.js';
 
 /** Delay after a failed write. */
 const RETRY_DELAY_MS = 200;
@@ -33,26 +32,8 @@
 /** Time in which daemons write their records again after the store returned from an older copy. */
 const RESTORE_GRACE_MS = 4_000;
 
-const DIGEST_BYTES = 16;
-const KEY_SEPARATOR = '/';
-
-const RecordDocument = Schema.parseJson(Schema.Struct({
-  atMs: Schema.Finite, version: Schema.String,
-}));
-
-const decodeDocument = Schema.decodeUnknownOption(RecordDocument);
-
-type StreamRecord = typeof RecordDocument.Type;
-
-/** A stream as callers name it: by the request that brought its first event. */
-export interface StreamName {
-  /** Name of the caller's account; undefined on routes that are open to all. */
-  readonly account: string | undefined;
-  readonly requestId: string;
-}
-
 /** Beginning of a stream. */
-export interface StreamBeginning extends StreamName {
+export interface StreamBeginning extends StreamRecordTable.StreamName {
   /** Number of the request's attempt; the record of a later one replaces that of an earlier one. */
   readonly attempt: number;
   readonly version: string;
@@ -83,7 +64,7 @@
     beginning: StreamBeginning, onStored: () => void,
   ) => (isComplete: boolean) => void;
   /** Reads the store and finds the record of a stream; never rejects. */
-  readonly find: (name: StreamName) => Promise<FoundRecord>;
+  readonly find: (name: StreamRecordTable.StreamName) => Promise<FoundRecord>;
   /** Writes the records of this daemon again, after the store returned from an older copy. */
   readonly rewrite: () => void;
   readonly stop: () => void;
@@ -96,53 +77,13 @@
   expiryMs: Core.Millis;
 }
 
-function hashStreamName({ account, requestId }: StreamName): string {
-  return crypto.createHash('sha256')
-    .update(JSON.stringify([account, requestId]))
-    .digest()
-    .subarray(0, DIGEST_BYTES)
-    .toString('base64url');
-}
-
-/** Known records of all daemons, by stream and attempt. */
-function createRecordTable(): {
-  readonly apply: (changes: readonly Ports.KeyedChange[]) => void;
-  readonly clear: () => void;
-  readonly getNewest: (stream: string) => StreamRecord | undefined;
-  readonly listOlder: (thanMs: Core.Millis) => readonly string[];
-} {
-  const streams = new Map<string, Map<number, StreamRecord>>();
-  const applyChange = ({ key, raw }: Ports.KeyedChange): void => {
-    const [stream = '', attemptText] = key.split(KEY_SEPARATOR);
-    const attempt = Number(attemptText);
-    const decoded = raw === undefined ? undefined : decodeDocument(raw.toString('utf8'));
-    const attempts = streams.get(stream) ?? new Map<number, StreamRecord>();
-    if (decoded?._tag === 'Some') attempts.set(attempt, decoded.value);
-    else attempts.delete(attempt);
-    if (attempts.size > 0) streams.set(stream, attempts);
-    else streams.delete(stream);
-  };
-  return {
-    apply: (changes) => changes.forEach(applyChange),
-    clear: () => streams.clear(),
-    getNewest: (stream) => {
-      const attempts = streams.get(stream);
-      return attempts?.get(Math.max(...attempts.keys()));
-    },
-    listOlder: (thanMs) => [...streams].flatMap(([stream, attempts]) => (
-      [...attempts].filter(([, { atMs }]) => atMs < thanMs)
-        .map(([attempt]) => `${stream}${KEY_SEPARATOR}${attempt}`)
-    )),
-  };
-}
-
 /** Starts without any record. */
 export function startStreamRecords(
   {
     clock, feed, logger, readTrueTime,
   }: StreamRecordsContext,
 ): StreamRecords {
-  const table = createRecordTable();
+  const table = StreamRecordTable.createStreamRecordTable();
   const own = new Map<string, OwnRecord>();
   /** Callbacks of the records that wait to be written, by key. */
   const pending = new Map<string, () => void>();
@@ -259,17 +200,16 @@
         setTimeout(() => resolve(false), READ_TIMEOUT_MS);
       });
       const isRead = await Promise.race([readOnce().catch(() => false), timeout]);
-      const record = table.getNewest(hashStreamName(name));
+      const record = table.getNewest(name);
       if (record !== undefined) return { _tag: 'Recorded', version: record.version };
       const isSure = isRead && clock.readMonotonic() - restoredMs >= RESTORE_GRACE_MS;
       return { _tag: isSure ? 'Absent' : 'Unreadable' };
     },
     record: (beginning, onStored) => {
-      const key = [hashStreamName(beginning), beginning.attempt].join(KEY_SEPARATOR);
-      const document: StreamRecord = { atMs: readTrueTime(), version: beginning.version };
-      const record: OwnRecord = {
-        expiryMs: Infinity, raw: Buffer.from(JSON.stringify(document)),
-      };
+      const { attempt, version } = beginning;
+      const key = StreamRecordTable.formatRecordKey(beginning, attempt);
+      const raw = StreamRecordTable.encodeStreamRecord({ atMs: readTrueTime(), version });
+      const record: OwnRecord = { expiryMs: Infinity, raw };
       own.set(key, record);
       pending.set(key, onStored);
       startWriting();
