List the VMs beside odd entries of the platform's list in berylyoked

Addresses were not checked; a port out of range makes Node.js throw when a request is sent.

Change: each entry is decoded by itself, and those that describe no usable VM are ignored, with a log line when the list has changed.

Tests: the one added to ServerDirectory.test.ts failed before (the read fails as invalid) and passes now.

--- a/packages/daemon/src/ServersComponent.ts
+++ b/packages/daemon/src/ServersComponent.ts
@@ -25,7 +25,9 @@
   const directory = Membership.createServerDirectory({
     clock,
     onFailure: ({ reason }) => logger.warn({ reason }, 'VM list poll failed'),
-    port: Membership.createHttpVmList(vmListUrl, intervalMs),
+    port: Membership.createHttpVmList(vmListUrl, intervalMs, (ignored) => {
+      logger.warn({ ignored }, 'VM list has entries that cannot be used');
+    }),
   });
   const unregisterListener = directory.registerListener((snapshot) => {
     servers = snapshot.servers.map(buildBackendServer);
--- a/packages/membership/src/VmList.ts
+++ b/packages/membership/src/VmList.ts
@@ -5,19 +5,28 @@
 import * as Core from '@berylyoke/core';
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
+import * as Option from 'effect/Option';
 import * as Schema from 'effect/Schema';
 
+const MAX_PORT = 65_535;
+
+/** `host:port`; a port out of range would make every connection to the VM throw. */
+const Address = Schema.String.pipe(Schema.filter((address) => {
+  const port = /^[^\s:]+:([1-9]\d{0,4})$/.exec(address)?.[1];
+  return port !== undefined && Number(port) <= MAX_PORT;
+}));
+
 /** One VM of the list; `address` is `host:port`, `priceCents` the price per hour in cents. */
 export const Vm = Schema.Struct({
   id: Schema.String,
-  address: Schema.String,
+  address: Address,
   dataCentre: Schema.String,
   role: Schema.Literal('engine', 'entry', 'service'),
   kind: Schema.Literal('cheap', 'dear'),
   state: Schema.Literal('leaving', 'live'),
   models: Schema.optionalWith(Schema.Array(Schema.String), { default: () => [] }),
   service: Schema.optional(Schema.String),
-  priceCents: Schema.optionalWith(Schema.Number, { default: () => 0 }),
+  priceCents: Schema.optionalWith(Schema.NonNegative.pipe(Schema.finite()), { default: () => 0 }),
 });
 export type Vm = typeof Vm.Type;
 
@@ -38,14 +47,21 @@
 }
 
 const HTTP_OK = 200;
-const decodeVms = Schema.decodeUnknown(Schema.Array(Vm));
+const decodeEntries = Schema.decodeUnknown(Schema.Array(Schema.Unknown));
+const decodeVm = Schema.decodeUnknownOption(Vm);
 
 /**
- * Creates the HTTP adapter. `baseUrl` has no trailing slash. At the target fleet size the list is
+ * Creates the HTTP adapter. `baseUrl` has no trailing slash. Entries that describe no usable VM are
+ * ignored, so that one of them does not hide the others; `onIgnored` is called with their number
+ * when the list has changed. At the target fleet size the list is
  * polled every second but changes only every half minute, so a body that equals the previous one is
  * not decoded again.
  */
-export function createHttpVmList(baseUrl: string, timeoutMs: Core.Millis): VmListPort {
+export function createHttpVmList(
+  baseUrl: string,
+  timeoutMs: Core.Millis,
+  onIgnored: (count: number) => void = () => undefined,
+): VmListPort {
   let cached: { readonly text: string; readonly vms: readonly Vm[] } | undefined;
   return {
     read: () => Core.requestJson({ method: 'GET', timeoutMs, url: `${baseUrl}/vms` }).pipe(
@@ -58,10 +74,13 @@
         }
         const text = JSON.stringify(body);
         if (cached !== undefined && cached.text === text) return Effect.succeed(cached.vms);
-        return decodeVms(body).pipe(
-          Effect.tap((vms) => Effect.sync(() => {
+        return decodeEntries(body).pipe(
+          Effect.map((entries) => {
+            const vms = entries.flatMap((entry) => Option.toArray(decodeVm(entry)));
+            if (vms.length < entries.length) onIgnored(entries.length - vms.length);
             cached = { text, vms };
-          })),
+            return vms;
+          }),
           Effect.mapError(({ message }) => (
             new VmListError({ detail: message, reason: 'invalid' })
           )),
--- a/packages/membership/src/__tests__/unit/ServerDirectory.test.ts
+++ b/packages/membership/src/__tests__/unit/ServerDirectory.test.ts
@@ -1,6 +1,8 @@
 import * as Core from '@berylyoke/core';
 import * as Testkit from '@berylyoke/testkit';
 import * as Effect from 'effect/Effect';
+import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as fc from 'fast-check';
 import * as Vitest from 'vitest';
 import * as Membership from '../../index.js';
@@ -174,4 +176,39 @@
     expect(directory.getSnapshot().servers.map(({ id, state }) => [id, state]))
       .toEqual([['a', 'live']]);
   });
+
+  // Guards against one odd entry of another writer that hides all VMs of the list.
+  test('VMs beside entries that cannot be used are listed', async () => {
+    const sound = {
+      address: '10.0.0.1:80',
+      dataCentre: 'a',
+      id: 'sound',
+      kind: 'dear',
+      role: 'engine',
+      state: 'live',
+    };
+    const server = http.createServer((_, response) => response.end(JSON.stringify([
+      sound,
+      { ...sound, address: '10.0.0.1:65536' },
+      { ...sound, address: '10.0.0.1:0' },
+      { ...sound, address: 'somewhere' },
+      { ...sound, state: undefined },
+      { ...sound, priceCents: -1 },
+      [[]],
+      null,
+    ])));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const ignored: number[] = [];
+    const vms = await Effect.runPromise(Membership.createHttpVmList(
+      `http://127.0.0.1:${port}`,
+      2_000,
+      (count) => ignored.push(count),
+    ).read());
+    server.close();
+    expect(vms.map(({ id }) => id)).toEqual(['sound']);
+    expect(ignored).toEqual([7]);
+  });
 });
