Choose a base version also where several versions are in service

Cause: a service with several versions from its first server on got no base version, so that each of its streams was recorded in the store, and none moved on while two versions followed the base. Without a base version, or when it is 90 s gone, every stream has a record, so any version is safe: the one of most servers, by name where two have as many, so that all daemons choose alike.

--- a/packages/routing/src/BaseVersions.ts
+++ b/packages/routing/src/BaseVersions.ts
@@ -3,7 +3,8 @@
  * other version records each stream that it begins (StreamRecords), so a stream without a record
  * was begun by the base version. With a single version in service, which is the usual case, no
  * stream needs a record. The base versions are in the store, in the feed of the crash reports; a
- * daemon moves one on when its servers have been gone for longer than any stream lasts.
+ * daemon moves one on when its servers have been gone for longer than any stream lasts. Without a
+ * base version every stream has a record, so any version can become the base.
  */
 import type * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
@@ -52,18 +53,21 @@
 /** Versions in service, as one daemon lists them. */
 export interface ListedVersions {
   readonly base: string | undefined;
-  readonly versions: ReadonlySet<string>;
+  /** Number of servers by version. */
+  readonly versions: ReadonlyMap<string, number>;
   /** Time for which no server of the base version was listed. */
   readonly unlistedMs: Core.Millis;
 }
 
-/** Chooses the base version; undefined as long as a service without one has several versions. */
+/** Chooses the base version: the version of most servers, unless one is still needed. */
 export function chooseBaseVersion(
   { base, unlistedMs, versions }: ListedVersions,
 ): string | undefined {
-  const [only] = versions;
-  if (only === undefined || versions.size > 1) return base;
-  return base === undefined || unlistedMs >= RETIRED_AFTER_MS ? only : base;
+  if (base !== undefined && unlistedMs < RETIRED_AFTER_MS) return base;
+  const [most] = [...versions].sort(([a, countA], [b, countB]) => (
+    countB - countA || (a < b ? -1 : 1)
+  ));
+  return most?.[0] ?? base;
 }
 
 /** Dependencies of the base versions of a daemon. */
@@ -76,8 +80,8 @@
   readonly isCurrent: () => boolean;
   /** Lists the services of which streams can be resumed. */
   readonly listServices: () => readonly string[];
-  /** Lists the versions of the servers of a service, also of those that are shutting down. */
-  readonly listVersions: (service: string) => ReadonlySet<string>;
+  /** Counts the servers of a service by version, also those that are shutting down. */
+  readonly countVersions: (service: string) => ReadonlyMap<string, number>;
   readonly logger: Core.Logger;
   readonly random: () => number;
   readonly write: Ports.WritableKeyedFeed['write'];
@@ -97,7 +101,7 @@
 /** Starts to follow the versions in service. */
 export function startBaseVersions(
   {
-    clock, countDaemons, getPosition, isCurrent, listServices, listVersions, logger, random, write,
+    clock, countDaemons, countVersions, getPosition, isCurrent, listServices, logger, random, write,
   }: BaseVersionsContext,
 ): BaseVersions {
   const bases = new Map<string, string>();
@@ -110,7 +114,7 @@
   const chooseForService = (service: string): string | undefined => {
     const nowMs = clock.readMonotonic();
     const base = bases.get(service);
-    const versions = listVersions(service);
+    const versions = countVersions(service);
     const isListed = base !== undefined && versions.has(base);
     if (isListed || !listedMs.has(service)) listedMs.set(service, nowMs);
     return chooseBaseVersion({
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -203,17 +203,13 @@
   });
   const { getActiveConfig, servers } = feeds;
   listServers = servers.listAll;
-  const listVersions = (service: string): ReadonlySet<string> => new Set(
-    servers.listAll().filter((server) => server.service === service)
-      .map(({ version }) => version),
-  );
   baseVersions = BaseVersions.startBaseVersions({
     clock,
     countDaemons,
+    countVersions: servers.countVersions,
     getPosition: feeds.getBasePosition,
     isCurrent: feeds.areBasesCurrent,
     listServices: () => RoutingConfig.listResumableServices(getActiveConfig()?.config),
-    listVersions,
     logger,
     random: Math.random,
     write: crashReportFeed.write,
@@ -268,7 +264,7 @@
     streamVersions: StreamVersions.createStreamVersions(
       baseVersions,
       streamRecords,
-      listVersions,
+      servers.countVersions,
     ),
   };
 
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -68,6 +68,8 @@
   readonly isCold: (id: string, nowMs: Core.Millis) => boolean;
   /** Lists every server with an entry. */
   readonly listAll: () => readonly BackendServer[];
+  /** Counts the servers of a service with an entry, by software version. */
+  readonly countVersions: (service: string) => ReadonlyMap<string, number>;
 }
 
 /** Creates an empty table. */
@@ -132,6 +134,12 @@
       removeMissing(list, nowMs);
       list.forEach((server) => setEntry(server, nowMs));
     },
+    countVersions: (service) => {
+      const counts = new Map<string, number>();
+      [...servers.values()].filter((server) => server.service === service)
+        .forEach(({ version }) => counts.set(version, (counts.get(version) ?? 0) + 1));
+      return counts;
+    },
     isCold: (id, nowMs) => nowMs < (coldUntilMs.get(id) ?? -Infinity),
     listAll: () => [...servers.values()],
     listServing: (service, nowMs) => {
--- a/packages/routing/src/StreamVersions.ts
+++ b/packages/routing/src/StreamVersions.ts
@@ -26,12 +26,13 @@
 export function createStreamVersions(
   bases: Pick<BaseVersions.BaseVersions, 'get'>,
   records: Pick<StreamRecords.StreamRecords, 'find' | 'record'>,
-  listVersions: (service: string) => ReadonlySet<string>,
+  countVersions: BaseVersions.BaseVersionsContext['countVersions'],
 ): StreamVersions {
   /** Returns the base version if no other one is in service. */
   const getOnlyVersion = (service: string): string | undefined => {
     const base = bases.get(service);
-    return [...listVersions(service)].every((version) => version === base) ? base : undefined;
+    const versions = [...countVersions(service).keys()];
+    return versions.every((version) => version === base) ? base : undefined;
   };
   return {
     findVersion: async ({ account, requestId, service }) => {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -245,7 +245,7 @@
         return () => undefined;
       },
     },
-    () => new Set(servers.listAll().map(({ version }) => version)),
+    servers.countVersions,
   );
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
