Ask once how old an attempt is and what a record of the fleet is

The decoder of base versions checks the prefix of the key itself, so its reader need not check it first: a malformed base version is no crash report either.

--- a/packages/routing/src/BaseVersions.ts
+++ b/packages/routing/src/BaseVersions.ts
@@ -45,11 +45,6 @@
   return { service: key.slice(KEY_PREFIX.length), version: decoded.value.version };
 }
 
-/** Checks whether a key of the feed is that of a base version. */
-export function isBaseVersionKey(key: string): boolean {
-  return key.startsWith(KEY_PREFIX);
-}
-
 /** Versions in service, as one daemon lists them. */
 export interface ListedVersions {
   readonly base: string | undefined;
--- a/packages/routing/src/CrashEvidence.ts
+++ b/packages/routing/src/CrashEvidence.ts
@@ -8,8 +8,8 @@
 
 /** Observes an attempt to have a request answered by one server. */
 export interface CrashEvidence {
-  /** Records that the server began to respond to a request that was sent `elapsedMs` ago. */
-  readonly observeHead: (elapsedMs: Core.Millis) => void;
+  /** Records that the server began to respond. */
+  readonly observeHead: () => void;
   /** Records an event of a stream; clears the traits once the stream has gone on for a while. */
   readonly observeEvent: () => void;
   /** Records that the response is whole. */
@@ -34,6 +34,7 @@
 ): CrashEvidence {
   const server = ServerTable.formatIncarnation(incarnation);
   const sentMs = clock.readMonotonic();
+  const computeElapsed = (): Core.Millis => clock.readMonotonic() - sentMs;
   let firstEventMs: Core.Millis | undefined;
   let isAnswered = false;
   const hasGoneOn = (): boolean => (
@@ -49,12 +50,12 @@
     observeAnswer,
     observeEnd: () => {
       if (hasGoneOn()) return;
-      crashReports.observeCrash(traits, server, clock.readMonotonic() - sentMs);
+      crashReports.observeCrash(traits, server, computeElapsed());
     },
     observeEvent: () => {
       firstEventMs ??= clock.readMonotonic();
       if (hasGoneOn()) observeAnswer();
     },
-    observeHead: (elapsedMs) => crashReports.observeServerAnswer(server, elapsedMs),
+    observeHead: () => crashReports.observeServerAnswer(server, computeElapsed()),
   };
 }
--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -100,10 +100,8 @@
   | { readonly _tag: 'CrashReport'; readonly report: CrashSuspects.TraitReport };
 
 function decodeFleetRecord(key: string, raw: Buffer): FleetRecord | undefined {
-  if (BaseVersions.isBaseVersionKey(key)) {
-    const base = BaseVersions.decodeBaseVersion(key, raw);
-    return base === undefined ? undefined : { _tag: 'BaseVersion', base };
-  }
+  const base = BaseVersions.decodeBaseVersion(key, raw);
+  if (base !== undefined) return { _tag: 'BaseVersion', base };
   const report = CrashReports.decodeCrashReport(raw);
   return report === undefined ? undefined : { _tag: 'CrashReport', report };
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -583,7 +583,7 @@
     }
     this.#mayHaveRun = true;
     ServerPool.observeAcceptance(attempt.chosen.pooled);
-    attempt.crashEvidence.observeHead(this.#context.clock.readMonotonic() - attempt.startedMs);
+    attempt.crashEvidence.observeHead();
     if (isSuccess && this.#route?.kind === 'stream' && HeaderRules.isEventStream(head)) {
       attempt.framer = EventFramer.createEventFramer(
         this.#context.answers.maxEventBytes,
