Check ports and compute digests in one place each

The digests are the same as before, so records of the former code stay readable.

Checks: type check, lint of the changed files, 480 tests of packages/routing, packages/membership and Decoding.test.ts.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Clock, ids, typed errors, hashing, bounded maps, body framing, cleanup and log prefixes. */
+export * from './Addresses.js';
 export * from './BoundedMap.js';
 export * from './Cleanup.js';
 export * from './Clock.js';
--- a/packages/membership/src/VmList.ts
+++ b/packages/membership/src/VmList.ts
@@ -8,12 +8,10 @@
 import * as Option from 'effect/Option';
 import * as Schema from 'effect/Schema';
 
-const MAX_PORT = 65_535;
-
 /** `host:port`; a port out of range would make every connection to the VM throw. */
 const Address = Schema.String.pipe(Schema.filter((address) => {
-  const port = /^[^\s:]+:([1-9]\d{0,4})$/.exec(address)?.[1];
-  return port !== undefined && Number(port) <= MAX_PORT;
+  const port = /^[^\s:]+:(\d+)$/.exec(address)?.[1];
+  return port !== undefined && Core.isPort(port);
 }));
 
 /** One VM of the list; `address` is `host:port`, `priceCents` the price per hour in cents. */
--- a/packages/routing/src/RequestFingerprint.ts
+++ b/packages/routing/src/RequestFingerprint.ts
@@ -3,13 +3,10 @@
  * under another request id. Repeats of a request share the fingerprint; requests of other client
  * accounts never do.
  */
-import * as crypto from 'node:crypto';
+import * as Digest from './Digest.js';
 import type * as RequestHead from './RequestHead.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 
-/** Bytes of the digest that are kept; enough that two requests do not share them by chance. */
-const FINGERPRINT_BYTES = 16;
-
 /** A request whose body was read. */
 export interface IdentifiedRequest {
   /** Account of the caller; undefined on routes that are open to all. */
@@ -24,10 +21,5 @@
     host, method, path, prompt,
   } = head;
   const partIds = prompt?.parts.map(({ id }) => id);
-  return crypto.createHash('sha256')
-    .update(JSON.stringify([account?.name, method, host, path, partIds]))
-    .update(body)
-    .digest()
-    .subarray(0, FINGERPRINT_BYTES)
-    .toString('base64url');
+  return Digest.hashFields([account?.name, method, host, path, partIds], body);
 }
--- a/packages/routing/src/StreamRecordTable.ts
+++ b/packages/routing/src/StreamRecordTable.ts
@@ -4,10 +4,9 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as Schema from 'effect/Schema';
-import * as crypto from 'node:crypto';
+import * as Digest from './Digest.js';
 import type * as Ports from './Ports.js';
 
-const DIGEST_BYTES = 16;
 const KEY_SEPARATOR = '/';
 
 const RecordDocument = Schema.parseJson(Schema.Struct({
@@ -29,11 +28,7 @@
 }
 
 function hashStreamName({ account, requestId }: StreamName): string {
-  return crypto.createHash('sha256')
-    .update(JSON.stringify([account, requestId]))
-    .digest()
-    .subarray(0, DIGEST_BYTES)
-    .toString('base64url');
+  return Digest.hashFields([account, requestId]);
 }
 
 /** Formats the key of a record. */
