--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -94,7 +94,9 @@
 }
 
 /** Starts one daemon; `onExit` is told of each end that this script did not ask for. */
-export async function startDaemon({ name, onExit, platformAddress }) {
+export async function startDaemon({
+  dutyAddress, name, onExit, platformAddress,
+}) {
   const host = createLoopbackAddress();
   const { template, words } = await readRunCommand();
   const [entry, ready, peers] = await Promise.all([1, 2, 3].map(() => findFreePort(host)));
@@ -102,7 +104,7 @@
   const settingsFile = path.join(folder, 'settings.toml');
   await fs.writeFile(settingsFile, renderTemplate(template, {
     bounds: BOUNDS,
-    cloud: { address: platformAddress },
+    cloud: { address: dutyAddress ?? platformAddress },
     internalPorts: [peers],
     ip: host,
     limits: { cores: 1, cpuShare: 0.675 },
