--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,10 +3,10 @@
  * Requests to another, sound service must be answered all the same.
  */
 import * as http from 'node:http';
-import * as fleet from '../lib/fleet.mjs';
-import * as record from '../lib/record.mjs';
-import * as servers from '../lib/servers.mjs';
-import * as store from '../lib/store.mjs';
+import * as fleet from '../fleet.mjs';
+import * as record from '../record.mjs';
+import * as servers from '../servers.mjs';
+import * as store from '../store.mjs';
 
 const HOST = '127.0.0.1';
 const ENGINES = 4;
--- a/review/lib/fleet.mjs
+++ b/review/fleet.mjs
@@ -11,7 +11,7 @@
 import * as path from 'node:path';
 import * as url from 'node:url';
 
-const ROOT = url.fileURLToPath(new URL('../../', import.meta.url));
+const ROOT = url.fileURLToPath(new URL('../', import.meta.url));
 const RESTART_DELAY_MS = 1_000;
 const START_TIMEOUT_MS = 30_000;
 
