Bound what a server's bytes cost while they bring no answer

Cause: each chunk costs a callback of the parser. A read of 64 KB holds 11,000, nothing limited how much of that one turn of the event loop processes, and only the size of an event ended such an answer. Comments had no bound at all. Ruled out: store, choice and health of servers; 14 requests in 12 s sufficed. Change: connections to servers process long reads in slices, all together for 4 ms of a turn. Each exchange has an allowance of bytes and pieces that progress for the caller restores. The chunks of a slice are handled together, and held bytes stay unparsed. Why it works: the cost of any bytes is bounded by their number and that of their pieces, whatever they are, and no connection delays the others beyond a turn.

--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -6,6 +6,8 @@
 import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
+import type * as PacedSocket from './PacedSocket.js';
+import type * as SendAllowance from './SendAllowance.js';
 
 /** Time limit for opening a connection; round trips between data centres take milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -55,6 +57,8 @@
   /** Lower-case name of the header that carries the request id. */
   readonly requestIdHeader: string;
   readonly requestId: string;
+  /** What the server may send without progress; the exchange charges bytes and chunks to it. */
+  readonly allowance: SendAllowance.SendAllowance;
 }
 
 /** Head of a response. */
@@ -86,6 +90,7 @@
 /** Callbacks of an exchange; none is called after `onEnd` or `onFailure`. */
 export interface ExchangeHandlers {
   readonly onHead: (head: ResponseHead) => void;
+  /** Called with the bytes of all chunks that were read together. */
   readonly onData: (bytes: Buffer) => void;
   readonly onEnd: () => void;
   readonly onFailure: (failure: ExchangeFailure) => void;
@@ -101,16 +106,26 @@
   readonly resume: () => void;
 }
 
-/** Discards the rest of a response to reuse its connection; closes it if the rest is too long. */
-function drainRemainder(request: http.ClientRequest, response: http.IncomingMessage): void {
-  const timer = setTimeout(() => request.destroy(), DRAIN_TIMEOUT_MS);
-  let bytes = 0;
-  response.on('data', ({ length }: Buffer) => {
-    bytes += length;
-    if (bytes > MAX_DRAINED_BYTES) request.destroy();
-  });
-  response.once('close', () => clearTimeout(timer));
-  response.resume();
+/** Collects the chunks of a read, to hand them over together. */
+interface ChunkCollector {
+  readonly add: (chunk: Buffer) => void;
+  /** Takes the chunks as one buffer; undefined if there are none. */
+  readonly take: () => Buffer | undefined;
+}
+
+function createChunkCollector(): ChunkCollector {
+  let chunks: Buffer[] = [];
+  return {
+    add: (chunk) => {
+      chunks.push(chunk);
+    },
+    take: () => {
+      const taken = chunks;
+      if (taken.length === 0) return undefined;
+      chunks = [];
+      return taken.length === 1 ? taken[0] : Buffer.concat(taken);
+    },
+  };
 }
 
 function getErrorReason(error: Error): string {
@@ -127,7 +142,11 @@
   let isReusedConnection = false;
   let isFinished = false;
   let connectTimer: NodeJS.Timeout | undefined;
+  let drainTimer: NodeJS.Timeout | undefined;
   let receivedResponse: http.IncomingMessage | undefined;
+  let connection: PacedSocket.PacedSocket | undefined;
+  const { allowance } = options;
+  const collector = createChunkCollector();
   const request = http.request({
     agent: options.agent,
     headers: options.headers as string[],
@@ -144,7 +163,12 @@
     clearTimeout(connectTimer);
     return true;
   };
+  const deliverChunks = (): void => {
+    const bytes = collector.take();
+    if (bytes !== undefined && !isFinished) handlers.onData(bytes);
+  };
   const fail = (reason: string): void => {
+    deliverChunks();
     if (finish()) {
       handlers.onFailure(isConnected
         ? { _tag: 'Broken', isConnectionEnd: CONNECTION_END_REASONS.has(reason), reason }
@@ -152,7 +176,17 @@
     }
     request.destroy();
   };
+  // Runs after the parser has processed the bytes.
+  const handleRead = ({ length }: Buffer): void => {
+    allowance.spendBytes(length);
+    deliverChunks();
+    if (!allowance.isExhausted()) return;
+    if (isFinished) request.destroy();
+    else fail('no-progress');
+  };
   request.on('socket', (socket) => {
+    connection = socket as PacedSocket.PacedSocket;
+    socket.on('data', handleRead);
     isReusedConnection = usedConnections.has(socket);
     usedConnections.add(socket);
     if (!socket.connecting) {
@@ -166,7 +200,12 @@
     });
   });
   request.on('error', (error) => fail(getErrorReason(error)));
-  request.on('close', () => fail('closed'));
+  request.on('close', () => {
+    connection?.removeListener('data', handleRead);
+    connection?.releaseBytes();
+    clearTimeout(drainTimer);
+    fail('closed');
+  });
   let informationalCount = 0;
   request.on('information', () => {
     informationalCount += 1;
@@ -185,10 +224,14 @@
     }
     Core.watchReset(response, () => fail('reset-at-end'));
     response.on('data', (bytes: Buffer) => {
-      if (!isFinished) handlers.onData(bytes);
+      allowance.spendPieces(1);
+      if (!isFinished) collector.add(bytes);
     });
+    // The stream emits the chunks that were read together with the head only after that read.
+    process.nextTick(deliverChunks);
     response.on('error', (error) => fail(getErrorReason(error)));
     response.on('end', () => {
+      deliverChunks();
       if (!response.complete) fail('truncated');
       else if (finish()) handlers.onEnd();
     });
@@ -210,10 +253,15 @@
     },
     drain: () => {
       finish();
-      if (receivedResponse === undefined) request.destroy();
-      else drainRemainder(request, receivedResponse);
+      if (receivedResponse === undefined) {
+        request.destroy();
+        return;
+      }
+      allowance.limit(MAX_DRAINED_BYTES);
+      drainTimer = setTimeout(() => request.destroy(), DRAIN_TIMEOUT_MS);
+      connection?.releaseBytes();
     },
-    pause: () => receivedResponse?.pause(),
-    resume: () => receivedResponse?.resume(),
+    pause: () => connection?.holdBytes(),
+    resume: () => connection?.releaseBytes(),
   };
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -21,6 +21,7 @@
 import * as ResponseAbort from './ResponseAbort.js';
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
+import * as SendAllowance from './SendAllowance.js';
 import * as ServerSelection from './ServerSelection.js';
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPicker from './ServerPicker.js';
@@ -55,6 +56,7 @@
   readonly startedMs: Core.Millis;
   readonly pendingPromptTokens: number;
   readonly crashEvidence: CrashEvidence.CrashEvidence;
+  readonly allowance: SendAllowance.SendAllowance;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
   /** Events that wait until the beginning of the stream is recorded; undefined if none has to. */
@@ -389,8 +391,10 @@
     if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, nowMs);
     pooled.inFlight += 1;
     pooled.pendingPromptTokens += pendingPromptTokens;
+    const allowance = SendAllowance.createSendAllowance(this.#context.answers.maxEventBytes);
     const exchange = BackendExchange.startExchange({
       agent: pooled.agent,
+      allowance,
       body: this.#body,
       headers: BackendHeaders.buildBackendHeaders({
         account: this.#account,
@@ -419,6 +423,7 @@
     });
     this.#sentMs = this.#context.clock.readMonotonic();
     this.#attempt = {
+      allowance,
       chosen,
       crashEvidence: CrashEvidence.createCrashEvidence(this.#context, this.#traits, server),
       exchange,
@@ -637,6 +642,7 @@
     const attempt = this.#attempt as Attempt;
     ServerPool.observeActivity(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     if (attempt.framer === undefined) {
+      attempt.allowance.earn(bytes.length);
       this.#bufferBytes(attempt, bytes);
       return;
     }
@@ -644,9 +650,12 @@
     const surplusIndex = findSurplusResponse(attempt, events);
     const ownEvents = surplusIndex < 0 ? events : events.slice(0, surplusIndex);
     if (ownEvents.length > 0) attempt.hasEvents = true;
-    this.#handleEvents(attempt, ownEvents.filter(({ id }) => (
+    const newEvents = ownEvents.filter(({ id }) => (
       id === undefined || this.#lastEventId === undefined || id > this.#lastEventId
-    )));
+    ));
+    if (newEvents.some(({ hasData }) => hasData)) attempt.allowance.reset();
+    else attempt.allowance.spendPieces(events.length);
+    this.#handleEvents(attempt, newEvents);
     if (surplusIndex >= 0) this.#abortResponse(attempt, 'surplus-response');
     else if (isTooLong) this.#abortResponse(attempt, 'event-too-long');
   }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -20,6 +20,7 @@
 import * as OutcomeExchange from './OutcomeExchange.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
+import * as ReadPacer from './ReadPacer.js';
 import * as RelayCalls from './RelayCalls.js';
 import * as RelayChoice from './RelayChoice.js';
 import * as RequestLimits from './RequestLimits.js';
@@ -226,7 +227,7 @@
   const pool = ServerPool.createServerPool((service) => {
     const max = getActiveConfig()?.config.services.get(service)?.maxConnections ?? Infinity;
     return Math.max(1, Math.floor(max * getFleetShare()));
-  });
+  }, ReadPacer.createReadPacer(clock));
   const poolCheck = setInterval(() => pool.closeRemoved(servers.listAll()), POOL_CHECK_MS);
   const context: PathContext.PathContext = {
     ...createRetryBudgets(settings, getFleetShare),
--- a/packages/routing/src/ServerPool.ts
+++ b/packages/routing/src/ServerPool.ts
@@ -4,8 +4,11 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 import * as FailureRate from './FailureRate.js';
+import * as PacedSocket from './PacedSocket.js';
+import type * as ReadPacer from './ReadPacer.js';
 import type * as ServerSilence from './ServerSilence.js';
 import * as ServerTable from './ServerTable.js';
 
@@ -36,7 +39,21 @@
 class BackendAgent extends http.Agent {
   readonly #closeOnData = new WeakMap<stream.Duplex, () => void>();
 
+  readonly #pacer: ReadPacer.ReadPacer;
+
+  constructor(pacer: ReadPacer.ReadPacer, options: http.AgentOptions) {
+    super(options);
+    this.#pacer = pacer;
+  }
+
+  override createConnection(options: net.TcpNetConnectOpts): stream.Duplex {
+    const socket = new PacedSocket.PacedSocket(this.#pacer, options);
+    if (options.timeout !== undefined) socket.setTimeout(options.timeout);
+    return socket.connect(options);
+  }
+
   override keepSocketAlive(socket: stream.Duplex): boolean {
+    if ((socket as PacedSocket.PacedSocket).hasWaitingBytes()) return false;
     const close = (): void => {
       socket.destroy();
     };
@@ -85,7 +102,10 @@
 }
 
 /** Creates an empty pool; `getMaxConnections` limits the connections to one server of a service. */
-export function createServerPool(getMaxConnections: (service: string) => number): ServerPool {
+export function createServerPool(
+  getMaxConnections: (service: string) => number,
+  pacer: ReadPacer.ReadPacer,
+): ServerPool {
   const pooled = new Map<string, PooledServer>();
   return {
     close: () => pooled.forEach(({ agent }) => agent.destroy()),
@@ -102,7 +122,7 @@
       const existing = pooled.get(name);
       if (existing !== undefined) return existing;
       const added: PooledServer = {
-        agent: new BackendAgent({
+        agent: new BackendAgent(pacer, {
           keepAlive: true,
           maxSockets: getMaxConnections(server.service),
           scheduling: 'lifo',
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -9,6 +9,7 @@
 import * as ByteBudget from '../../ByteBudget.js';
 import * as LogRateLimiter from '../../LogRateLimiter.js';
 import * as Routing from '../../index.js';
+import * as ReadPacer from '../../ReadPacer.js';
 import * as RequestLimits from '../../RequestLimits.js';
 import * as RoutingMetrics from '../../RoutingMetrics.js';
 import * as ServerAvailability from '../../ServerAvailability.js';
@@ -215,7 +216,10 @@
   let canRetry = true;
   let willThrow = false;
   let areKeysCurrent = true;
-  const pool = ServerPool.createServerPool(() => maxConnections);
+  const pool = ServerPool.createServerPool(
+    () => maxConnections,
+    ReadPacer.createReadPacer(Core.systemClock),
+  );
   const fleet = Routing.createFleetView();
   const observed = Routing.createOutcomeBuffer();
   const crashReports = Routing.startCrashReports({
