Resume an unnamed stream only if the list of servers can vouch for it

Cause: without the id of its beginning, a stream got the rest from the base version if that was the only one listed. The list of a daemon that is cut off is as old as the cut, and a server that crashed is missing from any list. Change: the entries must have been read after the request came, and have shown no other version for as long as a stream may last; else the request is refused as not run. The test "gets the rest only beside one version" expected a stream to go on as soon as the other version was not listed any more, which is this fault; four tests for each way to name no beginning replace it.

--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -65,8 +65,8 @@
 /** Part of the bound on withdrawn keys that is reserved for requests in transit. */
 const KEY_MARGIN_MS = 500;
 
-/** Time that a request waits for a read that verifies the list of keys. */
-const KEY_RENEWAL_TIMEOUT_MS = 300;
+/** Time that a request waits for a read that verifies the list of keys or of servers. */
+const RENEWAL_TIMEOUT_MS = 300;
 
 /** Feeds of the platform and the decoders of their values. */
 export interface FeedSources {
@@ -120,6 +120,10 @@
   readonly areBasesCurrent: () => boolean;
   /** Returns the position up to which the feed of base versions and crash reports was read. */
   readonly getBasePosition: () => number | undefined;
+  /** Checks whether a read that was sent at a time or later has verified the server entries. */
+  readonly areServersVerifiedSince: (sinceMs: Core.Millis) => boolean;
+  /** Tries to read the server entries anew. */
+  readonly renewServers: () => Promise<void>;
   readonly readCopy: RelayCalls.RelayHandlers['readCopy'];
   readonly stop: () => void;
 }
@@ -273,6 +277,7 @@
   const logEntry = (id: string, server: ServerTable.BackendServer | undefined): void => {
     logger.debug({ id, service: server?.service, state: server?.state ?? 'gone' }, 'server entry');
   };
+  let serversVerifiedMs = -Infinity;
   const serverLoop = FeedLoop.startFeedLoop({
     copy: copies.servers,
     decode: decodeServer,
@@ -280,9 +285,13 @@
     getPauseMs: () => bounds.drainMs * (
       relayChoice.isRelay() ? RELAY_STORE_PAUSE_SHARE : STORE_PAUSE_SHARE
     ),
-    onChanges: (changes) => changes.forEach(({ key, value }) => {
+    onApplied: ({ monotonicMs }) => {
+      serversVerifiedMs = monotonicMs;
+    },
+    onChanges: (changes) => changes.forEach(({ key, raw, value }) => {
       logEntry(key, value);
-      servers.applyEntry(key, value, clock.readMonotonic());
+      if (raw === undefined) servers.applyRemoval(key, clock.readMonotonic());
+      else servers.applyEntry(key, value, clock.readMonotonic());
     }),
     onContact: (_, contactMs) => {
       hasServers = true;
@@ -345,6 +354,13 @@
     waitMs: configWaitMs,
   });
 
+  const waitForRead = async (refresh: () => Promise<void>): Promise<void> => {
+    const timeout = new Promise<void>((resolve) => {
+      setTimeout(resolve, RENEWAL_TIMEOUT_MS);
+    });
+    await Promise.race([refresh(), timeout]);
+  };
+
   return {
     areBasesCurrent: () => ClockReading.isReadingFresh(
       basesVerifiedAt,
@@ -352,6 +368,7 @@
       BaseVersions.MAX_BASE_AGE_MS,
     ),
     areKeysCurrent,
+    areServersVerifiedSince: (sinceMs) => serversVerifiedMs >= sinceMs,
     getBasePosition: crashLoop.getPosition,
     getActiveConfig: () => active,
     getKeyProofAge: () => (
@@ -366,12 +383,10 @@
         : undefined
     ),
     renewKeys: async () => {
-      const timeout = new Promise<void>((resolve) => {
-        setTimeout(resolve, KEY_RENEWAL_TIMEOUT_MS);
-      });
-      await Promise.race([configLoop.refresh(), timeout]);
+      await waitForRead(configLoop.refresh);
       return areKeysCurrent();
     },
+    renewServers: () => waitForRead(serverLoop.refresh),
     servers,
     stop: () => {
       clearTimeout(confirmationTimer);
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -337,6 +337,7 @@
   #findVersion(): void {
     this.#context.streamVersions.findVersion({
       account: this.#account?.name,
+      receivedMs: this.#receivedMs,
       requestId: this.#head.resumedRequestId,
       service: this.#service,
     }).then(this.#withDefectHandler((version: string | undefined) => {
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -265,7 +265,11 @@
     streamVersions: StreamVersions.createStreamVersions(
       baseVersions,
       streamRecords,
-      servers.countVersions,
+      {
+        hadOnlyVersion: servers.hadOnlyVersion,
+        isVerifiedSince: feeds.areServersVerifiedSince,
+        renew: feeds.renewServers,
+      },
     ),
   };
 
--- a/packages/routing/src/ServerTable.ts
+++ b/packages/routing/src/ServerTable.ts
@@ -49,6 +49,8 @@
 export interface ServerTable {
   /** Applies a change of an entry; `undefined` removes it. */
   readonly applyEntry: (id: string, server: BackendServer | undefined, nowMs: Core.Millis) => void;
+  /** Applies the removal of an entry, which may be of a server that was never listed here. */
+  readonly applyRemoval: (id: string, nowMs: Core.Millis) => void;
   /** Replaces all entries by those of a complete read. */
   readonly applySnapshot: (servers: readonly BackendServer[], nowMs: Core.Millis) => void;
   /**
@@ -70,6 +72,11 @@
   readonly listAll: () => readonly BackendServer[];
   /** Counts the servers of a service with an entry, by software version. */
   readonly countVersions: (service: string) => ReadonlyMap<string, number>;
+  /**
+   * Checks whether no other version of a service has had an entry since a time. False if the
+   * changes of the entries have not been followed for so long: what came and went is not known.
+   */
+  readonly hadOnlyVersion: (service: string, version: string, sinceMs: Core.Millis) => boolean;
 }
 
 /** Creates an empty table. */
@@ -83,10 +90,19 @@
   let recoveredMs: Core.Millis | undefined;
   let hasFailed = false;
   let evacuated: ReadonlySet<string> = new Set();
+  /** Time at which an entry of a version was last removed or replaced, by service and version. */
+  const departedMs = new Map<string, Map<string, Core.Millis>>();
+  /** Time from which every change of the entries was seen. */
+  let followedSinceMs = Infinity;
 
-  const deleteServer = (id: string): void => {
+  const recordDeparture = ({ service, version }: BackendServer, nowMs: Core.Millis): void => {
+    const versions = departedMs.get(service) ?? new Map<string, Core.Millis>();
+    departedMs.set(service, versions.set(version, nowMs));
+  };
+  const deleteServer = (id: string, nowMs: Core.Millis): void => {
     const server = servers.get(id);
     if (server !== undefined) {
+      recordDeparture(server, nowMs);
       Core.setBounded(removedIncarnations, formatIncarnation(server), true, MAX_REMOVED);
     }
     servers.delete(id);
@@ -96,9 +112,11 @@
     const isAfterOutage = recoveredMs !== undefined && nowMs - recoveredMs < RENEWAL_GRACE_MS;
     const wasServing = servers.get(id)?.state === 'ready';
     if (isAfterOutage && wasServing) expiryMs.set(id, (recoveredMs as number) + RENEWAL_GRACE_MS);
-    else deleteServer(id);
+    else deleteServer(id, nowMs);
   };
   const setEntry = (server: BackendServer, nowMs: Core.Millis): void => {
+    const previous = servers.get(server.id);
+    if (previous !== undefined) recordDeparture(previous, nowMs);
     expiryMs.delete(server.id);
     servers.set(server.id, server);
     if (server.coldMs === undefined) coldUntilMs.delete(server.id);
@@ -117,7 +135,7 @@
   const removeExpired = (nowMs: Core.Millis): void => expiryMs.forEach((untilMs, id) => {
     if (nowMs < untilMs) return;
     expiryMs.delete(id);
-    deleteServer(id);
+    deleteServer(id, nowMs);
   });
 
   return {
@@ -125,12 +143,18 @@
       if (server === undefined) removeEntry(id, nowMs);
       else setEntry(server, nowMs);
     },
+    applyRemoval: (id, nowMs) => {
+      if (!servers.has(id)) followedSinceMs = nowMs;
+      removeEntry(id, nowMs);
+    },
     applyRestored: (list, nowMs) => {
+      followedSinceMs = nowMs;
       recoveredMs = nowMs;
       removeMissing(list, nowMs);
       list.filter(isNews).forEach((server) => setEntry(server, nowMs));
     },
     applySnapshot: (list, nowMs) => {
+      followedSinceMs = nowMs;
       removeMissing(list, nowMs);
       list.forEach((server) => setEntry(server, nowMs));
     },
@@ -140,6 +164,13 @@
         .forEach(({ version }) => counts.set(version, (counts.get(version) ?? 0) + 1));
       return counts;
     },
+    hadOnlyVersion: (service, version, sinceMs) => {
+      const listed = [...servers.values()].filter((server) => server.service === service);
+      const departed = [...departedMs.get(service) ?? []].filter(([, atMs]) => atMs >= sinceMs);
+      return followedSinceMs <= sinceMs
+        && listed.every((server) => server.version === version)
+        && departed.every(([departedVersion]) => departedVersion === version);
+    },
     isCold: (id, nowMs) => nowMs < (coldUntilMs.get(id) ?? -Infinity),
     listAll: () => [...servers.values()],
     listServing: (service, nowMs) => {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -161,6 +161,8 @@
   readonly streamRecords: Map<string, string>;
   /** Sets whether the beginnings of streams are stored, at once, or wait until they can be. */
   readonly setRecordsStored: (areStored: boolean) => void;
+  /** Sets whether the list of servers can be read anew. */
+  readonly setListReadable: (isReadable: boolean) => void;
   /** Applies the entry of a server again, as a read of the store does. */
   readonly applyServer: (index: number, extra?: Partial<Routing.BackendServer>) => void;
   readonly close: () => void;
@@ -195,8 +197,10 @@
       state: 'ready',
       version: 'v1',
       ...extra,
-    }, 0)
+    }, Core.systemClock.readMonotonic())
   );
+  // The entries have been followed for longer than any stream lasts.
+  servers.applySnapshot([], -Infinity);
   ports.forEach((_, index) => applyServer(index));
   const config: Routing.RoutingConfig = {
     accountsByKeyDigest: new Map([
@@ -232,6 +236,8 @@
   const streamRecords = new Map<string, string>();
   const waitingRecords: (() => void)[] = [];
   let areRecordsStored = true;
+  let canReadList = true;
+  let listVerifiedMs = -Infinity;
   const streamVersions = Routing.createStreamVersions(
     { get: () => baseVersion },
     {
@@ -249,7 +255,13 @@
         return () => undefined;
       },
     },
-    servers.countVersions,
+    {
+      hadOnlyVersion: servers.hadOnlyVersion,
+      isVerifiedSince: (sinceMs) => listVerifiedMs >= sinceMs,
+      renew: async () => {
+        if (canReadList) listVerifiedMs = Core.systemClock.readMonotonic();
+      },
+    },
   );
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
@@ -386,6 +398,9 @@
     setBaseVersion: (version) => {
       baseVersion = version;
     },
+    setListReadable: (isReadable) => {
+      canReadList = isReadable;
+    },
     setRecordsStored: (areStored) => {
       areRecordsStored = areStored;
       if (areStored) waitingRecords.splice(0).forEach((store) => store());
--- a/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
@@ -244,20 +244,38 @@
     expect(countRequests(started)).toEqual([0, 0]);
   });
 
-  test.each([
+  describe.each([
     { name: undefined, what: 'none' },
     { name: 'began, other', what: 'two' },
     { name: 'x'.repeat(300), what: 'an endless one' },
-  ])('and names $what as its beginning, gets the rest only beside one version', async ({
-    name,
-  }) => {
+  ])('and names $what as its beginning', ({ name }) => {
     const resumes: Readonly<Record<string, string>> = name === undefined
       ? {}
       : { 'x-resumes': name };
-    const started = await setUpVersions();
-    expect(await callAgain(started.path, resumes)).toMatchObject({ status: 503 });
-    started.path.applyServer(1);
-    expect(await callAgain(started.path, resumes)).toMatchObject({ status: 200 });
+
+    test('gets the rest if only one version can have begun the stream', async () => {
+      const { path } = await setUp([respondWithRest, respondWithRest]);
+      expect(await callAgain(path, resumes)).toMatchObject({ status: 200 });
+    });
+
+    test('is refused as not run beside servers of another version', async () => {
+      const { path } = await setUpVersions();
+      expect(await callAgain(path, resumes)).toMatchObject({ status: 503 });
+    });
+
+    // Guards against a server that began streams, crashed, and is not listed any more.
+    test('is refused as not run if a server of another version was listed before', async () => {
+      const { path } = await setUpVersions();
+      path.applyServer(1);
+      expect(await callAgain(path, resumes)).toMatchObject({ status: 503 });
+    });
+
+    // Guards against a daemon that is cut off while servers of another version join.
+    test('is refused as not run if the list of servers cannot be read now', async () => {
+      const { path } = await setUp([respondWithRest, respondWithRest]);
+      path.setListReadable(false);
+      expect(await callAgain(path, resumes)).toMatchObject({ status: 503 });
+    });
   });
 
   // Guards against a record that names the try in the middle, which brought no first event.
--- a/packages/routing/src/__tests__/unit/ServerTable.test.ts
+++ b/packages/routing/src/__tests__/unit/ServerTable.test.ts
@@ -104,4 +104,46 @@
     table.applySnapshot([createServer('s2')], 500);
     expect(listIds(500)).toEqual(['s2']);
   });
+
+  // Guards against a stream whose beginning is taken for that of the only version listed now.
+  describe('a service had only one version', () => {
+    beforeEach(() => {
+      table = Routing.createServerTable();
+      table.applySnapshot([createServer('s1')], 100);
+    });
+
+    test('since the entries are followed', () => {
+      expect(table.hadOnlyVersion('chat', 'v1', 100)).toBe(true);
+      expect(table.hadOnlyVersion('chat', 'v1', 99)).toBe(false);
+      expect(table.hadOnlyVersion('chat', 'v2', 100)).toBe(false);
+    });
+
+    test('unless another one is listed', () => {
+      table.applyEntry('s2', { ...createServer('s2'), version: 'v2' }, 200);
+      expect(table.hadOnlyVersion('chat', 'v1', 300)).toBe(false);
+    });
+
+    test('unless a server of another one has left or was replaced since', () => {
+      table.applyEntry('s2', { ...createServer('s2'), version: 'v2' }, 200);
+      table.applyRemoval('s2', 300);
+      table.applyEntry('s3', { ...createServer('s3'), version: 'v3' }, 400);
+      table.applyEntry('s3', createServer('s3'), 500);
+      expect([300, 301, 500, 501].map((sinceMs) => table.hadOnlyVersion('chat', 'v1', sinceMs)))
+        .toEqual([false, false, false, true]);
+    });
+
+    test('unless a server left that was never listed here', () => {
+      table.applyRemoval('s9', 200);
+      expect(table.hadOnlyVersion('chat', 'v1', 199)).toBe(false);
+      expect(table.hadOnlyVersion('chat', 'v1', 200)).toBe(true);
+    });
+
+    test('unless the changes were lost', () => {
+      table.applySnapshot([createServer('s1')], 200);
+      expect(table.hadOnlyVersion('chat', 'v1', 199)).toBe(false);
+      table.applyRestored([createServer('s1')], 300);
+      expect(table.hadOnlyVersion('chat', 'v1', 299)).toBe(false);
+      expect(table.hadOnlyVersion('chat', 'v1', 300)).toBe(true);
+    });
+  });
 });
