Move the base version on only by a current list of servers

Cause: the time for which no server of the base version was listed also ran while the list could not be read. A list that was read while entries had lapsed lacks servers that are back, and after 90 s streams without a record were taken for those of another version. Change: an old list counts as if it had a server of the base version. Evidence: BaseVersions.test.ts, "moves on only if the list of servers is current all the while", failed with the former condition: the base moved on.

--- a/packages/routing/src/BaseVersions.ts
+++ b/packages/routing/src/BaseVersions.ts
@@ -16,7 +16,7 @@
 const KEY_PREFIX = 'base-version:';
 
 /** Interval at which a daemon checks the versions in service. */
-const CHECK_INTERVAL_MS = 250;
+export const CHECK_INTERVAL_MS = 250;
 
 /**
  * Time for which no server of the base version may be listed before another version becomes the
@@ -24,6 +24,9 @@
  */
 export const RETIRED_AFTER_MS = 90_000;
 
+/** Age up to which the list of servers shows that a version is gone. */
+export const MAX_LIST_AGE_MS = 5_000;
+
 /** Age up to which what was read of the base versions may be used. */
 export const MAX_BASE_AGE_MS = 30_000;
 
@@ -75,6 +78,8 @@
   readonly isCurrent: () => boolean;
   /** Lists the services of which streams can be resumed. */
   readonly listServices: () => readonly string[];
+  /** Returns whether the list of servers was verified within `MAX_LIST_AGE_MS`. */
+  readonly isListCurrent: () => boolean;
   /** Counts the servers of a service by version, also those that are shutting down. */
   readonly countVersions: (service: string) => ReadonlyMap<string, number>;
   readonly logger: Core.Logger;
@@ -96,7 +101,8 @@
 /** Starts to follow the versions in service. */
 export function startBaseVersions(
   {
-    clock, countDaemons, countVersions, getPosition, isCurrent, listServices, logger, random, write,
+    clock, countDaemons, countVersions, getPosition, isCurrent, isListCurrent, listServices, logger,
+    random, write,
   }: BaseVersionsContext,
 ): BaseVersions {
   const bases = new Map<string, string>();
@@ -110,7 +116,8 @@
     const nowMs = clock.readMonotonic();
     const base = bases.get(service);
     const versions = countVersions(service);
-    const isListed = base !== undefined && versions.has(base);
+    // An older list may lack servers that have returned to it since.
+    const isListed = base !== undefined && (versions.has(base) || !isListCurrent());
     if (isListed || !listedMs.has(service)) listedMs.set(service, nowMs);
     return chooseBaseVersion({
       base, unlistedMs: nowMs - (listedMs.get(service) ?? nowMs), versions,
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -210,6 +210,9 @@
     countVersions: servers.countVersions,
     getPosition: feeds.getBasePosition,
     isCurrent: feeds.areBasesCurrent,
+    isListCurrent: () => (
+      feeds.areServersVerifiedSince(clock.readMonotonic() - BaseVersions.MAX_LIST_AGE_MS)
+    ),
     listServices: () => RoutingConfig.listResumableServices(getActiveConfig()?.config),
     logger,
     random: Math.random,
--- a/packages/routing/src/__tests__/unit/BaseVersions.test.ts
+++ b/packages/routing/src/__tests__/unit/BaseVersions.test.ts
@@ -85,6 +85,7 @@
     countDaemons: () => 1,
     getPosition: () => 7,
     isCurrent: () => true,
+    isListCurrent: () => true,
     listServices: () => ['s'],
     countVersions: () => new Map([['v1', 2]]),
     logger: Core.createLogger('silent', {}),
@@ -130,6 +131,30 @@
   expect(bases.get('s')).toBeUndefined();
 });
 
+// Guards against an old list, which may lack servers of the base version that are back in service.
+test('moves on only if the list of servers is current all the while', async () => {
+  const written: Written[] = [];
+  let nowMs = 0;
+  let isListCurrent = false;
+  const bases = startBases(written, {
+    clock: { ...Core.systemClock, readMonotonic: () => nowMs },
+    countVersions: () => new Map([['v2', 3]]),
+    isListCurrent: () => isListCurrent,
+  });
+  bases.applyChanges([createChange('base-version:s', '{"version":"v1"}')]);
+  const advance = async (): Promise<void> => {
+    nowMs += BaseVersions.RETIRED_AFTER_MS + 1;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2 * BaseVersions.CHECK_INTERVAL_MS);
+    });
+  };
+  await advance();
+  expect(written).toEqual([]);
+  isListCurrent = true;
+  await advance();
+  await expect.poll(() => written[0]?.value).toBe('{"version":"v2"}');
+});
+
 // Guards against a base version that is lost with a store which returned from an older copy.
 test('is written again on request', async () => {
   const written: Written[] = [];
