Treat a response head that cannot be passed on as a broken answer

Cause: the parser of Node.js accepts what its writer rejects with an exception; the daemon counted the answer as sound before that. Change: reason phrase and headers are checked with the head; a malformed one is a broken answer of its server.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './Clock.js';
 export * from './DrainListener.js';
 export * from './HttpJson.js';
+export * from './HttpSyntax.js';
 export * from './Identifiers.js';
 export * from './Invariant.js';
 export * from './Logging.js';
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -582,6 +582,13 @@
     const isValid = head.hasRequestId && Core.isFinalStatus(head.status)
       && head.headers['content-encoding'] === undefined
       && (!isSuccess || head.headers[names.serverSignature] !== undefined);
+    const isWritable = Core.isWritableText(head.statusMessage)
+      && Core.areWritableHeaders(head.rawHeaders);
+    if (!isWritable) {
+      attempt.exchange.cancel();
+      this.#handleAttemptFailure('broken', 'malformed-head');
+      return;
+    }
     if (!isValid) {
       attempt.exchange.cancel();
       this.#handleAttemptFailure('broken', 'unsigned-answer');
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -144,6 +144,10 @@
   }) => http.ClientRequest;
   /** Client accounts of the requests that were counted as started. */
   readonly startedAccounts: readonly string[];
+  /** Port on which the harness listens for callers. */
+  readonly port: number;
+  /** Counts the requests in progress at all servers. */
+  readonly countInFlight: () => number;
   /** Unexpected errors that were handled. */
   readonly defects: readonly unknown[];
   /** Sets whether retries can be claimed from the retry budget. */
@@ -373,7 +377,10 @@
       listener.close();
       listener.closeAllConnections();
     },
+    countInFlight: () => servers.listAll()
+      .map((server) => pool.get(server).inFlight).reduce((sum, count) => sum + count, 0),
     defects,
+    port,
     throwOnce: () => {
       willThrow = true;
     },
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/OddBytes.test.ts
@@ -0,0 +1,86 @@
+/**
+ * Guards against bytes in a request or a response that Node.js reads and cannot write: passing them
+ * on throws, which ended requests of other callers and then the daemon.
+ */
+import * as fastCheck from 'fast-check';
+import {
+  afterEach, describe, expect, test,
+} from 'vitest';
+import * as PathHarness from '../support/PathHarness.js';
+import type * as Routing from '../../index.js';
+
+const closables: { close: () => void }[] = [];
+
+async function setUp(
+  responders: readonly PathHarness.RawResponder[],
+  route: Partial<Routing.Route> = {},
+): Promise<PathHarness.PathSetUp> {
+  const started = await PathHarness.startPath(responders, route);
+  closables.push(started);
+  return started;
+}
+
+afterEach(() => closables.splice(0).forEach(({ close }) => close()));
+
+/** Text of which each character becomes one byte; odd bytes are as likely as plain ones. */
+const oddText = fastCheck.array(fastCheck.oneof(
+  fastCheck.integer({ max: 255, min: 0 }),
+  fastCheck.constantFrom(0, 1, 9, 10, 11, 12, 13, 32, 58, 127, 128, 255),
+  fastCheck.integer({ max: 122, min: 97 }),
+), { maxLength: 12 }).map((codes) => String.fromCharCode(...codes));
+
+const RUNS = 150;
+
+/** Places in the head of a response. */
+const RESPONSE_HEADS = {
+  'a header': (id: string, odd: string) => (
+    `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n${odd}\r\n`
+  ),
+  'the name of a header': (id: string, odd: string) => (
+    `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n${odd}: v\r\n`
+  ),
+  'the reason phrase': (id: string, odd: string) => (
+    `HTTP/1.1 200 O${odd}K\r\nX-Id: ${id}\r\nX-Signature: s\r\n`
+  ),
+  'the request id': (id: string, odd: string) => (
+    `HTTP/1.1 200 OK\r\nX-Id: ${id}${odd}\r\nX-Signature: s\r\n`
+  ),
+  'the status': (id: string, odd: string) => (
+    `HTTP/1.1 ${odd} OK\r\nX-Id: ${id}\r\nX-Signature: s\r\n`
+  ),
+  'the value of a header': (id: string, odd: string) => (
+    `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Signature: s\r\nA: v${odd}\r\n`
+  ),
+} as const;
+
+describe('a response with odd bytes in', () => {
+  test.each(Object.entries(RESPONSE_HEADS))('%s harms no other request', async (_, buildHead) => {
+    let odd = '';
+    const { path } = await setUp([(socket, id) => {
+      if (id === 'sound') PathHarness.writeResponse(socket, id, 'sound');
+      else socket.end(Buffer.from(`${buildHead(id, odd)}Content-Length: 3\r\n\r\nodd`, 'latin1'));
+    }], { maxAttempts: 1 });
+    await fastCheck.assert(fastCheck.asyncProperty(oddText, async (text) => {
+      odd = text;
+      const [response, sound] = await Promise.all([path.call(), path.call({ requestId: 'sound' })]);
+      expect(sound).toMatchObject({ body: 'sound', status: 200 });
+      // Odd bytes may end the head early; the rest of it is then a part of the body.
+      expect(response.status === 502 || response.body.endsWith('odd')).toBe(true);
+      expect(path.defects).toEqual([]);
+      expect(path.countInFlight()).toBe(0);
+    }), { numRuns: RUNS, seed: 45 });
+  });
+
+  test('its head counts as broken and is repeated where that is allowed', async () => {
+    const { path, servers } = await setUp([
+      (socket, id) => socket.write(
+        `HTTP/1.1 200 O\x01K\r\nX-Id: ${id}\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n`,
+      ),
+      (socket, id) => PathHarness.writeResponse(socket, id, 'whole'),
+    ], { kind: 'repeatable' });
+    expect(await path.call()).toMatchObject({ body: 'whole', status: 200 });
+    expect(servers[0]?.heads).toHaveLength(1);
+    expect(path.takeObservedOutcomes().find(({ server }) => server === 's0@0'))
+      .toMatchObject({ failures: 1 });
+  });
+});
