Refuse a request that cannot be sent on before anything counts it

Cause: the client of Node.js throws for bytes that its server accepts. The request was counted as sent and in progress by then, for good. Change: paths and headers are checked first and refused with 400, without Retry-After; an attempt is counted when its exchange has begun. Evidence: OddBytes.test.ts: the path, the name of a header and the plain case failed before, with a defect and a count of 1 in progress.

--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -34,6 +34,9 @@
   keys_not_current: {
     message: 'the list of keys is not known to be current', retryAfterMs: 300, status: 503,
   },
+  malformed_request: {
+    message: 'the path or a header contains characters that cannot be sent on', status: 400,
+  },
   no_configuration: {
     message: 'no configuration is known yet', retryAfterMs: 500, status: 503,
   },
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -238,6 +238,11 @@
       this.#refuse('stopping');
       return;
     }
+    const { path, rawHeaders } = this.#head;
+    if (!Core.isWritableTarget(path) || !Core.areWritableHeaders(rawHeaders)) {
+      this.#refuse('malformed_request');
+      return;
+    }
     const active = this.#context.getActiveConfig();
     if (active === undefined) {
       this.#refuse('no_configuration');
@@ -380,18 +385,11 @@
 
   #forward(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
     const { names } = this.#context;
-    const { server } = chosen.pooled;
+    const { pooled } = chosen;
+    const { server } = pooled;
     this.#triedIds.add(server.id);
     this.#lastChoice = chosen;
     this.#lastEnd = undefined;
-    this.#sends += 1;
-    const pendingPromptTokens = this.#recordDispatch(chosen);
-    const { pooled } = chosen;
-    const nowMs = this.#context.clock.readMonotonic();
-    ServerSelection.recordSend(this.#context, server, nowMs);
-    if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, nowMs);
-    pooled.inFlight += 1;
-    pooled.pendingPromptTokens += pendingPromptTokens;
     const allowance = SendAllowance.createSendAllowance(this.#context.answers.maxEventBytes);
     const exchange = BackendExchange.startExchange({
       agent: pooled.agent,
@@ -422,7 +420,14 @@
         (head: BackendExchange.ResponseHead) => this.#handleHead(head),
       ),
     });
+    // An exchange that throws has sent nothing, so it is counted only from here on.
     this.#sentMs = this.#context.clock.readMonotonic();
+    this.#sends += 1;
+    const pendingPromptTokens = this.#recordDispatch(chosen);
+    ServerSelection.recordSend(this.#context, server, this.#sentMs);
+    if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, this.#sentMs);
+    pooled.inFlight += 1;
+    pooled.pendingPromptTokens += pendingPromptTokens;
     this.#attempt = {
       allowance,
       chosen,
@@ -957,7 +962,9 @@
     const afterMs = this.#computeRetryAfter(code, refusal);
     if (afterMs !== undefined) headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
     const { requestId } = this.#head;
-    if (requestId !== '') headers.push(this.#context.names.requestId, requestId);
+    if (requestId !== '' && Core.isWritableText(requestId)) {
+      headers.push(this.#context.names.requestId, requestId);
+    }
     this.#addConnectionHeader(headers);
     this.#response.writeHead(refusal.status, headers);
     this.#response.end(body);
--- a/packages/routing/src/__tests__/unit/OddBytes.test.ts
+++ b/packages/routing/src/__tests__/unit/OddBytes.test.ts
@@ -7,6 +7,7 @@
   afterEach, describe, expect, test,
 } from 'vitest';
 import * as PathHarness from '../support/PathHarness.js';
+import * as RawCaller from '../support/RawCaller.js';
 import type * as Routing from '../../index.js';
 
 const closables: { close: () => void }[] = [];
@@ -53,6 +54,19 @@
   ),
 } as const;
 
+/** Places in a request. */
+const REQUEST_HEADS = {
+  'a header': (odd: string) => `POST /a/b HTTP/1.1\r\nX-Id: odd\r\n${odd}\r\n`,
+  'the method': (odd: string) => `P${odd}OST /a/b HTTP/1.1\r\nX-Id: odd\r\n`,
+  'the name of a header': (odd: string) => `POST /a/b HTTP/1.1\r\nX-Id: odd\r\n${odd}: v\r\n`,
+  'the path': (odd: string) => `POST /a/b${odd} HTTP/1.1\r\nX-Id: odd\r\n`,
+  'the request id': (odd: string) => `POST /a/b HTTP/1.1\r\nX-Id: ${odd}\r\n`,
+  'the value of a header': (odd: string) => `POST /a/b HTTP/1.1\r\nX-Id: odd\r\nA: v${odd}\r\n`,
+} as const;
+
+const REQUEST_REST = 'Host: shop.example\r\nAuthorization: Bearer good\r\nX-Left: 1000\r\n'
+  + 'Connection: close\r\nContent-Length: 0\r\n\r\n';
+
 describe('a response with odd bytes in', () => {
   test.each(Object.entries(RESPONSE_HEADS))('%s harms no other request', async (_, buildHead) => {
     let odd = '';
@@ -84,3 +98,33 @@
       .toMatchObject({ failures: 1 });
   });
 });
+
+describe('a request with odd bytes in', () => {
+  test.each(Object.entries(REQUEST_HEADS))('%s harms no other request', async (_, buildHead) => {
+    const { path } = await setUp([(socket, id) => (
+      PathHarness.writeResponse(socket, id, id === 'sound' ? 'sound' : 'odd')
+    )], { maxAttempts: 1 });
+    await fastCheck.assert(fastCheck.asyncProperty(oddText, async (text) => {
+      const bytes = Buffer.from(`${buildHead(text)}${REQUEST_REST}`, 'latin1');
+      const [answer, sound] = await Promise.all([
+        RawCaller.sendRawRequest(path.port, bytes), path.call({ requestId: 'sound' }),
+      ]);
+      expect(sound).toMatchObject({ body: 'sound', status: 200 });
+      expect(answer).toMatch(/^HTTP\/1\.1 (200|400|401|404|502) |^$/);
+      expect(path.defects).toEqual([]);
+      expect(path.countInFlight()).toBe(0);
+    }), { numRuns: RUNS, seed: 45 });
+  });
+
+  test('its path is refused without a time to come back, and reaches no server', async () => {
+    const { path, servers } = await setUp([(socket, id) => (
+      PathHarness.writeResponse(socket, id, 'unexpected')
+    )]);
+    const bytes = Buffer.from(`POST /a/b\tc HTTP/1.1\r\nX-Id: odd\r\n${REQUEST_REST}`, 'latin1');
+    const answer = await RawCaller.sendRawRequest(path.port, bytes);
+    expect(answer).toMatch(/^HTTP\/1\.1 400 /);
+    expect(answer).toMatch(/malformed_request/);
+    expect(answer).not.toMatch(/retry-after/i);
+    expect(servers[0]?.heads).toEqual([]);
+  });
+});
