--- a/packages/routing/src/DaemonFeeds.ts
+++ b/packages/routing/src/DaemonFeeds.ts
@@ -204,8 +204,13 @@
     knownEvacuations: ReadonlyMap<string, string>,
   ): void => {
     const nextEvacuations = new Map(knownEvacuations);
-    changes.forEach(({ key, value }) => {
+    changes.forEach(({
+      key, offset, raw, value,
+    }) => {
       unconfirmedEvacuations.delete(key);
+      if (raw !== undefined && value === undefined) {
+        logger.warn({ key, offset }, 'operator record rejected as invalid');
+      }
       if (value?._tag === 'Configuration') {
         isStoreBehind &&= value.config.version < (active?.config.version ?? -Infinity);
         applyConfig(value.config);
