End no process for the number of requests that fail

Cause: the handler of unexpected errors took their number for a sign that the daemon cannot go on, although each belonged to one request. Change: an error in a request never ends the process, a violated invariant always does, and errors outside of requests do if they are frequent. Errors are counted by cause. An error while the head of a request is read is its own, too.

--- a/packages/routing/src/DefectHandler.ts
+++ b/packages/routing/src/DefectHandler.ts
@@ -1,19 +1,24 @@
 /**
- * Handles unexpected errors (defects) of the daemon. A single defect must not end the requests of
- * all other callers. A violated invariant of shared state, or repeated defects, must end the
- * process, because a restarted daemon reads its state again.
+ * Handles unexpected errors (defects) of the daemon. A defect in the handling of a request ends
+ * only that request, however often it occurs: whatever a caller or a server sends, the requests of
+ * all others go on. A violated invariant of shared state ends the process, because a restarted
+ * daemon reads its state again. So do repeated defects outside of requests, since the loops that
+ * keep the state of the daemon current may have ended with them.
  */
 import * as Core from '@berylyoke/core';
 
-/** Defects within the interval that end the process: a daemon that keeps failing serves nobody. */
-const MAX_DEFECTS = 20;
+/** Defects outside of requests within the interval that end the process. */
+const MAX_BACKGROUND_DEFECTS = 20;
 const DEFECT_INTERVAL_MS = 10_000;
 
+/** Where a defect occurred. */
+export type DefectCause = 'background' | 'invariant' | 'request';
+
 /** Dependencies of the handler. */
 export interface DefectHandlerContext {
   readonly clock: Core.Clock;
   readonly logger: Core.Logger;
-  readonly onDefect: () => void;
+  readonly onDefect: (cause: DefectCause) => void;
   /** Ends the process once the log is flushed. */
   readonly endProcess: () => void;
 }
@@ -22,19 +27,33 @@
   return error instanceof Error ? error.stack ?? error.message : String(error);
 }
 
-/** Handles one defect; `requestId` is the request that it ended, if there is one. */
+/** Handles one defect; `requestId` is the request that it ended, undefined if there is none. */
 export type DefectHandler = (error: unknown, requestId?: string) => void;
 
+function getCause(error: unknown, requestId: string | undefined): DefectCause {
+  if (error instanceof Core.InvariantError) return 'invariant';
+  return requestId === undefined ? 'background' : 'request';
+}
+
 /** Creates a defect handler. */
 export function createDefectHandler(context: DefectHandlerContext): DefectHandler {
   let recentMs: readonly Core.Millis[] = [];
-  return (error, requestId) => {
+  const isTooFrequent = (): boolean => {
     const nowMs = context.clock.readMonotonic();
     recentMs = [...recentMs.filter((atMs) => nowMs - atMs < DEFECT_INTERVAL_MS), nowMs];
-    const isFatal = error instanceof Core.InvariantError || recentMs.length >= MAX_DEFECTS;
-    context.onDefect();
+    return recentMs.length >= MAX_BACKGROUND_DEFECTS;
+  };
+  const checkFatal: Readonly<Record<DefectCause, () => boolean>> = {
+    background: isTooFrequent,
+    invariant: () => true,
+    request: () => false,
+  };
+  return (error, requestId) => {
+    const cause = getCause(error, requestId);
+    const isFatal = checkFatal[cause]();
+    context.onDefect(cause);
     context.logger.error({
-      error: describeError(error), isFatal, requestId,
+      cause, error: describeError(error), isFatal, requestId,
     }, 'unexpected error');
     if (isFatal) context.endProcess();
   };
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -277,11 +277,17 @@
   };
 
   entry = await HttpListeners.startIngressListener(settings.listen.entry, (request, response) => {
-    const routed = new RoutedRequest.RoutedRequest(context, request, response, () => {
-      activeRequests.delete(routed);
-    });
-    activeRequests.add(routed);
-    routed.start();
+    try {
+      const routed = new RoutedRequest.RoutedRequest(context, request, response, () => {
+        activeRequests.delete(routed);
+      });
+      activeRequests.add(routed);
+      routed.start();
+    } catch (error) {
+      // Its head could not be read, so the request has no id.
+      handleDefect(error, '');
+      response.destroy();
+    }
   });
   const limits = getActiveConfig()?.config.limits;
   if (limits !== undefined) entry.setLimits(limits);
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -2,6 +2,7 @@
 import type * as Core from '@berylyoke/core';
 import * as Hdr from 'hdr-histogram-js';
 import * as PromClient from 'prom-client';
+import type * as DefectHandler from './DefectHandler.js';
 
 const PERCENTILES = [50, 90, 95, 99] as const;
 const MICROS_PER_MS = 1_000;
@@ -21,7 +22,7 @@
 export interface RoutingMetrics {
   readonly addRequest: (service: string, outcome: string) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
-  readonly addDefect: () => void;
+  readonly addDefect: (cause: DefectHandler.DefectCause) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
   readonly render: () => Promise<string>;
@@ -53,7 +54,8 @@
     registers,
   });
   const defects = new PromClient.Counter({
-    help: 'Unexpected errors of the daemon itself',
+    help: 'Unexpected errors of the daemon itself, by cause',
+    labelNames: ['cause'],
     name: 'berylyoke_unexpected_errors_total',
     registers,
   });
@@ -122,7 +124,7 @@
   registry.registerMetric(latencies);
   return {
     addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
-    addDefect: () => defects.inc(),
+    addDefect: (cause) => defects.inc({ cause }),
     addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
     addRequest: (service, outcome) => requests.inc({ outcome, service }),
     observe: (latency, service, valueMs) => {
