Recognise a second response behind a plain body without length

Cause: a body that ends with its connection was passed on as it was; only streams were searched for the head of a second response. Change: a status line with headers that bear a request id makes such a body a broken answer, wherever the own one ends. Evidence: BrokenStreams.test.ts: two of three new tests failed before; the third keeps bodies that quote a response.

--- a/packages/routing/src/ByteCollector.ts
+++ b/packages/routing/src/ByteCollector.ts
@@ -9,6 +9,8 @@
   /** Adds bytes; returns false and adds none if the message would exceed the limit. */
   readonly append: (bytes: Buffer) => boolean;
   readonly getLength: () => number;
+  /** Returns the collected bytes, which the next `append` may overwrite. */
+  readonly getBytes: () => Buffer;
   /** Returns the collected bytes and empties the collector. */
   readonly take: () => Buffer;
 }
@@ -38,6 +40,7 @@
       length += bytes.length;
       return true;
     },
+    getBytes: () => buffer.subarray(0, length),
     getLength: () => length,
     take: () => {
       const collected = buffer.subarray(0, length);
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -27,6 +27,7 @@
 import * as ServerPicker from './ServerPicker.js';
 import * as ServerPool from './ServerPool.js';
 import * as StopPolicy from './StopPolicy.js';
+import * as SurplusResponse from './SurplusResponse.js';
 
 /** Time limit of a request until its route is known. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -818,6 +819,14 @@
   }
 
   #handleCompleteResponse(attempt: Attempt, head: BackendExchange.ResponseHead): void {
+    const hasSurplus = head.framing === 'connection' && SurplusResponse.hasSurplusResponse(
+      attempt.held.getBytes(),
+      this.#context.names.requestId,
+    );
+    if (hasSurplus) {
+      this.#handleAttemptFailure('broken', 'surplus-response');
+      return;
+    }
     const isFailure = head.status >= FIRST_SERVER_ERROR_STATUS;
     if (isFailure) {
       const state = this.#getState();
--- a/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/BrokenStreams.test.ts
@@ -189,3 +189,36 @@
       .toMatchObject({ body: buildEvent(1, '\n') + buildEvent(2, '\n'), isTruncated: false });
   });
 });
+
+describe('a plain response without length that another response follows', () => {
+  const head = 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n\r\n';
+  const surplus = 'HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r2\r\nContent-Length: 5\r\n\r\nother';
+  const bodies = ['own', 'own\n', ''];
+
+  // Guards against a caller that gets the answer to another request behind its own.
+  test('is a broken response', async () => {
+    const responses = await Promise.all(bodies.map(async (body) => {
+      const { path } = await setUp([(socket) => socket.end(`${head}${body}${surplus}`)], {
+        kind: 'once', maxAttempts: 1,
+      });
+      return path.call();
+    }));
+    expect(responses.map(({ body, status }) => [status, body.includes('other')]))
+      .toEqual(bodies.map(() => [502, false]));
+  });
+
+  test('is repeated at another server if it may be', async () => {
+    const { path } = await setUp([
+      (socket) => socket.end(`${head}own${surplus}`),
+      (socket, id) => PathHarness.writeResponse(socket, id, 'whole'),
+    ], { kind: 'repeatable' });
+    expect(await path.call()).toMatchObject({ body: 'whole', status: 200 });
+  });
+
+  // Guards against a body that is withheld because it is about HTTP.
+  test('is passed on if it only quotes a response', async () => {
+    const quote = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nX-Id: r2';
+    const { path } = await setUp([(socket) => socket.end(`${head}${quote}`)], { kind: 'once' });
+    expect(await path.call()).toMatchObject({ body: quote, status: 200 });
+  });
+});
