Deliver a whole answer that other bytes follow

Cause: the bytes behind it raised a parse error before the end of the answer was announced, and any error of the connection failed the exchange. Change: once a response is whole, errors and the end of its connection no longer fail it. The connection is closed as before.

--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -199,12 +199,19 @@
       clearTimeout(connectTimer);
     });
   });
-  request.on('error', (error) => fail(getErrorReason(error)));
+  /** Whether the response is whole; what follows on the connection belongs to no request. */
+  const isWhole = (): boolean => receivedResponse?.complete === true;
+  request.on('error', (error) => {
+    // The response ends by itself; Node.js has closed the connection.
+    if (!isWhole()) fail(getErrorReason(error));
+  });
   request.on('close', () => {
     connection?.removeListener('data', handleRead);
     connection?.releaseBytes();
     clearTimeout(drainTimer);
-    fail('closed');
+    // A whole response has emitted its end by the next turn of the event loop.
+    if (isWhole()) setImmediate(() => fail('closed'));
+    else fail('closed');
   });
   let informationalCount = 0;
   request.on('information', () => {
