Read from servers into one buffer, a slice at a time

Cause: each connection held up to a read of 64 KB that waited for its turn, in a buffer that Node.js allocates anew for each read. Change: sockets read at most a slice, into a buffer that all of them share, and stop reading when it was full.

--- a/packages/routing/src/PacedSocket.ts
+++ b/packages/routing/src/PacedSocket.ts
@@ -1,18 +1,22 @@
 /**
- * Connection to a backend server. Short reads are processed at once, as by any socket. Longer ones
- * are passed on in slices by a `ReadPacer`, and the socket reads no more until they are processed.
- * Bytes can also be held, unparsed, while the caller applies backpressure: parsed into chunks they
- * would take a hundred times their size, and the streams of Node.js only limit the chunks' bytes.
+ * Connection to a backend server. It reads at most a slice at a time. A short read is processed at
+ * once, as by any socket. One that fills a slice waits for its turn at a `ReadPacer`, and the
+ * socket reads no more until then, so that a connection holds no more than a slice. Bytes can also
+ * be held, unparsed, while the caller applies backpressure: parsed into chunks they would take a
+ * hundred times their size, and the streams of Node.js only limit the chunks' bytes.
  */
 import * as net from 'node:net';
 import type * as ReadPacer from './ReadPacer.js';
 
 /**
- * Bytes that are passed on at once. Longer than most events and plain answers; in chunks of one
- * byte they take about a millisecond.
+ * Bytes that are read at once. More than most events and plain answers have; in chunks of one byte
+ * they take about a millisecond.
  */
 export const SLICE_BYTES = 4_096;
 
+/** Buffer into which all sockets read; its bytes are copied before the next read. */
+const readBuffer = Buffer.alloc(SLICE_BYTES);
+
 /** Errors of the connection that follow the bytes which were read before. */
 function isReadError(error: NodeJS.ErrnoException | undefined): boolean {
   return (error)?.syscall === 'read';
@@ -36,7 +40,13 @@
   #readError: Error | undefined;
 
   constructor(pacer: ReadPacer.ReadPacer, options: net.SocketConstructorOpts) {
-    super(options);
+    const reading: net.ConnectOpts = {
+      onread: {
+        buffer: readBuffer,
+        callback: (length) => this.push(Buffer.from(readBuffer.subarray(0, length))),
+      },
+    };
+    super({ ...options, ...reading });
     this.#pacer = pacer;
   }
 
@@ -61,7 +71,7 @@
       this.#hasEnd = true;
       return this.hasWaitingBytes() ? false : super.push(null);
     }
-    const isShort = chunk.length <= SLICE_BYTES && !this.hasWaitingBytes();
+    const isShort = chunk.length < SLICE_BYTES && !this.hasWaitingBytes();
     if (isShort && !this.#isHeld) return super.push(chunk, encoding);
     this.#waiting = this.hasWaitingBytes() ? Buffer.concat([this.#waiting, chunk]) : chunk;
     this.#queueSlice();
