End the answer that holds most when the memory for answers is full

Cause: a shared limit refused whoever came next, also a small sound answer, and the part of an event that had arrived was not counted at all. Change: each answer states what it holds, body, waiting events and incomplete event; beyond 16 MB for all the largest is ended, with a log line.

--- a/packages/routing/src/EventFramer.ts
+++ b/packages/routing/src/EventFramer.ts
@@ -34,6 +34,8 @@
 export interface EventFramer {
   /** Adds bytes and returns the events that they complete. */
   readonly push: (bytes: Buffer) => FramedEvents;
+  /** Counts the bytes after the last complete event. */
+  readonly countPendingBytes: () => number;
   /** Takes the bytes after the last complete event at the end of the stream. */
   readonly takeRemainder: () => StreamRemainder;
 }
@@ -90,6 +92,7 @@
   };
 
   return {
+    countPendingBytes: pending.getLength,
     push: (bytes) => {
       const events: StreamEvent[] = [];
       let start = 0;
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -39,7 +39,7 @@
   readonly metrics: RoutingMetrics.RoutingMetrics;
   /** Size limits of one response or event, and of all buffered responses together. */
   readonly answers: RoutingSettings.RoutingSettings['answers'];
-  /** Budget for non-streaming responses that are buffered until they are complete. */
+  /** Budget for what all requests hold of the responses of servers. */
   readonly bufferBudget: ByteBudget.ByteBudget;
   /** Logs and counts an unexpected error; a violated invariant ends the process. */
   readonly handleDefect: (error: unknown, requestId: string) => void;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -9,6 +9,7 @@
 import * as RetryPolicy from './RetryPolicy.js';
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
+import type * as ByteBudget from './ByteBudget.js';
 import * as ByteCollector from './ByteCollector.js';
 import * as CrashEvidence from './CrashEvidence.js';
 import * as EventFramer from './EventFramer.js';
@@ -43,6 +44,9 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** Reason of the end of a response that holds most of the memory for responses. */
+const MOST_HELD_REASON = 'most-held-bytes';
+
 /** Refusals of requests that must not be sent, by the kind of the trait because of which. */
 const BLOCKED_REFUSALS = {
   fingerprint: 'request_blocked', promptPart: 'prompt_blocked',
@@ -58,6 +62,8 @@
   readonly pendingPromptTokens: number;
   readonly crashEvidence: CrashEvidence.CrashEvidence;
   readonly allowance: SendAllowance.SendAllowance;
+  /** What the attempt holds of the response: body, waiting events and the incomplete event. */
+  readonly heldBytes: ByteBudget.HeldBytes;
   head: BackendExchange.ResponseHead | undefined;
   framer: EventFramer.EventFramer | undefined;
   /** Events that wait until the beginning of the stream is recorded; undefined if none has to. */
@@ -429,7 +435,7 @@
     if (pooled.inFlight === 0) ServerPool.observeActivity(pooled, this.#sentMs);
     pooled.inFlight += 1;
     pooled.pendingPromptTokens += pendingPromptTokens;
-    this.#attempt = {
+    const attempt: Attempt = {
       allowance,
       chosen,
       crashEvidence: CrashEvidence.createCrashEvidence(this.#context, this.#traits, server),
@@ -437,6 +443,9 @@
       framer: undefined,
       hasEvents: false,
       hasStarted: false,
+      heldBytes: this.#context.bufferBudget.open(this.#withDefectHandler(() => (
+        this.#abortResponse(attempt, MOST_HELD_REASON)
+      ))),
       heldEvents: undefined,
       head: undefined,
       isStreaming: false,
@@ -445,7 +454,8 @@
       pendingPromptTokens,
       version: server.version,
     };
-    this.#recordBeginning(this.#attempt);
+    this.#attempt = attempt;
+    this.#recordBeginning(attempt);
     this.#startSilenceTimer(this.#computeFirstSilenceMs(route));
   }
 
@@ -672,15 +682,20 @@
     this.#handleEvents(attempt, newEvents);
     if (surplusIndex >= 0) this.#abortResponse(attempt, 'surplus-response');
     else if (isTooLong) this.#abortResponse(attempt, 'event-too-long');
+    else this.#updateHeldBytes(attempt);
   }
 
   #bufferBytes(attempt: Attempt, bytes: Buffer): void {
-    if (!this.#context.bufferBudget.claim(bytes.length)) {
-      this.#abortResponse(attempt, 'no-room-for-answer');
-    } else if (!attempt.held.append(bytes)) {
-      this.#context.bufferBudget.release(bytes.length);
-      this.#abortResponse(attempt, 'answer-too-long');
-    }
+    if (attempt.held.append(bytes)) this.#updateHeldBytes(attempt);
+    else this.#abortResponse(attempt, 'answer-too-long');
+  }
+
+  /** Ends the response if it holds most of what the daemon may hold of all responses. */
+  #updateHeldBytes(attempt: Attempt): void {
+    if (this.#attempt !== attempt) return;
+    const bytes = attempt.held.getLength() + countBytes(attempt.heldEvents ?? [])
+      + (attempt.framer?.countPendingBytes() ?? 0);
+    if (!attempt.heldBytes.set(bytes)) this.#abortResponse(attempt, MOST_HELD_REASON);
   }
 
   #abortResponse(attempt: Attempt, reason: string): void {
@@ -697,10 +712,7 @@
       attempt.crashEvidence.observeEvent();
     }
     if (attempt.heldEvents === undefined) this.#relayEvents(attempt, events);
-    else if (!this.#holdEvents(attempt.heldEvents, events)) {
-      this.#abortResponse(attempt, 'no-room-for-events');
-      return;
-    }
+    else attempt.heldEvents.push(...events);
     if (!hasData) return;
     const route = this.#route as RoutingConfig.Route;
     const canResume = RetryPolicy.canRepeat(route, this.#sends);
@@ -709,22 +721,12 @@
       : undefined);
   }
 
-  /** Keeps events until they may be relayed; returns false if there is no room for them. */
-  #holdEvents(
-    held: EventFramer.StreamEvent[],
-    events: readonly EventFramer.StreamEvent[],
-  ): boolean {
-    if (!this.#context.bufferBudget.claim(countBytes(events))) return false;
-    held.push(...events);
-    return true;
-  }
-
   /** Relays the events that waited for the record of the stream's beginning. */
   #releaseEvents(attempt: Attempt): void {
     const { heldEvents = [] } = attempt;
     // eslint-disable-next-line no-param-reassign
     attempt.heldEvents = undefined;
-    this.#context.bufferBudget.release(countBytes(heldEvents));
+    this.#updateHeldBytes(attempt);
     if (heldEvents.length > 0) this.#relayEvents(attempt, heldEvents);
   }
 
@@ -839,7 +841,6 @@
     }
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, isFailure);
     if (!isFailure) attempt.crashEvidence.observeAnswer();
-    this.#context.bufferBudget.release(attempt.held.getLength());
     const body = attempt.held.take();
     this.#writeHead(head, body.length);
     this.#response.end(body);
@@ -912,9 +913,7 @@
 
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
-    this.#context.bufferBudget.release(
-      attempt.held.getLength() + countBytes(attempt.heldEvents ?? []),
-    );
+    attempt.heldBytes.close();
     pooled.inFlight -= 1;
     if (!attempt.hasStarted) pooled.pendingPromptTokens -= attempt.pendingPromptTokens;
     this.#setStreaming(attempt, false);
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -12,8 +12,8 @@
 /** Bounded because a plain answer is buffered in memory until it is complete. */
 const DEFAULT_MAX_PLAIN_BYTES = 8_388_608;
 
-/** A fifth of the memory of the smallest supported VM, which has 250 MB. */
-const DEFAULT_MAX_HELD_BYTES = 50_000_000;
+/** With buffers that grow by doubling and the program itself, less than 128 MB. */
+const DEFAULT_MAX_HELD_BYTES = 16_777_216;
 
 /** `IP:PORT`. */
 const Address = Schema.String.pipe(Schema.pattern(/^[\d.]+:\d+$/));
@@ -68,7 +68,7 @@
     maxEventBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_EVENT_BYTES }),
     /** Size of one answer that is not a stream, in bytes. */
     maxPlainBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_PLAIN_BYTES }),
-    /** Total size of all answers that are buffered until they are complete, in bytes. */
+    /** Size of all that is held of answers together, in bytes. */
     maxHeldBytes: Schema.optionalWith(Positive, { default: () => DEFAULT_MAX_HELD_BYTES }),
   }), {
     default: () => ({
