Add no turn of the event loop to each answered request

Cause: the end of a connection that a response had outlived scheduled a turn even if the request was over.

--- a/packages/routing/src/BackendExchange.ts
+++ b/packages/routing/src/BackendExchange.ts
@@ -209,6 +209,7 @@
     connection?.removeListener('data', handleRead);
     connection?.releaseBytes();
     clearTimeout(drainTimer);
+    if (isFinished) return;
     // A whole response has emitted its end by the next turn of the event loop.
     if (isWhole()) setImmediate(() => fail('closed'));
     else fail('closed');
