Count the memory of held events, not only their bytes

Cause: events that wait for the record of their stream were counted by their bytes. Events of a few bytes each take many times that, so a server that sends them without end while the store is away could exhaust the heap. Change: each held event counts 256 bytes besides its own. Evidence: ResumedStreams.test.ts, "is not waited for with any number of events", was answered only at its time limit before.

--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -44,6 +44,9 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** Memory that an event takes beside its bytes; many events are much shorter than this. */
+const EVENT_OVERHEAD_BYTES = 256;
+
 /** Reason of the end of a response that holds most of the memory for responses. */
 const MOST_HELD_REASON = 'most-held-bytes';
 
@@ -100,8 +103,9 @@
   return events.findIndex(({ hasStatusLine }) => hasStatusLine);
 }
 
-function countBytes(events: readonly EventFramer.StreamEvent[]): number {
-  return events.reduce((sum, { bytes }) => sum + bytes.length, 0);
+/** Counts the memory that held events take. */
+function countHeldBytes(events: readonly EventFramer.StreamEvent[]): number {
+  return events.reduce((sum, { bytes }) => sum + bytes.length + EVENT_OVERHEAD_BYTES, 0);
 }
 
 /** A request in progress. */
@@ -693,7 +697,7 @@
   /** Ends the response if it holds most of what the daemon may hold of all responses. */
   #updateHeldBytes(attempt: Attempt): void {
     if (this.#attempt !== attempt) return;
-    const bytes = attempt.held.getLength() + countBytes(attempt.heldEvents ?? [])
+    const bytes = attempt.held.getLength() + countHeldBytes(attempt.heldEvents ?? [])
       + (attempt.framer?.countPendingBytes() ?? 0);
     if (!attempt.heldBytes.set(bytes)) this.#abortResponse(attempt, MOST_HELD_REASON);
   }
--- a/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
+++ b/packages/routing/src/__tests__/unit/ResumedStreams.test.ts
@@ -179,6 +179,16 @@
       .toMatchObject({ body: `${FIRST_EVENT}${SECOND_EVENT}`, isTruncated: false, status: 200 });
   });
 
+  // Guards against short events without end, of which each takes many times its bytes.
+  test('is not waited for with any number of events', async () => {
+    const { path } = await setUp([(socket, id) => (
+      socket.write(`${buildHead(id, '200 OK', EVENT_STREAM)}${'data\n\n'.repeat(1_000)}`)
+    )], { isResumable: true, maxAttempts: 1 });
+    path.setBaseVersion('v0');
+    path.setRecordsStored(false);
+    expect(await path.call({ headers: { 'x-left': '20000' } })).toMatchObject({ status: 502 });
+  });
+
   test('is made anew at another version if no event of the first one got out', async () => {
     const { path } = await setUp([breakOff, respondWithStream]);
     path.applyServer(1, { version: 'v2' });
