Bound the pieces of a caller's body, and what follows a refused one

A body in chunks of one byte costs a callback for each, up to the limit of its size, and the connection of a refused body was read on for as long as its caller sent. Change: a body in more than 16,384 pieces, and one for each 64 bytes, is refused with 400, and its connection is read no more. After the refusal of a body the caller has a second to read it or to send the rest, then the connection closes.

--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -20,6 +20,7 @@
 
 /** All refusals by code. */
 export const REFUSALS = {
+  body_in_pieces: { message: 'the body comes in too many pieces', status: 400 },
   body_too_large: { message: 'the body is larger than the limit', status: 413 },
   headers_too_large: { message: 'the headers are larger than the limit', status: 431 },
   internal_error: {
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -44,6 +44,16 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/**
+ * Limits of the pieces of a caller's body: so many of any size, and one more for each piece of the
+ * usual minimum. Each piece costs a callback of the parser, however small it is.
+ */
+const MAX_SMALL_PIECES = 16_384;
+const MIN_PIECE_BYTES = 64;
+
+/** Time for which the rest of a refused body is read. */
+const BODY_LINGER_MS = 1_000;
+
 /** Memory that an event takes beside its bytes; many events are much shorter than this. */
 const EVENT_OVERHEAD_BYTES = 256;
 
@@ -286,8 +296,14 @@
 
   #readBody(maxBytes: number, onBody: () => void): void {
     const body = ByteCollector.createByteCollector(maxBytes);
+    let pieces = 0;
     this.#request.on('data', this.#withDefectHandler((chunk: Buffer) => {
-      if (!this.#isEnded && !body.append(chunk)) this.#refuse('body_too_large');
+      pieces += 1;
+      const isFragmented = pieces > MAX_SMALL_PIECES + body.getLength() / MIN_PIECE_BYTES;
+      if (isFragmented) this.#request.pause();
+      if (this.#isEnded) return;
+      if (isFragmented) this.#refuseBody('body_in_pieces');
+      else if (!body.append(chunk)) this.#refuseBody('body_too_large');
     }));
     this.#request.on('end', this.#withDefectHandler(() => {
       if (this.#isEnded) return;
@@ -296,6 +312,17 @@
     }));
   }
 
+  /**
+   * Refuses a request because of its body. The caller has some time to read the refusal before the
+   * connection is reset, which would discard it, unless the rest of the body arrives until then.
+   */
+  #refuseBody(code: Refusals.RefusalCode): void {
+    this.#refuse(code);
+    setTimeout(() => {
+      if (!this.#request.complete) this.#request.socket.destroy();
+    }, BODY_LINGER_MS);
+  }
+
   #authenticate(route: RoutingConfig.Route, config: RoutingConfig.RoutingConfig): void {
     const accounts = config.accountsByKeyDigest;
     if (route.isOpen || accounts === undefined) {
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -186,6 +186,7 @@
   ports: readonly number[],
   route: Routing.Route,
   maxConnections = DEFAULT_MAX_CONNECTIONS,
+  limits: Partial<Routing.CallerLimits> = {},
 ): Promise<PathHarness> {
   const servers = Routing.createServerTable();
   const applyServer: PathHarness['applyServer'] = (index, extra = {}) => (
@@ -211,7 +212,11 @@
       [Routing.hashKey('good'), { name: 'shop', priority: undefined }],
     ]),
     limits: {
-      headerTimeoutMs: 1_000, idleTimeoutMs: 5_000, maxBodyBytes: 1_000, maxHeaderBytes: 8_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 5_000,
+      maxBodyBytes: 1_000,
+      maxHeaderBytes: 8_000,
+      ...limits,
     },
     routes: [route],
     services: new Map([['s', {
@@ -423,10 +428,11 @@
   responders: readonly RawResponder[],
   route: Partial<Routing.Route> = {},
   maxConnections = DEFAULT_MAX_CONNECTIONS,
+  limits: Partial<Routing.CallerLimits> = {},
 ): Promise<PathSetUp> {
   const servers = await Promise.all(responders.map(startRawServer));
   const ports = servers.map(({ port }) => port);
-  const path = await startHarness(ports, createRoute(route), maxConnections);
+  const path = await startHarness(ports, createRoute(route), maxConnections, limits);
   return {
     close: () => [path, ...servers].forEach(({ close }) => close()),
     path,
--- a/packages/routing/src/__tests__/unit/OddBytes.test.ts
+++ b/packages/routing/src/__tests__/unit/OddBytes.test.ts
@@ -15,8 +15,9 @@
 async function setUp(
   responders: readonly PathHarness.RawResponder[],
   route: Partial<Routing.Route> = {},
+  limits: Partial<Routing.CallerLimits> = {},
 ): Promise<PathHarness.PathSetUp> {
-  const started = await PathHarness.startPath(responders, route);
+  const started = await PathHarness.startPath(responders, route, undefined, limits);
   closables.push(started);
   return started;
 }
@@ -128,3 +129,25 @@
     expect(servers[0]?.heads).toEqual([]);
   });
 });
+
+// Guards against a body without end: one that is refused was read on as long as its caller sent it.
+describe('a body that its caller sends without end', () => {
+  test.each([
+    { code: 'body_in_pieces', piece: '1\r\nx\r\n', what: 'in chunks of one byte' },
+    { code: 'body_too_large', piece: `3e8\r\n${'x'.repeat(1_000)}\r\n`, what: 'in large chunks' },
+  ])('is refused, and its connection is closed: $what', async ({ code, piece }) => {
+    const { path, servers } = await setUp([(socket, id) => (
+      PathHarness.writeResponse(socket, id, 'sound')
+    )], {}, { maxBodyBytes: 100_000 });
+    const head = 'POST /a/b HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer good\r\n'
+      + 'X-Id: endless\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const answer = await RawCaller.sendEndlessRequest(
+      path.port,
+      Buffer.from(head),
+      Buffer.from(piece.repeat(500)),
+    );
+    expect(answer).toContain(code);
+    expect(servers[0]?.heads).toEqual([]);
+    expect(await path.call()).toMatchObject({ body: 'sound', status: 200 });
+  });
+});
