--- a/packages/routing/src/PacedSocket.ts
+++ b/packages/routing/src/PacedSocket.ts
@@ -19,7 +19,7 @@
 
 /** Errors of the connection that follow the bytes which were read before. */
 function isReadError(error: NodeJS.ErrnoException | undefined): boolean {
-  return (error)?.syscall === 'read';
+  return error?.syscall === 'read';
 }
 
 /** A connection whose bytes are passed on in slices. */
@@ -79,7 +79,6 @@
   }
 
   /** Called by the stream when it has passed on what it got and wants more. */
-
   override _read(size: number): void {
     if (this.hasWaitingBytes()) this.#queueSlice();
     // eslint-disable-next-line no-underscore-dangle
