Replace missing reclaimable servers by lasting ones where demand needs it

Cause: when the platform took the reclaimable engines of two data centres back and had no new ones, the plan repeated the same order every 2 s and ordered no lasting server; the engines in use fell from 25 to 9 for 15 s (docs/design/hard-load.md). Change: packages/scheduling/src/CapacityPlan.ts plans the base of today and, while servers of it are missing and the others do not carry the measured demand, lasting replacements in the same or another data centre. A new lease holder reads the counts before its first orders. A line "capacity planned" states each change with its inputs.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -96,6 +96,16 @@
   ...COMMON_FIELDS, requestId: Schema.String, server: Schema.String, service: Schema.String,
 };
 
+/** Servers of one kind in a data centre, in a line about a change of the planned orders. */
+const PlannedKind = Schema.Struct({
+  count: Count,
+  /** Whether the platform had none to give when it was last asked. */
+  hadNone: Schema.Boolean,
+  leaving: Count,
+  ready: Count,
+  starting: Count,
+});
+
 /** Schemas by event; the event is the log message without the prefix of its component. */
 export const EVENT_SCHEMAS = {
   'append failed': Schema.Struct({
@@ -119,6 +129,25 @@
   'beginnings of streams not recorded': Schema.Struct({
     ...COMMON_FIELDS, detail: Schema.String, records: Count,
   }),
+  'capacity planned': Schema.Struct({
+    ...COMMON_FIELDS,
+    /** Servers by data centre and kind; `count` is the number that the plan calls for. */
+    dataCentres: Schema.Record({
+      key: Schema.String,
+      value: Schema.Struct({ lasting: PlannedKind, reclaimable: PlannedKind }),
+    }),
+    /** Demand of the newest usage window with counts; absent if it is not known. */
+    demand: Schema.optional(Schema.Struct({
+      requests: Schema.optional(Schema.Number), tokensPerSecond: Schema.Number,
+    })),
+    /** Time since the end of that window. */
+    demandAgeMs: Schema.optional(Schema.Number),
+    fence: Schema.optional(Count),
+    missingServers: Count,
+    neededServers: Schema.optional(Count),
+    replacementServers: Count,
+    service: Schema.String,
+  }),
   'configuration in force': Schema.Struct({
     ...COMMON_FIELDS,
     accounts: Schema.optional(Count),
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -5,6 +5,7 @@
  * The others watch the log, hand over their usage counts and claim the lease when it expires.
  */
 import * as Core from '@berylyoke/core';
+import type * as Scheduling from '@berylyoke/scheduling';
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
 import * as Schema from 'effect/Schema';
@@ -16,6 +17,8 @@
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
 import * as RelayPlan from './RelayPlan.js';
+import type * as RoutingConfig from './RoutingConfig.js';
+import type * as ServerTable from './ServerTable.js';
 import * as UsageCounts from './UsageCounts.js';
 import * as WindowHandOver from './WindowHandOver.js';
 
@@ -78,6 +81,15 @@
 /** Number of past windows whose largest demand determines the orders. */
 const DEMAND_WINDOWS = 4;
 
+/**
+ * Time after the end of a window by which its counts should have been read: the time for the
+ * hand-over, and the interval between two reads.
+ */
+const MAX_COUNTS_DELAY_MS = HAND_OVER_PERIOD_MS + 2 * COUNTS_READ_INTERVAL_MS;
+
+/** Maximum number of orders in one step; the next step renews the lease first. */
+const MAX_ORDERS_PER_STEP = 32;
+
 const MS_PER_S = 1_000;
 
 /**
@@ -105,13 +117,12 @@
   readonly dutyLog: Ports.SharedLog;
   readonly countsLog: Pick<Ports.SharedLog, 'read'>;
   readonly calls: Ports.DutyCalls;
-  /**
-   * Lists the server orders that the current demand calls for. `getTokensPerSecond` returns the
-   * prompt tokens per second that callers request from a service.
-   */
-  readonly listWantedOrders: (
-    getTokensPerSecond: (service: string) => number,
-  ) => readonly Ports.ServerOrder[];
+  /** Lists the services of the configuration, for which servers may be ordered. */
+  readonly listServices: () => readonly RoutingConfig.Service[];
+  /** Lists the servers that have an entry. */
+  readonly listServers: () => readonly ServerTable.BackendServer[];
+  /** Counts the requests in progress at a service over all daemons; undefined if not known. */
+  readonly countRequestsInProgress?: (service: string) => number | undefined;
   readonly random: () => number;
 }
 
@@ -165,7 +176,7 @@
 
   readonly #reportedWindows = new Set<number>();
 
-  #orderTracker = OrderPlan.createOrderTracker();
+  #orderPlanner = OrderPlan.createOrderPlanner();
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -382,7 +393,7 @@
     // A claim at a position of an earlier generation may have the token of a claim that is gone.
     if (LogPosition.getGeneration(fence) !== LogPosition.getGeneration(this.#state.end)) return;
     if (this.#heldLease?.fence !== fence) {
-      this.#orderTracker = OrderPlan.createOrderTracker();
+      this.#orderPlanner = OrderPlan.createOrderPlanner();
       this.#reportedWindows.clear();
       this.#nextCountsOffset = 0;
       this.#countsReadMs = -Infinity;
@@ -433,7 +444,12 @@
       });
     }
     await this.#sendReports();
+    // A new holder reads the counts before its first orders, so that it knows the demand.
+    if (this.#countsReadMs === -Infinity && await this.#readCounts()) {
+      this.#countsReadMs = this.#context.trueTime.read();
+    }
     await this.#sendOrders();
+    this.#logChangedPlans();
   }
 
   #computeCurrentWindow(): number {
@@ -573,21 +589,77 @@
     return Math.max(...tokens) / (this.#context.windowMs / MS_PER_S);
   }
 
-  async #sendOrders(): Promise<void> {
+  /** Finds the newest window for which counts are known; undefined if none is recent. */
+  #findDemandWindow(): number | undefined {
+    const current = this.#computeCurrentWindow();
+    return Array.from({ length: DEMAND_WINDOWS }, (_, index) => current - 1 - index)
+      .find((window) => this.#usageCollection.countDaemons(window) > 0);
+  }
+
+  /** Computes the time since the end of a window. */
+  #computeWindowAge(window: number): Core.Millis {
+    return this.#context.trueTime.read() - (window + 1) * this.#context.windowMs;
+  }
+
+  /**
+   * Returns the demand in the newest window with counts; undefined if the counts of the window
+   * after it should be known as well. Before the first counts of a fleet, there is no demand.
+   */
+  #readMeasuredDemand(service: string): Scheduling.MeasuredDemand | undefined {
+    if (this.#countsReadMs === -Infinity) return undefined;
+    const requests = this.#context.countRequestsInProgress?.(service);
+    const window = this.#findDemandWindow();
+    if (window === undefined) {
+      return this.#usageCollection.hasCounts() ? undefined : { requests, tokensPerSecond: 0 };
+    }
+    if (this.#computeWindowAge(window) > this.#context.windowMs + MAX_COUNTS_DELAY_MS) {
+      return undefined;
+    }
+    const tokens = this.#usageCollection.sumTokens(window, service);
+    return { requests, tokensPerSecond: tokens / (this.#context.windowMs / MS_PER_S) };
+  }
+
+  #planOrders(nowMs: Core.Millis): readonly Ports.ServerOrder[] {
+    const servers = this.#context.listServers();
+    return this.#orderPlanner.planDue(
+      this.#context.listServices().map((service) => ({
+        demand: this.#readMeasuredDemand(service.name),
+        servers,
+        service,
+        tokensPerSecond: this.#computeDemand(service.name),
+      })),
+      nowMs,
+    );
+  }
+
+  #logChangedPlans(): void {
+    const window = this.#findDemandWindow();
+    this.#orderPlanner.takeChanges().forEach((decision) => this.#context.logger.info(
+      {
+        ...OrderPlan.describeDecision(decision),
+        demand: this.#readMeasuredDemand(decision.service),
+        demandAgeMs: window === undefined ? undefined : Math.round(this.#computeWindowAge(window)),
+        fence: this.#heldLease?.fence,
+      },
+      'capacity planned',
+    ));
+  }
+
+  async #sendOrders(remaining = MAX_ORDERS_PER_STEP): Promise<void> {
     const nowMs = this.#context.clock.readMonotonic();
-    const wanted = this.#context.listWantedOrders((service) => this.#computeDemand(service));
-    const [order] = this.#orderTracker.selectDue(wanted, nowMs);
+    const [order] = this.#planOrders(nowMs);
     const heldLease = this.#heldLease;
-    if (order === undefined || heldLease === undefined) return;
+    if (order === undefined || heldLease === undefined || remaining === 0) return;
     if (this.#computeRemainingTerm() <= DUTY_CALL_TIMEOUT_MS) return;
     const answer = await Effect.runPromise(
       this.#context.calls.orderServers(order, heldLease.fence),
     );
     this.#context.logger.info({ answer, fence: heldLease.fence, ...order }, 'servers ordered');
     if (answer === 'fenced') this.#handleRefusedFence(heldLease.fence);
-    else this.#orderTracker.recordAnswer(order, answer, nowMs);
-    // Orders are sent one at a time, but all accepted ones within this step.
-    if (answer === 'accepted') await this.#sendOrders();
+    else this.#orderPlanner.recordAnswer(order, answer, nowMs);
+    // Orders are sent one at a time. An answer may change the plan, and what was refused for lack
+    // of stock is replaced within the same step.
+    if (answer === 'accepted' || answer === 'unavailable') await this.#sendOrders(remaining - 1);
   }
 }
 
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -49,6 +49,8 @@
   readonly maxServers: number;
   /** Price of a lasting server by data centre. */
   readonly prices: ReadonlyMap<string, number>;
+  /** Time from an order to a ready server; undefined if the configuration does not state it. */
+  readonly bootMs?: Core.Millis | undefined;
 }
 
 /** Pool of backend servers. */
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -16,7 +16,6 @@
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
-import * as OrderPlan from './OrderPlan.js';
 import * as OutcomeExchange from './OutcomeExchange.js';
 import type * as PathContext from './PathContext.js';
 import type * as Ports from './Ports.js';
@@ -328,15 +327,8 @@
     dutyLog,
     handOver: counts.handOver,
     leaseMs: settings.bounds.leaseMs,
-    listWantedOrders: (getTokensPerSecond) => (
-      [...getActiveConfig()?.config.services.values() ?? []].flatMap((service) => (
-        OrderPlan.planOrders({
-          servers: servers.listAll(),
-          service,
-          tokensPerSecond: getTokensPerSecond(service.name),
-        })
-      ))
-    ),
+    listServers: () => servers.listAll(),
+    listServices: () => [...getActiveConfig()?.config.services.values() ?? []],
     logger: Core.getPartLogger(log.logger, 'duties'),
     onRelaysChanged: relayChoice.setRelays,
     peerAddress: settings.listen.peers,
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -107,6 +107,8 @@
   readonly estimateMissingShare: (window: number) => number;
   /** Sums the requested prompt tokens of a service in a window over all processes. */
   readonly sumTokens: (window: number, service: string) => number;
+  /** Checks whether any counts were handed over. */
+  readonly hasCounts: () => boolean;
   /** Counts the daemons that handed over counts for a window. */
   readonly countDaemons: (window: number) => number;
   /** Lists the daemons that handed over counts for a window and listen for other daemons. */
@@ -154,6 +156,7 @@
       )));
       return missing === 0 ? 0 : missing / (missing + sumValues([...handedOver.values()]));
     },
+    hasCounts: () => windows.size > 0,
     listMembers: (window) => {
       const members = listProcesses(window).flatMap((process) => (
         process.address === undefined ? [] : [{ ...process, address: process.address }]
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -53,7 +53,8 @@
         Effect.either(countsLog.connect(daemonId).append(records)),
       )),
       leaseMs: LEASE_MS,
-      listWantedOrders: () => [],
+      listServers: () => [],
+      listServices: () => [],
       logger: Core.createLogger('silent', {}),
       onRelaysChanged: (relays) => {
         assignments.set(daemonId, relays);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './Admission.js';
 export * from './CacheIndex.js';
+export * from './CapacityPlan.js';
 export * from './DemandForecast.js';
 export * from './Explanation.js';
 export * from './FairQueue.js';
