Check the server orders by properties, and time releases by accepted orders

Cause: with orders unanswered for a while, an increase was accepted long after it was planned, and the replacement was released 9.6 s after the acceptance. A property over generated histories of demand, losses, lack of stock, lost answers and changes of the holder found it. Change: a release waits 10 s after the newest accepted increase. Five properties, four of which must also fail for a mutant: without replacement, without memory, and with a larger maximum. The fifth compares the orders with a copy of the earlier plan where the demand is carried.

--- a/packages/routing/src/OrderPlan.ts
+++ b/packages/routing/src/OrderPlan.ts
@@ -48,6 +48,8 @@
   /** Count of the newest accepted order. */
   readonly acceptedCount: number | undefined;
   readonly acceptedMs: Core.Millis;
+  /** Time of the newest accepted order with a larger count than the one before it. */
+  readonly increasedMs: Core.Millis;
   /** Largest count of the orders since then whose outcome is not known. */
   readonly unconfirmedCount: number;
   /** Unsuccessful answers in a row that named a lack of stock. */
@@ -66,6 +68,7 @@
   bootMs: DEFAULT_BOOT_MS,
   failedCount: 0,
   failures: 0,
+  increasedMs: -Infinity,
   leaving: 0,
   lostMs: -Infinity,
   ready: 0,
@@ -133,6 +136,7 @@
       return {
         canAsk: record.retryAtMs <= nowMs,
         hadNone: record.failures > 0,
+        increasedMs: record.increasedMs,
         isOverdue: isMissing && !isStarting,
         leaving,
         ordered: Math.max(acceptedCount, record.unconfirmedCount),
@@ -151,7 +155,9 @@
       });
     },
     recordAnswer: (order, answer, nowMs) => {
-      const { failures, ready, unconfirmedCount } = getRecord(order);
+      const {
+        acceptedCount = 0, failures, increasedMs, ready, unconfirmedCount,
+      } = getRecord(order);
       if (answer === 'accepted') {
         // An order for no more than what exists does not show whether there is stock.
         const hasStock = order.count > ready;
@@ -159,6 +165,7 @@
           acceptedCount: order.count,
           acceptedMs: nowMs,
           failedCount: 0,
+          increasedMs: order.count > acceptedCount ? nowMs : increasedMs,
           unconfirmedCount: 0,
           ...hasStock ? { failures: 0, retryAtMs: -Infinity } : {},
         });
--- a/packages/routing/src/__tests__/support/SimulatedStock.ts
+++ b/packages/routing/src/__tests__/support/SimulatedStock.ts
@@ -142,15 +142,23 @@
 /** Most orders of one step; a plan that never settles would exceed it. */
 const MAX_ORDERS_PER_STEP = 32;
 
+/** Creates a planner; tests of the tests pass a faulty one. */
+export type PlannerFactory = () => Pick<Routing.OrderPlanner, 'planDue' | 'recordAnswer'>;
+
+/** Planned load of a server, with which the demand in servers is converted. */
+const TOKENS_PER_S = 24_000;
+
 /** Creates a simulation without servers. */
-export function createSimulation(plannedTokensPerS = 24_000): Simulation {
+export function createSimulation(
+  createPlanner: PlannerFactory = Routing.createOrderPlanner,
+): Simulation {
   const stock = createSimulatedStock();
-  let planner = Routing.createOrderPlanner();
+  let planner = createPlanner();
   let need: number | undefined = 0;
   let nowMs = 0;
   const sendOrders = (remaining: number): void => {
     if (remaining === 0) throw new Error('the orders of one step do not settle');
-    const tokensPerSecond = (need ?? 0) * plannedTokensPerS;
+    const tokensPerSecond = (need ?? 0) * TOKENS_PER_S;
     const [order] = planner.planDue([{
       demand: need === undefined ? undefined : { requests: undefined, tokensPerSecond },
       servers: stock.listServers(nowMs),
@@ -164,7 +172,7 @@
   };
   return {
     changeHolder: () => {
-      planner = Routing.createOrderPlanner();
+      planner = createPlanner();
     },
     countReady: () => stock.listServers(nowMs).filter((server) => server.state === 'ready').length,
     getNowMs: () => nowMs,
--- a/packages/scheduling/src/CapacityPlan.ts
+++ b/packages/scheduling/src/CapacityPlan.ts
@@ -46,6 +46,8 @@
   readonly starting: number;
   /** Count of the newest order that the platform accepted or may have accepted. */
   readonly ordered: number;
+  /** Time at which the platform last accepted an increase; -Infinity if it never did. */
+  readonly increasedMs: Core.Millis;
   /** Whether the platform had none to give when it was last asked. */
   readonly hadNone: boolean;
   /** Whether an order may be sent now: not within the delay after an unsuccessful one. */
@@ -327,8 +329,10 @@
   const wanted = countReplacements(expectedServers);
   const retained = countReplacements(readyServers);
   const surplusSinceMs = orderedCount > retained ? state.surplusSinceMs ?? nowMs : undefined;
+  // An increase may be accepted long after it was planned, if orders were not answered meanwhile.
+  const increasedMs = Math.max(state.grownMs, ...list.map(({ lasting }) => lasting.increasedMs));
   const canRelease = surplusSinceMs !== undefined && wanted <= reliableCount
-    && nowMs - Math.max(surplusSinceMs, state.grownMs) >= RELEASE_DELAY_MS;
+    && nowMs - Math.max(surplusSinceMs, increasedMs) >= RELEASE_DELAY_MS;
   const grown = addReplacements(list, maxServers, ordered, Math.max(0, wanted - reliableCount));
   const replacements = canRelease
     ? removeReplacements(list, grown, orderedCount - retained)
