Add the interface of the fleet's load and the capacity of engines

Cause: a daemon receives 1 to 6 requests a second and knows only its own load of a server; the choice of a server and admission need the load by all daemons, and the capacity of an engine from the operator's configuration. Change: FleetLoad with its local part (own load, demand of accounts, times to the first token), in the context of the request path; not yet recorded or exchanged, and never fresh.

--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -4,6 +4,7 @@
 import type * as ByteBudget from './ByteBudget.js';
 import type * as ColdLimits from './ColdLimits.js';
 import type * as CrashReports from './CrashReports.js';
+import type * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LogRateLimiter from './LogRateLimiter.js';
 import type * as OutcomeExchange from './OutcomeExchange.js';
@@ -71,6 +72,8 @@
   readonly streamVersions: StreamVersions.StreamVersions;
   /** Outcomes of requests at servers, exchanged with other daemons. */
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
+  /** Load of servers by all daemons, exchanged with them. */
+  readonly fleetLoad: FleetLoad.FleetLoad;
   readonly cache: Scheduling.CacheIndex;
   /** Claims one retry at a service from the retry budget that all daemons share. */
   readonly claimRetry: (service: string) => boolean;
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -51,6 +51,14 @@
   readonly prices: ReadonlyMap<string, number>;
 }
 
+/** Capacity of one model server, in which requests share a batch and a memory for tokens. */
+export interface EngineTerms {
+  /** Requests that it runs at once; further ones queue. */
+  readonly concurrentRequests: number;
+  /** Prompt and output tokens of all of its requests that fit into its memory. */
+  readonly memoryTokens: number;
+}
+
 /** Pool of backend servers. */
 export interface Service {
   readonly name: string;
@@ -61,6 +69,8 @@
    * many as a warm one.
    */
   readonly coldRequestsPerS?: number | undefined;
+  /** Capacity of each server; undefined if they are not model servers or it is not known. */
+  readonly engine?: EngineTerms | undefined;
   /** Limits and prices of orders; undefined if the pool has a fixed size. */
   readonly purchase: PurchaseTerms | undefined;
 }
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -13,6 +13,7 @@
 import * as DaemonFeeds from './DaemonFeeds.js';
 import * as DefectHandler from './DefectHandler.js';
 import * as DutyRunner from './DutyRunner.js';
+import * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
@@ -247,6 +248,7 @@
     countStartedRequest: (account) => usageCounter.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(clock, FAILED_LINES_PER_S),
+    fleetLoad: FleetLoad.createFleetLoad(clock),
     getActiveConfig,
     getKeyProofAge: feeds.getKeyProofAge,
     getPhase: () => phase,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -294,6 +294,7 @@
     crashReports,
     dataCentre: 'a',
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
+    fleetLoad: Routing.createFleetLoad(Core.systemClock),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
     getKeyProofAge: () => 0,
     getPhase: () => 'running',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,6 +14,7 @@
 export * from './FailureRate.js';
 export * from './FeedCopy.js';
 export * from './FeedLoop.js';
+export * from './FleetLoad.js';
 export * from './FleetOutcomes.js';
 export * from './HandOverBatch.js';
 export * from './HeaderRules.js';
