Exchange the load of servers over the relays

Cause: a daemon receives 1 to 6 requests a second, so its own requests alone say next to nothing about the load of a server that all daemons use. Change: a message of the exchange carries a report of load, and its answer the load by all other daemons. A report replaces the previous one of its daemon and expires after 2.5 s; its scope (daemon, relay, root) keeps load from going around. Root relays exchange the load below each of them. Expected and observed times to the first token and refusals are added to the outcomes, prompt tokens by account to the reports. Attempts with a prompt at services of engines are recorded from the send to the end. Without such services, messages are as before.

--- a/packages/routing/src/FleetLoad.ts
+++ b/packages/routing/src/FleetLoad.ts
@@ -4,19 +4,12 @@
  * of a server.
  */
 import type * as Core from '@berylyoke/core';
-
-/** Load of a server by requests with a prompt. */
-export interface LoadAmounts {
-  /** Uncached prompt tokens that were sent and have no first token yet. */
-  readonly pendingPromptTokens: number;
-  /** Requests in progress. */
-  readonly requests: number;
-  /** Tokens held in the memory of the server: prompt plus allowed output. */
-  readonly heldTokens: number;
-}
+import type * as FleetOutcomes from './FleetOutcomes.js';
+import * as LoadGauges from './LoadGauges.js';
+import type * as OutcomeExchange from './OutcomeExchange.js';
 
 /** Load of a server by all daemons. */
-export interface FleetServerLoad extends LoadAmounts {
+export interface FleetServerLoad extends LoadGauges.LoadAmounts {
   /** Age of what is known of the other daemons; infinite if nothing is. */
   readonly ageMs: Core.Millis;
 }
@@ -42,7 +35,7 @@
   /** Whether the sums are recent enough to be decided on. */
   readonly isFresh: (nowMs: Core.Millis) => boolean;
   /** Adds a change of this daemon's own load; negative amounts for requests that ended. */
-  readonly addOwn: (server: string, change: LoadAmounts) => void;
+  readonly addOwn: (server: string, change: LoadGauges.LoadAmounts) => void;
   /**
    * Records the time to the first token of an answered request. `expectedMs` is computed with the
    * nominal rate of the service, so that a slow server is not counted twice.
@@ -52,89 +45,65 @@
   ) => void;
   /** Records that a full server refused a request. */
   readonly observeRefusal: (server: string) => void;
+  /** Returns the number of requests that a full server recently refused; it decays with age. */
+  readonly getRefusals: (server: string) => number;
   /** Adds the prompt tokens that a request of an account asks for. */
   readonly addDemand: (account: string, promptTokens: number) => void;
 }
 
-const NO_LOAD: LoadAmounts = { heldTokens: 0, pendingPromptTokens: 0, requests: 0 };
-
-/** Half-life of the demand of an account. */
-const DEMAND_HALF_LIFE_MS = 4_000;
+/**
+ * Expected time to the first token, summed over recent requests, below which a slowdown is not
+ * known: about three small prompts at an idle engine.
+ */
+const MIN_EXPECTED_MS = 300;
 
-/** Half-life of observed and expected times to the first token. */
-const FIRST_TOKEN_HALF_LIFE_MS = 6_000;
+/** Bounds of a slowdown, so that a few extreme times neither attract nor exclude all requests. */
+const MIN_SLOWDOWN = 0.1;
+const MAX_SLOWDOWN = 20;
 
-/** Expected time to first tokens, summed over requests, below which a slowdown is not known. */
-const MIN_EXPECTED_MS = 200;
+/** Tokens at or below which an account does not count as active. */
+const MIN_ACTIVE_TOKENS = 1;
 
-interface FirstTokens {
-  readonly expectedMs: Core.Millis;
-  readonly observedMs: Core.Millis;
-  readonly updatedMs: Core.Millis;
+/** Dependencies of the load of the fleet. */
+export interface FleetLoadContext {
+  readonly clock: Core.Clock;
+  readonly gauges: LoadGauges.LoadGauges;
+  readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
 }
 
-/** Creates the load that is known without other daemons; it is never fresh. */
-export function createFleetLoad(clock: Core.Clock): FleetLoad {
-  const own = new Map<string, LoadAmounts>();
-  const firstTokens = new Map<string, FirstTokens>();
-  const demands = new Map<string, { readonly tokens: number; readonly updatedMs: number }>();
-  const readDemand = (account: string, nowMs: Core.Millis): number => {
-    const known = demands.get(account);
-    return known === undefined
-      ? 0
-      : known.tokens * 0.5 ** (Math.max(0, nowMs - known.updatedMs) / DEMAND_HALF_LIFE_MS);
-  };
-  const readFirstTokens = (server: string, nowMs: Core.Millis): FirstTokens => {
-    const { expectedMs, observedMs, updatedMs } = firstTokens.get(server)
-      ?? { expectedMs: 0, observedMs: 0, updatedMs: nowMs };
-    const decay = 0.5 ** (Math.max(0, nowMs - updatedMs) / FIRST_TOKEN_HALF_LIFE_MS);
-    return { expectedMs: expectedMs * decay, observedMs: observedMs * decay, updatedMs: nowMs };
-  };
+/** Creates the load of the fleet from the gauges and the outcomes that daemons exchange. */
+export function createFleetLoad({ clock, gauges, outcomes }: FleetLoadContext): FleetLoad {
+  const observe = (
+    server: string,
+    observed: Pick<FleetOutcomes.ServerOutcomes, 'expectedMs' | 'observedMs' | 'refusals'>,
+  ): void => outcomes.observe({
+    failures: 0, requests: 0, server, ...observed,
+  });
   return {
-    addDemand: (account, promptTokens) => {
-      const nowMs = clock.readMonotonic();
-      demands.set(account, {
-        tokens: readDemand(account, nowMs) + promptTokens, updatedMs: nowMs,
-      });
-    },
-    addOwn: (server, change) => {
-      const known = own.get(server) ?? NO_LOAD;
-      const requests = Math.max(0, known.requests + change.requests);
-      if (requests === 0) own.delete(server);
-      else {
-        own.set(server, {
-          heldTokens: Math.max(0, known.heldTokens + change.heldTokens),
-          pendingPromptTokens: Math.max(
-            0,
-            known.pendingPromptTokens + change.pendingPromptTokens,
-          ),
-          requests,
-        });
-      }
-    },
+    addDemand: (account, promptTokens) => (
+      gauges.addDemand(account, promptTokens, clock.readMonotonic())
+    ),
+    addOwn: gauges.addOwn,
     getAccountShare: (account, nowMs) => {
-      const all = [...demands.keys()].map((name) => readDemand(name, nowMs))
-        .filter((tokens) => tokens >= 1);
-      const total = all.reduce((sum, tokens) => sum + tokens, 0);
-      return {
-        accounts: all.length,
-        share: total === 0 ? 0 : Math.min(1, readDemand(account, nowMs) / total),
-      };
+      const active = [...gauges.sumDemands(nowMs)]
+        .filter(([, tokens]) => tokens > MIN_ACTIVE_TOKENS);
+      const total = active.reduce((sum, [, tokens]) => sum + tokens, 0);
+      const own = active.find(([name]) => name === account)?.[1] ?? 0;
+      return { accounts: active.length, share: total === 0 ? 0 : own / total };
     },
-    getServerLoad: (server) => ({ ...own.get(server) ?? NO_LOAD, ageMs: Infinity }),
-    getSlowdown: (server, nowMs) => {
-      const { expectedMs, observedMs } = readFirstTokens(server, nowMs);
-      return expectedMs < MIN_EXPECTED_MS ? 1 : observedMs / expectedMs;
+    getRefusals: (server) => outcomes.getOutcomes(server).refusals ?? 0,
+    getServerLoad: (server, nowMs) => ({
+      ...gauges.getLoad(server, nowMs), ageMs: gauges.getAge(nowMs),
+    }),
+    getSlowdown: (server) => {
+      const { expectedMs = 0, observedMs = 0 } = outcomes.getOutcomes(server);
+      if (expectedMs < MIN_EXPECTED_MS) return 1;
+      return Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, observedMs / expectedMs));
     },
-    isFresh: () => false,
+    isFresh: (nowMs) => gauges.getAge(nowMs) <= LoadGauges.MAX_LOAD_AGE_MS,
     observeFirstToken: (server, expectedMs, observedMs) => {
-      const known = readFirstTokens(server, clock.readMonotonic());
-      firstTokens.set(server, {
-        expectedMs: known.expectedMs + expectedMs,
-        observedMs: known.observedMs + observedMs,
-        updatedMs: known.updatedMs,
-      });
+      if (expectedMs > 0 && observedMs >= 0) observe(server, { expectedMs, observedMs });
     },
-    observeRefusal: () => undefined,
+    observeRefusal: (server) => observe(server, { refusals: 1 }),
   };
 }
--- a/packages/routing/src/FleetOutcomes.ts
+++ b/packages/routing/src/FleetOutcomes.ts
@@ -12,6 +12,12 @@
   readonly server: string;
   readonly requests: number;
   readonly failures: number;
+  /** Expected time to the first token, summed over streams that began. */
+  readonly expectedMs?: Core.Millis;
+  /** Observed time to the first token, summed over the same streams. */
+  readonly observedMs?: Core.Millis;
+  /** Requests that the server refused because it was full. */
+  readonly refusals?: number;
 }
 
 /** Half-life of an outcome; a server that failed is thus tried again after some time. */
@@ -29,6 +35,12 @@
 /** Number of requests at one server in one message above which the entry is ignored as invalid. */
 const MAX_REPORTED_REQUESTS = 100_000;
 
+/** Sum of times at one server in one message above which the entry is ignored as invalid. */
+const MAX_REPORTED_MS = 1e9;
+
+/** Sum of times after decay at or below which the outcomes of a server are dropped. */
+const MIN_EXPECTED_MS = 1;
+
 /** Number of requests after decay at or below which the outcomes of a server are dropped. */
 const MIN_WEIGHT = 0.05;
 
@@ -37,11 +49,24 @@
   return { failures: 0, requests: 0, server };
 }
 
+/** Combines the optional values; those that are zero stay absent and take no bytes. */
+function combineOptional(
+  combine: (key: 'expectedMs' | 'observedMs' | 'refusals') => number,
+): Partial<ServerOutcomes> {
+  const expectedMs = combine('expectedMs');
+  const refusals = combine('refusals');
+  return {
+    ...expectedMs > 0 ? { expectedMs, observedMs: combine('observedMs') } : {},
+    ...refusals > 0 ? { refusals } : {},
+  };
+}
+
 function addOutcomes(a: ServerOutcomes, b: ServerOutcomes): ServerOutcomes {
   return {
     failures: a.failures + b.failures,
     requests: a.requests + b.requests,
     server: a.server,
+    ...combineOptional((key) => (a[key] ?? 0) + (b[key] ?? 0)),
   };
 }
 
@@ -51,12 +76,23 @@
     failures: outcomes.failures * decay,
     requests: outcomes.requests * decay,
     server: outcomes.server,
+    ...combineOptional((key) => (outcomes[key] ?? 0) * decay),
   };
 }
 
+/** Checks whether outcomes weigh enough to be kept. */
+function isRelevant({ expectedMs = 0, refusals = 0, requests }: ServerOutcomes): boolean {
+  return requests > MIN_WEIGHT || expectedMs > MIN_EXPECTED_MS || refusals > MIN_WEIGHT;
+}
+
 /** Checks whether outcomes from another daemon are consistent and within the bounds. */
-export function isPlausible({ failures, requests }: ServerOutcomes): boolean {
-  return failures >= 0 && failures <= requests && requests <= MAX_REPORTED_REQUESTS;
+export function isPlausible({
+  expectedMs = 0, failures, observedMs = 0, refusals = 0, requests,
+}: ServerOutcomes): boolean {
+  return failures >= 0 && failures <= requests && requests <= MAX_REPORTED_REQUESTS
+    && expectedMs >= 0 && expectedMs <= MAX_REPORTED_MS
+    && observedMs >= 0 && observedMs <= MAX_REPORTED_MS
+    && refusals >= 0 && refusals <= MAX_REPORTED_REQUESTS;
 }
 
 /** Buffer of outcomes that have not been passed on yet. */
@@ -100,7 +136,7 @@
     const ageMs = Math.max(0, nowMs - updatedMs);
     updatedMs = nowMs;
     const decayed = [...sums.values()].map((each) => computeDecayed(each, ageMs))
-      .filter(({ requests }) => requests > MIN_WEIGHT);
+      .filter(isRelevant);
     sums = new Map(decayed.map((each) => [each.server, each]));
   };
   return {
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -14,6 +14,7 @@
 import * as HttpListeners from './HttpListeners.js';
 import type * as FeedCopy from './FeedCopy.js';
 import type * as FleetOutcomes from './FleetOutcomes.js';
+import type * as LoadGauges from './LoadGauges.js';
 import type * as RequestLimits from './RequestLimits.js';
 import * as Relay from './gen/berylyoke/relay/v1/relay_pb.js';
 
@@ -39,6 +40,8 @@
 export interface FleetObservations {
   readonly limits: readonly RequestLimits.LimitReport[];
   readonly outcomes: readonly FleetOutcomes.ServerOutcomes[];
+  /** Load by daemons; undefined from a daemon that does not report it. */
+  readonly load?: LoadGauges.LoadReport | undefined;
 }
 
 /** Client for calls to other daemons. */
@@ -74,11 +77,49 @@
 
 const decodeCountsText = Schema.decodeUnknownOption(Schema.parseJson(CountsRecord.CountsRecord));
 
+const LOAD_SCOPES = {
+  daemon: Relay.LoadScope.DAEMON, relay: Relay.LoadScope.RELAY, root: Relay.LoadScope.ROOT,
+} as const satisfies Record<LoadGauges.LoadScope, Relay.LoadScope>;
+
+const SCOPES_BY_VALUE = new Map<Relay.LoadScope, LoadGauges.LoadScope>(
+  (Object.keys(LOAD_SCOPES) as LoadGauges.LoadScope[]).map((scope) => [LOAD_SCOPES[scope], scope]),
+);
+
+type ObservationsInit = protobuf.MessageInitShape<typeof Relay.ExchangeOutcomesRequestSchema>
+  & protobuf.MessageInitShape<typeof Relay.ExchangeOutcomesResponseSchema>;
+
 /** Copies observations into the mutable arrays of a message. */
-function encodeObservations(
-  { limits, outcomes }: FleetObservations,
-): { limits: RequestLimits.LimitReport[]; outcomes: FleetOutcomes.ServerOutcomes[] } {
-  return { limits: [...limits], outcomes: [...outcomes] };
+function encodeObservations({ limits, load, outcomes }: FleetObservations): ObservationsInit {
+  const observations = { limits: [...limits], outcomes: [...outcomes] };
+  if (load === undefined) return observations;
+  return {
+    ...observations,
+    load: {
+      ...load.ageMs === undefined ? {} : { ageMs: load.ageMs },
+      daemonId: load.daemonId,
+      demands: [...load.demands],
+      scope: LOAD_SCOPES[load.scope],
+      servers: [...load.servers],
+    },
+  };
+}
+
+/** Reads observations from a message; a report of an unknown scope is ignored. */
+function decodeObservations(
+  { limits, load, outcomes }: Relay.ExchangeOutcomesRequest | Relay.ExchangeOutcomesResponse,
+): FleetObservations {
+  const scope = load === undefined ? undefined : SCOPES_BY_VALUE.get(load.scope);
+  if (load === undefined || scope === undefined) return { limits, outcomes };
+  const {
+    ageMs, daemonId, demands, servers,
+  } = load;
+  return {
+    limits,
+    load: {
+      ageMs, daemonId, demands, scope, servers,
+    },
+    outcomes,
+  };
 }
 
 function encodePage(copyPage: FeedCopy.CopyPage | undefined): Relay.ReadFeedResponse {
@@ -131,7 +172,7 @@
       (options) => getClient(address)
         .exchangeOutcomes(encodeObservations(observations), options),
       EXCHANGE_TIMEOUT_MS,
-    ),
+    ).pipe(Effect.map(decodeObservations)),
     handOver: (address, records, isFinal) => request((options) => getClient(address).handOver({
       isFinal, records: records.map((record) => Buffer.from(JSON.stringify(record))),
     }, options), HAND_OVER_TIMEOUT_MS).pipe(Effect.flatMap(({ isStored }) => (
@@ -167,7 +208,9 @@
         handOver: async ({ isFinal, records }) => ({
           isStored: await handlers.receiveCounts(decodeRecords(records), isFinal),
         }),
-        exchangeOutcomes: (message) => encodeObservations(handlers.receiveObservations(message)),
+        exchangeOutcomes: (message) => encodeObservations(
+          handlers.receiveObservations(decodeObservations(message)),
+        ),
         readFeed: ({ feed, from }) => encodePage(handlers.readCopy(feed, from)),
       });
     },
--- a/packages/routing/src/RelayChoice.ts
+++ b/packages/routing/src/RelayChoice.ts
@@ -19,6 +19,8 @@
   readonly setRelays: (assignment: RelayPlan.RelayAssignment) => void;
   /** Checks whether this daemon is a relay. */
   readonly isRelay: () => boolean;
+  /** Checks whether this daemon is a relay that reads the store, not another relay. */
+  readonly isRoot: () => boolean;
   /**
    * Returns the address of the relay that this daemon hands its counts to; undefined for a relay,
    * and if none is usable.
@@ -62,11 +64,12 @@
   const findUsable = (addresses: readonly string[]): string | undefined => (
     filterUsable(addresses)[0]
   );
+  const isRoot = (): boolean => storeReaders.includes(self.address ?? '');
   const choose = (): string | undefined => (isRelay() ? undefined : findUsable(relays));
   return {
     choose,
     choosePeer: (random) => {
-      if (!storeReaders.includes(self.address ?? '')) return undefined;
+      if (!isRoot()) return undefined;
       const peers = filterUsable(storeReaders.filter((address) => address !== self.address));
       return peers[Math.floor(random() * peers.length)];
     },
@@ -75,6 +78,7 @@
       return rootRelays.includes(self.address as string) ? undefined : findUsable(rootRelays);
     },
     isRelay,
+    isRoot,
     setRelays: (assignment) => {
       relays = Core.rankCandidates(self.daemonId, assignment[self.dataCentre] ?? []);
       rootRelays = Core.rankCandidates(
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -7,6 +7,7 @@
 import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 import * as RetryPolicy from './RetryPolicy.js';
+import * as AttemptLoad from './AttemptLoad.js';
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
 import type * as ByteBudget from './ByteBudget.js';
@@ -73,6 +74,8 @@
   readonly exchange: BackendExchange.Exchange;
   readonly startedMs: Core.Millis;
   readonly pendingPromptTokens: number;
+  /** Part of the attempt in the load of the fleet. */
+  readonly load: AttemptLoad.AttemptLoad;
   readonly crashEvidence: CrashEvidence.CrashEvidence;
   readonly allowance: SendAllowance.SendAllowance;
   /** What the attempt holds of the response: body, waiting events and the incomplete event. */
@@ -366,6 +369,12 @@
   #identify(): void {
     this.#context.countRequest(this.#service);
     this.#context.countDemand(this.#service, this.#head.prompt?.inputTokens ?? 0);
+    AttemptLoad.recordDemand(
+      this.#context,
+      this.#service,
+      this.#account?.name,
+      this.#head.prompt,
+    );
     this.#fingerprint = RequestFingerprint.hashRequest({
       account: this.#account, body: this.#body, head: this.#head,
     });
@@ -481,6 +490,12 @@
       head: undefined,
       isStreaming: false,
       held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
+      load: AttemptLoad.openAttemptLoad(
+        this.#context,
+        chosen,
+        this.#head.prompt,
+        pendingPromptTokens,
+      ),
       startedMs: this.#sentMs,
       pendingPromptTokens,
       version: server.version,
@@ -675,6 +690,8 @@
     // eslint-disable-next-line no-param-reassign
     attempt.hasStarted = true;
     pooled.pendingPromptTokens -= attempt.pendingPromptTokens;
+    // The head of a response that is no stream says nothing about the first token.
+    attempt.load.observeStart(attempt.framer === undefined ? undefined : nowMs - attempt.startedMs);
     if (attempt.framer !== undefined) this.#setStreaming(attempt, true);
     ServerObservation.observeLatency(
       this.#context,
@@ -918,6 +935,7 @@
     }
     // A server at capacity is not faulty; a misdirected request shows that its server is gone.
     if (kind === 'not-run') {
+      attempt.load.observeRefusal();
       ServerPool.observeRefusal(attempt.chosen.pooled, this.#context.clock.readMonotonic());
     } else ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, true);
     this.#releaseAttempt(attempt);
@@ -945,6 +963,7 @@
   #releaseAttempt(attempt: Attempt): void {
     const { pooled } = attempt.chosen;
     attempt.heldBytes.close();
+    attempt.load.end();
     pooled.inFlight -= 1;
     if (!attempt.hasStarted) pooled.pendingPromptTokens -= attempt.pendingPromptTokens;
     this.#setStreaming(attempt, false);
--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -109,6 +109,11 @@
 export type OperatorRecord = { readonly _tag: 'Configuration'; readonly config: RoutingConfig }
   | { readonly _tag: 'Evacuation'; readonly dataCentre: string };
 
+/** Checks whether any service has servers of known capacity. */
+export function hasEngines(config: RoutingConfig | undefined): boolean {
+  return [...config?.services.values() ?? []].some(({ engine }) => engine !== undefined);
+}
+
 /** Lists the services to which a route sends streams that can be resumed. */
 export function listResumableServices(config: RoutingConfig | undefined): readonly string[] {
   const routes = config?.routes.filter(({ isResumable, kind }) => isResumable && kind === 'stream');
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -16,6 +16,7 @@
 import * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
+import * as LoadGauges from './LoadGauges.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
 import * as OrderPlan from './OrderPlan.js';
 import * as OutcomeExchange from './OutcomeExchange.js';
@@ -148,7 +149,11 @@
   const streamRecords = StreamRecords.startStreamRecords({
     clock, feed: streamRecordFeed, logger, readTrueTime: trueTime.read,
   });
+  const gauges = LoadGauges.createLoadGauges(settings.daemonId);
   const metrics = RoutingMetrics.createRoutingMetrics({
+    countInvalidLoads: gauges.countInvalid,
+    countLoadReporters: () => gauges.countReporters(clock.readMonotonic()),
+    getLoadAge: () => gauges.getAge(clock.readMonotonic()),
     countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
     countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
@@ -223,6 +228,8 @@
     choice: relayChoice,
     client: relayClient,
     clock,
+    gauges,
+    hasEngines: () => RoutingConfig.hasEngines(getActiveConfig()?.config),
     limits: requestLimits,
     logger,
     random: Math.random,
@@ -248,7 +255,7 @@
     countStartedRequest: (account) => usageCounter.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(clock, FAILED_LINES_PER_S),
-    fleetLoad: FleetLoad.createFleetLoad(clock),
+    fleetLoad: FleetLoad.createFleetLoad({ clock, gauges, outcomes }),
     getActiveConfig,
     getKeyProofAge: feeds.getKeyProofAge,
     getPhase: () => phase,
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -34,7 +34,11 @@
   readonly countBlockedParts: () => number;
   readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
+  readonly countInvalidLoads: () => number;
   readonly countLimitedServers: () => number;
+  readonly countLoadReporters: () => number;
+  /** Age of what is known of the load of the fleet; infinite if nothing is. */
+  readonly getLoadAge: () => Core.Millis;
 }
 
 /** Creates the metrics of a daemon. */
@@ -96,6 +100,24 @@
     'Backend servers that announce a request limit',
     sources.countLimitedServers,
   );
+  registerGauge(
+    'berylyoke_fleet_load_age_ms',
+    'Age of the load of the fleet as known to this daemon; -1 if it is not known',
+    () => {
+      const ageMs = sources.getLoadAge();
+      return Number.isFinite(ageMs) ? ageMs : -1;
+    },
+  );
+  registerGauge(
+    'berylyoke_fleet_load_reporters',
+    'Daemons whose reports of load this daemon has',
+    sources.countLoadReporters,
+  );
+  registerGauge(
+    'berylyoke_fleet_load_invalid_entries',
+    'Entries in reports of load that were ignored as invalid since the start',
+    sources.countInvalidLoads,
+  );
   const histograms = new Map<string, Hdr.Histogram>();
   const getHistogram = (key: string): Hdr.Histogram => {
     const known = histograms.get(key);
--- a/packages/routing/src/ServerPicker.ts
+++ b/packages/routing/src/ServerPicker.ts
@@ -142,6 +142,15 @@
   return new Set(Core.rankCandidates(RESERVED_KEY, serverIds).slice(0, count));
 }
 
+/** Estimates the delay of a first token by the load of its engine. */
+export function estimateQueueMs(
+  { pendingPromptTokens, requests }: {
+    readonly pendingPromptTokens: number; readonly requests: number;
+  },
+): Core.Millis {
+  return pendingPromptTokens / PREFILL_TOKENS_PER_MS + requests * BATCH_DELAY_MS;
+}
+
 interface EngineCost {
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -33,6 +33,11 @@
   readonly pooled: ServerPool.PooledServer;
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
+  /**
+   * Time to the first token that the load by all daemons explains at a server of nominal speed; 0
+   * for a request without a prompt.
+   */
+  readonly expectedFirstTokenMs: Core.Millis;
   readonly candidates: number;
   /** Request limit of the server in requests per second; undefined if it announced none. */
   readonly limitPerS: number | undefined;
@@ -146,6 +151,9 @@
     cachedTokens: candidate.cachedTokens,
     candidates: pick.candidates,
     costMs,
+    expectedFirstTokenMs: prompt === undefined ? 0 : unloadedMs + ServerPicker.estimateQueueMs(
+      context.fleetLoad.getServerLoad(ServerTable.formatIncarnation(chosen.server), nowMs),
+    ),
     limitPerS: context.requestLimits.getLimit(chosen.server, nowMs),
     pooled: chosen,
     prefixHash,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -142,6 +142,8 @@
     readonly requestId?: string;
     readonly headers?: Readonly<Record<string, string>>;
   }) => http.ClientRequest;
+  /** Load and demand as this daemon reports them to its relay. */
+  readonly buildLoadReport: () => Routing.LoadReport;
   /** Client accounts of the requests that were counted as started. */
   readonly startedAccounts: readonly string[];
   /** Port on which the harness listens for callers. */
@@ -220,7 +222,11 @@
     },
     routes: [route],
     services: new Map([['s', {
-      coldRequestsPerS: COLD_REQUESTS_PER_S, maxConnections: 100, name: 's', purchase: undefined,
+      coldRequestsPerS: COLD_REQUESTS_PER_S,
+      engine: { concurrentRequests: 4, memoryTokens: 100_000 },
+      maxConnections: 100,
+      name: 's',
+      purchase: undefined,
     }]]),
     version: 1,
   };
@@ -272,6 +278,7 @@
       },
     },
   );
+  const gauges = Routing.createLoadGauges('d');
   const context: PathContext.PathContext = {
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
@@ -294,7 +301,11 @@
     crashReports,
     dataCentre: 'a',
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
-    fleetLoad: Routing.createFleetLoad(Core.systemClock),
+    fleetLoad: Routing.createFleetLoad({
+      clock: Core.systemClock,
+      gauges,
+      outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
+    }),
     getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
     getKeyProofAge: () => 0,
     getPhase: () => 'running',
@@ -307,7 +318,10 @@
       countBlockedParts: () => 0,
       countBlockedRequests: () => 0,
       countDroppedLogs: () => 0,
+      countInvalidLoads: () => 0,
       countLimitedServers: () => 0,
+      countLoadReporters: () => 0,
+      getLoadAge: () => Infinity,
     }),
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
@@ -349,6 +363,7 @@
       key: `${trait}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
     }]),
     applyServer,
+    buildLoadReport: () => gauges.buildReport(Core.systemClock.readMonotonic()),
     call: ({
       chunks: requestChunks = ['body'],
       headers = {},
--- a/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
+++ b/packages/routing/src/__tests__/unit/FleetOutcomes.test.ts
@@ -105,6 +105,7 @@
         choosePeer: () => (index < ROOT_RELAYS ? `d${1 - index}` : undefined),
         chooseUpstream: () => chooseUpstream(index),
         isRelay: () => index < RELAYS,
+        isRoot: () => index < ROOT_RELAYS,
       },
       client: {
         exchangeObservations: (address, observations) => Effect.suspend(() => {
@@ -115,6 +116,8 @@
         }),
       },
       clock: Core.systemClock,
+      gauges: Routing.createLoadGauges(`d${index}`),
+      hasEngines: () => false,
       limits: limits[index] as RequestLimits.RequestLimits,
       logger: Core.createLogger('silent', {}),
       random: () => 0,
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -1,3 +1,4 @@
+import * as protobuf from '@bufbuild/protobuf';
 import * as Core from '@berylyoke/core';
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
@@ -5,6 +6,7 @@
   afterEach, describe, expect, test,
 } from 'vitest';
 import * as Routing from '../../index.js';
+import * as Relay from '../../gen/berylyoke/relay/v1/relay_pb.js';
 
 const at = (ms: number, jumpMs = 0): Routing.ClockReading => (
   { monotonicMs: ms, wallMs: ms + 1_000_000 + jumpMs }
@@ -370,6 +372,61 @@
     expect(answer).toMatchObject(observations);
   });
 
+  test.each([undefined, 0, 12.5])('load of an age of %s ms arrives unchanged', async (ageMs) => {
+    const observations: Routing.FleetObservations = {
+      limits: [],
+      load: {
+        ageMs,
+        daemonId: 'd',
+        demands: [{ account: 'shop', promptTokens: 0.25 }],
+        scope: 'relay',
+        servers: [{
+          heldTokens: 10_000_000, pendingPromptTokens: 0, requests: 3, server: 'i-1@5',
+        }],
+      },
+      outcomes: [{
+        expectedMs: 1.5, failures: 0, observedMs: 2.5, refusals: 1, requests: 0, server: 'i-1@5',
+      }],
+    };
+    const received: unknown[] = [];
+    listener = await Routing.startRelayListener('127.0.0.1:0', {
+      readCopy: () => undefined,
+      receiveCounts: async () => true,
+      receiveObservations: (sent) => {
+        received.push(sent);
+        return observations;
+      },
+    });
+    const { exchangeObservations } = Routing.createRelayClient();
+    const answer = await Effect.runPromise(exchangeObservations(listener.address, observations));
+    expect(received).toMatchObject([observations]);
+    expect(answer).toMatchObject(observations);
+  });
+
+  // Guards a rolling update: bytes as the version before the exchange of load wrote and read them.
+  test('messages without load are those of the previous version', () => {
+    const bytes = Buffer.from(
+      '0a190a05692d31403511000000000000084019000000000000f03f'
+      + '12190a05692d31403511000000000000e03f190000000000003440',
+      'hex',
+    );
+    const message = protobuf.fromBinary(Relay.ExchangeOutcomesRequestSchema, bytes);
+    expect(message).toMatchObject({
+      limits: [{ ageMs: 20, requestsPerS: 0.5, server: 'i-1@5' }],
+      outcomes: [{
+        expectedMs: 0, failures: 1, observedMs: 0, refusals: 0, requests: 3, server: 'i-1@5',
+      }],
+    });
+    expect(message.load).toBeUndefined();
+    const encode = (): Buffer => (
+      Buffer.from(protobuf.toBinary(Relay.ExchangeOutcomesRequestSchema, message))
+    );
+    expect(encode()).toEqual(bytes);
+    // The load follows as field 3, which that version skips.
+    message.load = protobuf.create(Relay.LoadReportSchema, { daemonId: 'd' });
+    expect(encode().subarray(0, bytes.length + 1)).toEqual(Buffer.from([...bytes, 0x1a]));
+  });
+
   test('counts are handed over, and a failure to store them is reported', async () => {
     const received: unknown[] = [];
     listener = await Routing.startRelayListener('127.0.0.1:0', {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,6 +19,7 @@
 export * from './HandOverBatch.js';
 export * from './HeaderRules.js';
 export * from './HttpListeners.js';
+export * from './LoadGauges.js';
 export * from './LogPosition.js';
 export * from './OrderPlan.js';
 export * from './OutcomeExchange.js';
