--- a/packages/routing/src/RoutingConfig.ts
+++ b/packages/routing/src/RoutingConfig.ts
@@ -53,6 +53,14 @@
   readonly bootMs?: Core.Millis | undefined;
 }
 
+/** Capacity of one model server, in which requests share a batch and a memory for tokens. */
+export interface EngineTerms {
+  /** Requests that it runs at once; further ones queue. */
+  readonly concurrentRequests: number;
+  /** Prompt and output tokens of all of its requests that fit into its memory. */
+  readonly memoryTokens: number;
+}
+
 /** Pool of backend servers. */
 export interface Service {
   readonly name: string;
@@ -63,6 +71,8 @@
    * many as a warm one.
    */
   readonly coldRequestsPerS?: number | undefined;
+  /** Capacity of each server; undefined if they are not model servers or it is not known. */
+  readonly engine?: EngineTerms | undefined;
   /** Limits and prices of orders; undefined if the pool has a fixed size. */
   readonly purchase: PurchaseTerms | undefined;
 }
@@ -101,6 +111,11 @@
 export type OperatorRecord = { readonly _tag: 'Configuration'; readonly config: RoutingConfig }
   | { readonly _tag: 'Evacuation'; readonly dataCentre: string };
 
+/** Checks whether any service has servers of known capacity. */
+export function hasEngines(config: RoutingConfig | undefined): boolean {
+  return [...config?.services.values() ?? []].some(({ engine }) => engine !== undefined);
+}
+
 /** Lists the services to which a route sends streams that can be resumed. */
 export function listResumableServices(config: RoutingConfig | undefined): readonly string[] {
   const routes = config?.routes.filter(({ isResumable, kind }) => isResumable && kind === 'stream');
