--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -123,6 +123,8 @@
   readonly listServers: () => readonly ServerTable.BackendServer[];
   /** Counts the requests in progress at a service over all daemons; undefined if not known. */
   readonly countRequestsInProgress?: (service: string) => number | undefined;
+  /** Called with the answer to each order of servers. */
+  readonly onOrderAnswered: (order: Ports.ServerOrder, answer: Ports.DutyAnswer) => void;
   readonly random: () => number;
 }
 
@@ -132,6 +134,8 @@
   readonly countDaemons: () => number | undefined;
   /** Returns the daemon ID of the lease holder; undefined where none is known. */
   readonly getHolder: () => string | undefined;
+  /** Lists the plans of the server orders; empty unless this daemon holds the lease. */
+  readonly listPlans: () => readonly OrderPlan.OrderDecision[];
   /** Releases the lease and stops claiming it. Counts are still handed over. */
   readonly resign: () => Promise<void>;
   /** Hands over the remaining counts and stops the runner. */
@@ -196,6 +200,10 @@
 
   getHolder = (): string | undefined => this.#state.holder;
 
+  listPlans = (): readonly OrderPlan.OrderDecision[] => (
+    this.#heldLease === undefined ? [] : this.#orderPlanner.listPlans()
+  );
+
   resign = async (): Promise<void> => {
     this.#hasResigned = true;
     await this.#currentStep;
@@ -655,6 +663,7 @@
       this.#context.calls.orderServers(order, heldLease.fence),
     );
     this.#context.logger.info({ answer, fence: heldLease.fence, ...order }, 'servers ordered');
+    this.#context.onOrderAnswered(order, answer);
     if (answer === 'fenced') this.#handleRefusedFence(heldLease.fence);
     else this.#orderPlanner.recordAnswer(order, answer, nowMs);
     // Orders are sent one at a time. An answer may change the plan, and what was refused for lack
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -156,6 +156,7 @@
       return listServers()
         .filter((server) => requestLimits.getLimit(server, nowMs) !== undefined).length;
     },
+    listPlans: () => duties?.listPlans() ?? [],
   });
   const endProcess = (): void => {
     log.flush();
@@ -330,6 +331,7 @@
     listServers: () => servers.listAll(),
     listServices: () => [...getActiveConfig()?.config.services.values() ?? []],
     logger: Core.getPartLogger(log.logger, 'duties'),
+    onOrderAnswered: metrics.addOrder,
     onRelaysChanged: relayChoice.setRelays,
     peerAddress: settings.listen.peers,
     random: Math.random,
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -3,6 +3,8 @@
 import * as Hdr from 'hdr-histogram-js';
 import * as PromClient from 'prom-client';
 import type * as DefectHandler from './DefectHandler.js';
+import type * as OrderPlan from './OrderPlan.js';
+import type * as Ports from './Ports.js';
 
 const PERCENTILES = [50, 90, 95, 99] as const;
 const MICROS_PER_MS = 1_000;
@@ -24,6 +26,7 @@
   readonly addAttemptFailure: (service: string, reason: string) => void;
   readonly addDefect: (cause: DefectHandler.DefectCause) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
+  readonly addOrder: (order: Ports.ServerOrder, answer: Ports.DutyAnswer) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
   readonly render: () => Promise<string>;
 }
@@ -35,6 +38,8 @@
   readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
   readonly countLimitedServers: () => number;
+  /** Lists the plans of the server orders; empty unless this daemon holds the lease. */
+  readonly listPlans: () => readonly OrderPlan.OrderDecision[];
 }
 
 /** Creates the metrics of a daemon. */
@@ -65,6 +70,29 @@
     name: 'berylyoke_dependency_calls_total',
     registers,
   });
+  const orders = new PromClient.Counter({
+    help: 'Orders of servers by service, data centre, kind and answer',
+    labelNames: ['service', 'data_centre', 'kind', 'answer'],
+    name: 'berylyoke_server_orders_total',
+    registers,
+  });
+  const planGauge = new PromClient.Gauge({
+    collect() {
+      this.reset();
+      sources.listPlans().forEach(({ plan, service }) => {
+        const { missingServers, neededServers, replacementServers } = plan;
+        this.set({ count: 'missing', service }, missingServers);
+        this.set({ count: 'replacement', service }, replacementServers);
+        // Absent while the demand is not known.
+        if (neededServers !== undefined) this.set({ count: 'needed', service }, neededServers);
+      });
+    },
+    help: 'Servers that the demand needs, that the base plan lacks, and that replace them',
+    labelNames: ['service', 'count'],
+    name: 'berylyoke_planned_servers',
+    registers: [],
+  });
+  registry.registerMetric(planGauge);
   const registerGauge = (name: string, help: string, read: () => number): void => {
     registry.registerMetric(new PromClient.Gauge({
       collect() {
@@ -126,6 +154,9 @@
     addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
     addDefect: (cause) => defects.inc({ cause }),
     addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
+    addOrder: ({ dataCentre, isReclaimable, service }, answer) => orders.inc({
+      answer, data_centre: dataCentre, kind: isReclaimable ? 'reclaimable' : 'lasting', service,
+    }),
     addRequest: (service, outcome) => requests.inc({ outcome, service }),
     observe: (latency, service, valueMs) => {
       const micros = Math.round(valueMs * MICROS_PER_MS);
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -307,6 +307,7 @@
       countBlockedRequests: () => 0,
       countDroppedLogs: () => 0,
       countLimitedServers: () => 0,
+      listPlans: () => [],
     }),
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
--- a/packages/routing/src/__tests__/unit/CapacityPatterns.test.ts
+++ b/packages/routing/src/__tests__/unit/CapacityPatterns.test.ts
@@ -103,6 +103,22 @@
     gaps.forEach((gap, index) => expect(gap).toBeGreaterThanOrEqual(2_000 * 2 ** index));
   });
 
+  // Guards against room that stays empty for reclaimable servers which the platform does not have,
+  // and against orders of both kinds that exceed the maximum together.
+  test('a burst above the maximum while two data centres have none to give', () => {
+    const simulation = startBurst();
+    reclaimTwo(simulation, 0);
+    simulation.setNeed(40);
+    simulation.runUntil(33_000 + RECOVERY_MS + 2_000);
+    expect(simulation.countReady()).toBe(32);
+    expect(simulation.stock.getMaxOrdered()).toBeLessThanOrEqual(8);
+    ['a', 'c'].forEach((dataCentre) => simulation.stock.setStock(dataCentre, true, true));
+    simulation.setNeed(10);
+    simulation.runUntil(90_000);
+    const servers = simulation.stock.listServers(simulation.getNowMs());
+    expect(servers.filter(({ isReclaimable }) => !isReclaimable)).toHaveLength(2);
+  });
+
   // Guards against waiting for servers of an accepted order that were taken back as well.
   test('reclaimed just after the order was accepted', () => {
     const simulation = startBurst();
--- /dev/null
+++ b/packages/routing/src/__tests__/unit/DutyOrders.test.ts
@@ -0,0 +1,104 @@
+/** Orders that the duty runner sends, with the demand that it reads from the counts log. */
+import * as Core from '@berylyoke/core';
+import * as Effect from 'effect/Effect';
+import {
+  afterEach, beforeEach, expect, test, vi,
+} from 'vitest';
+import * as FakeDuties from '../support/FakeDuties.js';
+import * as SimulatedStock from '../support/SimulatedStock.js';
+import * as Routing from '../../index.js';
+
+const WINDOW_MS = 5_000;
+
+/** Demand in servers; the simulated stock without data centre `a` carries 17. */
+const NEED = 20;
+
+beforeEach(() => {
+  vi.useFakeTimers({
+    now: 1_000_000_000_000, toFake: ['Date', 'clearTimeout', 'performance', 'setTimeout'],
+  });
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+// Guards against a new holder that orders without the demand that the counts log states, and
+// against a replacement that is ordered only in a later step than the refusal for lack of stock.
+test('a new holder replaces what the demand needs with its first orders', async () => {
+  const stock = SimulatedStock.createSimulatedStock();
+  const startMs = performance.now();
+  const readTime = (): number => performance.now() - startMs;
+  const { prices } = SimulatedStock.SERVICE.purchase as Routing.PurchaseTerms;
+  [...prices.keys()].forEach((dataCentre) => stock.order({
+    count: dataCentre === 'a' ? 0 : 5, dataCentre, isReclaimable: true, service: 'chat',
+  }, 0));
+  ['b', 'd'].forEach((dataCentre) => stock.order({
+    count: 1, dataCentre, isReclaimable: false, service: 'chat',
+  }, 0));
+  stock.setStock('a', true, false);
+  await vi.advanceTimersByTimeAsync(WINDOW_MS);
+  const ordersBefore = stock.received.length;
+  const countsLog = FakeDuties.createFakeLog(() => 'none');
+  const countsRecord: Routing.CountsRecord = {
+    cores: 1,
+    counts: {},
+    daemonId: 'vm-other',
+    dataCentre: 'b',
+    incarnation: '1',
+    tokens: { chat: NEED * 24_000 * (WINDOW_MS / 1_000) },
+    window: Routing.computeWindow(Date.now(), WINDOW_MS) - 1,
+    writtenMs: Date.now(),
+  };
+  await Effect.runPromise(countsLog.connect('vm-other').append([countsRecord]));
+  const lines: string[] = [];
+  const answers: Routing.DutyAnswer[] = [];
+  const runner = Routing.startDuties({
+    usageCounter: Routing.createUsageCounter(WINDOW_MS),
+    calls: {
+      orderServers: (order) => Effect.sync(() => stock.order(order, readTime())),
+      sendUsage: () => Effect.succeed('accepted' as const),
+    },
+    clock: Core.systemClock,
+    cores: 1,
+    sendInterimCounts: () => undefined,
+    countsLog: countsLog.connect('vm-0'),
+    daemonId: 'vm-0',
+    dataCentre: 'a',
+    dutyLog: FakeDuties.createFakeLog(() => 'none').connect('vm-0'),
+    handOver: async () => true,
+    leaseMs: 3_000,
+    listServers: () => stock.listServers(readTime()),
+    listServices: () => [SimulatedStock.SERVICE],
+    logger: {
+      ...Core.createLogger('silent', {}),
+      info: (fields: unknown, text: string) => lines.push(`${text} ${JSON.stringify(fields)}`),
+    } as unknown as Core.Logger,
+    onOrderAnswered: (_, answer) => answers.push(answer),
+    onRelaysChanged: () => undefined,
+    peerAddress: undefined,
+    region: undefined,
+    regionDataCentres: ['a'],
+    random: () => 0,
+    trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+    usageDueMs: 10_000,
+    usageErrorShare: 0.05,
+    windowMs: WINDOW_MS,
+  });
+  await vi.waitFor(async () => {
+    await vi.advanceTimersByTimeAsync(100);
+    expect(stock.received.length).toBeGreaterThan(ordersBefore);
+  }, { interval: 0, timeout: 10_000 });
+  await vi.advanceTimersByTimeAsync(100);
+  const orders = stock.received.slice(ordersBefore);
+  const firstMs = orders[0]?.atMs ?? 0;
+  const lasting = orders.filter(({ atMs, isReclaimable }) => !isReclaimable && atMs === firstMs);
+  // Two of the base plan, and three for the demand of 20.
+  expect(lasting.reduce((sum, { count }) => sum + count, 0)).toBe(5);
+  expect(answers.filter((answer) => answer === 'unavailable')).toHaveLength(1);
+  const planned = lines.filter((line) => line.startsWith('capacity planned'));
+  expect(planned).toHaveLength(1);
+  expect(planned[0]).toMatch(/"neededServers":20,"replacementServers":3/);
+  expect(runner.listPlans()).toHaveLength(1);
+  runner.stop();
+  await vi.advanceTimersByTimeAsync(1_000);
+});
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -56,6 +56,7 @@
       listServers: () => [],
       listServices: () => [],
       logger: Core.createLogger('silent', {}),
+      onOrderAnswered: () => undefined,
       onRelaysChanged: (relays) => {
         assignments.set(daemonId, relays);
       },
