--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -322,6 +322,7 @@
       countLimitedServers: () => 0,
       countLoadReporters: () => 0,
       getLoadAge: () => Infinity,
+      listPlans: () => [],
     }),
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
