--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -199,6 +199,15 @@
   'request limit of a server not understood': Schema.Struct({
     ...SERVER_NOTICE_FIELDS, suppressed: Count, text: Schema.String,
   }),
+  'freshness of the load of the fleet changed': Schema.Struct({
+    ...COMMON_FIELDS,
+    /** Age of the newest sum; absent if there is none. */
+    ageMs: Schema.optional(Schema.Number),
+    isFresh: Schema.Boolean,
+    /** Daemons whose reports this daemon has. */
+    reporters: Count,
+    scope: Schema.Literal('daemon', 'relay', 'root'),
+  }),
   'request limits of servers reported by another daemon': Schema.Struct({
     ...COMMON_FIELDS,
     changes: Schema.Array(Schema.Struct({
