Model the first token of an engine and decide on admission

Each daemon sent each request at once, so queues at engines grew beyond the time limits of all kinds when engines were lost. EngineModel predicts the time to the first token from an engine's terms and its load by all daemons, and learns the rate of a service. OverloadControl decides from the prediction whether a request is sent, waits or is refused. Both are pure and not used by the request path yet.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * from './Admission.js';
 export * from './CacheIndex.js';
 export * from './DemandForecast.js';
+export * from './EngineModel.js';
 export * from './Explanation.js';
 export * from './FairQueue.js';
 export * from './FleetShares.js';
@@ -12,6 +13,7 @@
 export * from './LengthEstimate.js';
 export * from './ModelLoadPlan.js';
 export * from './Outliers.js';
+export * from './OverloadControl.js';
 export * from './Preemption.js';
 export * from './Purchases.js';
 export * from './RetryBudget.js';
