Choose engines by the load of the fleet and admit requests to them

Every daemon sent every request at once, to an engine that it chose by its own few observations, so all kinds of requests failed together when engines were lost.

AdmissionGate then sends the first attempt, lets it wait in the daemon, or refuses it with overloaded or infeasible and a predicted retry time. The log, explain and the metrics show each decision.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -53,9 +53,34 @@
   version: Schema.optional(Schema.String),
 });
 
+/** Admission of the first attempt at an engine whose load by all daemons was known. */
+const Admission = Schema.Struct({
+  /** Longest predicted wait with which the request is sent; absent if there is no limit. */
+  allowanceMs: Schema.optional(Schema.Number),
+  /** Age of the known load. */
+  loadAgeMs: Schema.Number,
+  /** Wait at the best server as predicted for the last decision. */
+  predictedWaitMs: Schema.Number,
+  /** Why the request was sent or refused, or `waiting` if it ended before that. */
+  reason: Schema.Literal(
+    'allowed',
+    'floor',
+    'infeasible',
+    'most-urgent',
+    'not-applicable',
+    'overloaded',
+    'stopping',
+    'too-many-waiting',
+    'waiting',
+  ),
+  /** Time for which the request waited in the daemon. */
+  waitedMs: Schema.Number,
+});
+
 const RequestEnded = Schema.Struct({
   ...COMMON_FIELDS,
   account: Schema.optional(Schema.String),
+  admission: Schema.optional(Admission),
   /** Part of the prompt because of which the request was not sent. */
   blockedPart: Schema.optional(Schema.String),
   choice: Schema.optional(ServerChoice),
--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -15,6 +15,7 @@
   body_too_large: 'the body is larger than the configured limit',
   caller_left: 'the caller closed the connection before the response was complete',
   headers_too_large: 'the headers are larger than the configured limit',
+  infeasible: 'the first token was predicted for after the time limit, so it was not sent',
   invalid_key: 'no client account in the configuration of the daemon has the key',
   keys_not_current: 'the daemon had read no recent configuration, so the key may be withdrawn',
   no_configuration: 'the daemon had not read any configuration yet',
@@ -25,6 +26,8 @@
   origin_unknown: 'the caller resumed a stream, and the daemon could not read which software '
     + 'version had begun it',
   outcome_unknown: 'the connection to the backend server failed after the request was sent',
+  overloaded: 'the predicted wait at the best server was longer than its priority and target '
+    + 'allow, or no server had room, so it was not sent',
   prompt_blocked: 'backend servers crashed under other requests with a part of its prompt, so it '
     + 'was not sent',
   request_blocked: 'backend servers crashed under the same request, so it was not sent',
@@ -63,6 +66,21 @@
   ];
 }
 
+/** Describes why a request was sent, waited or was refused, where the load of engines decided. */
+function describeAdmission(
+  admission: LogLines.EventLine<'request ended'>['admission'],
+): readonly string[] {
+  if (admission === undefined) return [];
+  const {
+    allowanceMs, loadAgeMs, predictedWaitMs, reason, waitedMs,
+  } = admission;
+  const allowance = allowanceMs === undefined ? 'without limit' : `up to ${allowanceMs} ms`;
+  return [
+    `admission ${reason} after a wait of ${waitedMs} ms (predicted wait ${predictedWaitMs} ms, `
+      + `allowed ${allowance}, load known ${loadAgeMs} ms earlier)`,
+  ];
+}
+
 const EVENT_FORMATTERS: EventFormatters = {
   'attempt failed': ({
     elapsedMs, end, reason, responseEnd, server, service,
@@ -79,12 +97,13 @@
     `health of ${server} changed: ${JSON.stringify(reason)}`
   ),
   'request ended': ({
-    configVersion, elapsedMs, keyProofAgeMs, limitMs, mayHaveRun, outcome, responseEnd, sends,
-    server, status,
+    admission, configVersion, elapsedMs, keyProofAgeMs, limitMs, mayHaveRun, outcome, responseEnd,
+    sends, server, status,
   }) => [
     `request ended after ${elapsedMs} ms: ${outcome}`,
     `status ${status ?? 'none'}`,
     `sent ${sends} times`,
+    ...describeAdmission(admission),
     ...server === undefined ? [] : [`server ${server}`],
     ...limitMs === undefined ? [] : [`limit ${limitMs} ms`],
     `configuration ${configVersion ?? 'none'}`,
--- a/packages/cli/src/__tests__/unit/Logs.test.ts
+++ b/packages/cli/src/__tests__/unit/Logs.test.ts
@@ -190,6 +190,29 @@
     expect(await run('explain', '--logs', ...files, 'r-2')).toMatchObject({ status: 1 });
   });
 
+  test('explain says why a request waited and was refused by an overloaded service', async () => {
+    const file = await writeLogFile('a', {
+      ...requestEndedLine,
+      admission: {
+        allowanceMs: 329,
+        loadAgeMs: 480,
+        predictedWaitMs: 1_004,
+        reason: 'overloaded',
+        waitedMs: 254,
+      },
+      mayHaveRun: false,
+      outcome: 'overloaded',
+      sends: 0,
+      status: 503,
+    });
+    const { status, text } = await run('explain', '--logs', file, 'r-1');
+    expect(status).toBe(0);
+    expect(text).toContain('longer than its priority and target allow');
+    expect(text).toContain('admission overloaded after a wait of 254 ms (predicted wait 1004 ms, '
+      + 'allowed up to 329 ms, load known 480 ms earlier)');
+    expect(await run('logs', 'check', file)).toMatchObject({ status: 0 });
+  });
+
   test('explain without a request id fails and reports it as missing', async () => {
     const { status, text } = await run(
       'explain',
--- a/packages/routing/src/PathContext.ts
+++ b/packages/routing/src/PathContext.ts
@@ -1,9 +1,11 @@
 /** Dependencies and state that all requests of a daemon share. */
 import type * as Core from '@berylyoke/core';
 import type * as Scheduling from '@berylyoke/scheduling';
+import type * as AdmissionGate from './AdmissionGate.js';
 import type * as ByteBudget from './ByteBudget.js';
 import type * as ColdLimits from './ColdLimits.js';
 import type * as CrashReports from './CrashReports.js';
+import type * as EngineRates from './EngineRates.js';
 import type * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import type * as LogRateLimiter from './LogRateLimiter.js';
@@ -74,6 +76,9 @@
   readonly outcomes: Pick<OutcomeExchange.OutcomeExchange, 'getOutcomes' | 'observe'>;
   /** Load of servers by all daemons, exchanged with them. */
   readonly fleetLoad: FleetLoad.FleetLoad;
+  readonly engineRates: EngineRates.EngineRates;
+  /** Admits the first attempts of requests with a prompt. */
+  readonly admissionGate: AdmissionGate.AdmissionGate;
   readonly cache: Scheduling.CacheIndex;
   /** Claims one retry at a service from the retry budget that all daemons share. */
   readonly claimRetry: (service: string) => boolean;
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -23,6 +23,11 @@
   body_in_pieces: { message: 'the body comes in too many pieces', status: 400 },
   body_too_large: { message: 'the body is larger than the limit', status: 413 },
   headers_too_large: { message: 'the headers are larger than the limit', status: 431 },
+  infeasible: {
+    message: 'the first token is predicted for after the time limit; the request was not sent',
+    retryAfterMs: 250,
+    status: 503,
+  },
   internal_error: {
     message: 'an unexpected error ended the request; it may have run', status: 502,
   },
@@ -58,6 +63,9 @@
   outcome_unknown: {
     message: 'the connection to the backend server broke; the request may have run', status: 502,
   },
+  overloaded: {
+    message: 'the service is overloaded; the request was not sent', retryAfterMs: 250, status: 503,
+  },
   prompt_blocked: {
     isLasting: true,
     message: 'backend servers crashed under requests with a part of this prompt; it was not sent',
@@ -100,6 +108,11 @@
   return Math.max(1, Math.min(jitteredMs, remainingMs * MAX_RETRY_AFTER_SHARE));
 }
 
+/** Limits a retry delay so that the jitter that is added to it stays within the caller's time. */
+export function limitRetryAfter(retryAfterMs: Core.Millis, remainingMs: Core.Millis): Core.Millis {
+  return Math.min(retryAfterMs, (remainingMs * MAX_RETRY_AFTER_SHARE) / (1 + RETRY_AFTER_JITTER));
+}
+
 /** Builds the body of a refusal. */
 export function buildRefusalBody(code: RefusalCode): Buffer {
   return Buffer.from(JSON.stringify({
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -7,11 +7,13 @@
 import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
 import * as RetryPolicy from './RetryPolicy.js';
+import type * as AdmissionGate from './AdmissionGate.js';
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
 import type * as ByteBudget from './ByteBudget.js';
 import * as ByteCollector from './ByteCollector.js';
 import * as CrashEvidence from './CrashEvidence.js';
+import * as EngineRates from './EngineRates.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
@@ -147,6 +149,9 @@
 
   #service = '';
 
+  /** Admission of the first attempt; undefined if none was chosen yet. */
+  #admission: AdmissionGate.Admission | undefined;
+
   /** Trait because of which the request must not be sent. */
   #blockedTrait: string | undefined;
 
@@ -403,22 +408,55 @@
       this.#refuse('stopping');
       return;
     }
-    const chosen = this.#chooseServer();
-    if (chosen !== undefined) this.#forward(chosen, route);
+    const isFirst = this.#admission === undefined && this.#triedIds.size === 0;
+    const chosen = this.#chooseServer(isFirst);
+    if (isFirst && chosen?.engine !== undefined) this.#admitToEngine(chosen, route);
+    else if (chosen !== undefined) this.#forward(chosen, route);
     else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) {
       this.#refuse(BLOCKED_REFUSALS[RequestTraits.parseTrait(this.#blockedTrait).kind]);
     } else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
   }
 
-  #chooseServer(): ServerSelection.ChosenServer | undefined {
+  /** Sends the request as soon as the load of the engines allows it. */
+  #admitToEngine(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
+    const { admissionGate, clock, fleetLoad } = this.#context;
+    this.#admission = admissionGate.open({
+      account: this.#account,
+      choose: () => this.#chooseServer(true),
+      deadlineMs: this.#receivedMs + this.#timeoutMs,
+      getAccountShare: () => (this.#account === undefined
+        ? { accounts: 1, share: 0 }
+        : fleetLoad.getAccountShare(this.#account.name, clock.readMonotonic())),
+      onRefuse: this.#withDefectHandler(
+        (code: Refusals.RefusalCode, retryAfterMs: Core.Millis) => this.#refuse(code, retryAfterMs),
+      ),
+      onSend: this.#withDefectHandler((admitted: ServerSelection.ChosenServer | undefined) => {
+        if (admitted === undefined) this.#sendToServer(route);
+        else this.#forward(admitted, route);
+      }),
+      route,
+      service: this.#service,
+    });
+    this.#admission.start(chosen);
+  }
+
+  /**
+   * Chooses the server for the next attempt.
+   *
+   * @param canBeFull whether it may have no room for the request, as its admission finds out
+   */
+  #chooseServer(canBeFull: boolean): ServerSelection.ChosenServer | undefined {
     this.#blockedTrait = this.#context.crashReports.findBlocked(this.#traits);
     if (this.#blockedTrait !== undefined) return undefined;
-    return ServerSelection.chooseServer(this.#context, {
+    const chosen = ServerSelection.chooseServer(this.#context, {
       prompt: this.#head.prompt,
       service: this.#service,
       triedIds: this.#triedIds,
       version: this.#version,
     });
+    const isFull = this.#context.admissionGate.isEnabled
+      && chosen?.engine?.prediction.hasRoom === false;
+    return isFull && !canBeFull ? undefined : chosen;
   }
 
   #forward(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
@@ -576,7 +614,7 @@
    * keeps waiting, because the response may still arrive.
    */
   #handleSilence(maxSilenceMs: Core.Millis): void {
-    const chosen = this.#chooseServer();
+    const chosen = this.#chooseServer(false);
     const canReplace = chosen !== undefined
       && !this.#isSuspect(this.#attempt as Attempt)
       && RetryPolicy.canRetry('silent', this.#getState())
@@ -836,6 +874,8 @@
     this.#releaseEvents(attempt);
     if (remainder.bytes.length > 0) this.#relay(remainder.bytes);
     ServerObservation.observeOutcome(this.#context, attempt.chosen.pooled, false);
+    const elapsedMs = this.#context.clock.readMonotonic() - attempt.startedMs;
+    EngineRates.observeAnswer(this.#context, attempt.chosen, elapsedMs);
     this.#response.end();
     this.#end('answered', head.status);
   }
@@ -994,11 +1034,11 @@
     } else this.#refuse(this.#mayHaveRun ? ifRun : ifNotRun);
   }
 
-  #refuse(code: Refusals.RefusalCode): void {
+  #refuse(code: Refusals.RefusalCode, predictedMs: Core.Millis = 0): void {
     const refusal: Refusals.Refusal = Refusals.REFUSALS[code];
     const body = Refusals.buildRefusalBody(code);
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
-    const afterMs = this.#computeRetryAfter(code, refusal);
+    const afterMs = this.#computeRetryAfter(code, refusal, predictedMs);
     if (afterMs !== undefined) headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
     const { requestId } = this.#head;
     if (requestId !== '' && Core.isWritableText(requestId)) {
@@ -1013,13 +1053,14 @@
   #computeRetryAfter(
     code: Refusals.RefusalCode,
     { isLasting, retryAfterMs }: Refusals.Refusal,
+    predictedMs: Core.Millis,
   ): Core.Millis | undefined {
     if (retryAfterMs === undefined || isLasting === true) return retryAfterMs;
     const pauseMs = code === 'no_server'
       ? ServerSelection.computeRetryDelay(this.#context, this.#service)
       : 0;
     return Refusals.computeRetryAfter(
-      Math.max(retryAfterMs, pauseMs),
+      Math.max(retryAfterMs, pauseMs, predictedMs),
       this.#computeRemainingMs(),
       this.#context.random,
     );
@@ -1030,6 +1071,7 @@
     this.#isEnded = true;
     clearTimeout(this.#timeoutTimer);
     clearTimeout(this.#silenceTimer);
+    this.#admission?.cancel();
     this.#recordEnds.forEach((endRecord) => endRecord(outcome === 'answered'));
     const server = this.#attempt?.chosen.pooled.server.id;
     if (this.#attempt !== undefined) {
@@ -1054,6 +1096,17 @@
     return { candidates, costMs: Math.round(costMs), limitPerS };
   }
 
+  #describeAdmission(): AdmissionGate.AdmissionSummary | undefined {
+    const summary = this.#admission?.describe();
+    return summary === undefined ? undefined : {
+      ...summary,
+      allowanceMs: summary.allowanceMs === undefined ? undefined : Math.round(summary.allowanceMs),
+      loadAgeMs: Math.round(summary.loadAgeMs),
+      predictedWaitMs: Math.round(summary.predictedWaitMs),
+      waitedMs: Math.round(summary.waitedMs),
+    };
+  }
+
   #describeBlock(): { readonly blockedPart?: string; readonly fingerprint?: string } {
     if (this.#blockedTrait === undefined) return {};
     const { id, kind } = RequestTraits.parseTrait(this.#blockedTrait);
@@ -1071,6 +1124,7 @@
     if (suppressed === undefined) return;
     logger.info({
       account: this.#account?.name,
+      admission: this.#describeAdmission(),
       ...this.#describeBlock(),
       configVersion: this.#configVersion,
       elapsedMs: Math.round(nowMs - this.#receivedMs),
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -4,6 +4,7 @@
  */
 import * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import * as AdmissionGate from './AdmissionGate.js';
 import * as BaseVersions from './BaseVersions.js';
 import * as ByteBudget from './ByteBudget.js';
 import * as ClockReading from './ClockReading.js';
@@ -13,6 +14,7 @@
 import * as DaemonFeeds from './DaemonFeeds.js';
 import * as DefectHandler from './DefectHandler.js';
 import * as DutyRunner from './DutyRunner.js';
+import * as EngineRates from './EngineRates.js';
 import * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
@@ -129,6 +131,7 @@
   let entry: HttpListeners.IngressListener | undefined;
   let duties: DutyRunner.DutyRunner | undefined;
   let baseVersions: BaseVersions.BaseVersions | undefined;
+  let countWaiting: AdmissionGate.AdmissionGate['countWaiting'] = () => 0;
   let listServers: ServerTable.ServerTable['listAll'] = () => [];
 
   const countDaemons = (): number => (
@@ -158,6 +161,7 @@
       return listServers()
         .filter((server) => requestLimits.getLimit(server, nowMs) !== undefined).length;
     },
+    countWaiting: () => countWaiting(),
   });
   const endProcess = (): void => {
     log.flush();
@@ -233,8 +237,18 @@
     return Math.max(1, Math.floor(max * getFleetShare()));
   }, ReadPacer.createReadPacer(clock));
   const poolCheck = setInterval(() => pool.closeRemoved(servers.listAll()), POOL_CHECK_MS);
+  const admissionGate = AdmissionGate.createAdmissionGate({
+    clock,
+    getActiveConfig,
+    getPhase: () => phase,
+    metrics,
+    random: Math.random,
+    settings: settings.overload,
+  });
+  countWaiting = admissionGate.countWaiting;
   const context: PathContext.PathContext = {
     ...createRetryBudgets(settings, getFleetShare),
+    admissionGate,
     answers: settings.answers,
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(clock, ANSWERED_LINES_PER_S),
     areKeysCurrent: feeds.areKeysCurrent,
@@ -247,6 +261,7 @@
     countDemand: (service, tokens) => usageCounter.addDemand(service, tokens, trueTime.read()),
     countStartedRequest: (account) => usageCounter.addStart(account, trueTime.read()),
     dataCentre: settings.dataCentre,
+    engineRates: EngineRates.createEngineRates(),
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(clock, FAILED_LINES_PER_S),
     fleetLoad: FleetLoad.createFleetLoad(clock),
     getActiveConfig,
@@ -356,6 +371,7 @@
   const stop = async (): Promise<void> => {
     phase = 'draining';
     logger.info({ activeRequests: activeRequests.size }, 'stopping');
+    admissionGate.refuseWaiting();
     const listener = entry;
     const limitMs = settings.bounds.graceS * MS_PER_S - EXIT_MARGIN_MS;
     stopDeadlineMs = clock.readMonotonic() + limitMs;
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -18,9 +18,23 @@
 /** Name of a latency. */
 export type Latency = keyof typeof LATENCIES;
 
+/** How an admission ended; `ended` if the request ended for another reason while it waited. */
+export type AdmissionResult = 'ended' | 'refused' | 'sent';
+
+/** Bounds of the differences between observed and predicted first tokens, in milliseconds. */
+const ERROR_BUCKETS_MS = [-1_000, -300, -100, -30, 0, 30, 100, 300, 1_000, 3_000];
+
+/** Bounds of the time for which requests wait in the daemon, in milliseconds. */
+const WAIT_BUCKETS_MS = [0, 25, 50, 100, 200, 400, 800];
+
 /** Metrics of one daemon. */
 export interface RoutingMetrics {
   readonly addRequest: (service: string, outcome: string) => void;
+  readonly addAdmission: (
+    service: string, result: AdmissionResult, reason: string, waitedMs: Core.Millis,
+  ) => void;
+  /** Records by how much a first token was later than predicted; negative if it was earlier. */
+  readonly observeFirstTokenError: (service: string, errorMs: Core.Millis) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
   readonly addDefect: (cause: DefectHandler.DefectCause) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
@@ -35,6 +49,7 @@
   readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
   readonly countLimitedServers: () => number;
+  readonly countWaiting: () => number;
 }
 
 /** Creates the metrics of a daemon. */
@@ -96,6 +111,31 @@
     'Backend servers that announce a request limit',
     sources.countLimitedServers,
   );
+  registerGauge(
+    'berylyoke_waiting_requests',
+    'Requests that wait because their service is overloaded',
+    sources.countWaiting,
+  );
+  const admissions = new PromClient.Counter({
+    help: 'Requests to engines by the result of their admission and its reason',
+    labelNames: ['service', 'result', 'reason'],
+    name: 'berylyoke_admissions_total',
+    registers,
+  });
+  const waits = new PromClient.Histogram({
+    buckets: WAIT_BUCKETS_MS,
+    help: 'Time for which requests waited for their admission, in milliseconds',
+    labelNames: ['service', 'result'],
+    name: 'berylyoke_admission_wait_ms',
+    registers,
+  });
+  const errors = new PromClient.Histogram({
+    buckets: ERROR_BUCKETS_MS,
+    help: 'Observed less predicted time to the first token, in milliseconds',
+    labelNames: ['service'],
+    name: 'berylyoke_first_token_error_ms',
+    registers,
+  });
   const histograms = new Map<string, Hdr.Histogram>();
   const getHistogram = (key: string): Hdr.Histogram => {
     const known = histograms.get(key);
@@ -123,6 +163,10 @@
   });
   registry.registerMetric(latencies);
   return {
+    addAdmission: (service, result, reason, waitedMs) => {
+      admissions.inc({ reason, result, service });
+      waits.observe({ result, service }, waitedMs);
+    },
     addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
     addDefect: (cause) => defects.inc({ cause }),
     addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
@@ -132,6 +176,7 @@
       getHistogram(`${latency} ${service}`)
         .recordValue(Math.min(MAX_MICROS, Math.max(1, micros)));
     },
+    observeFirstTokenError: (service, errorMs) => errors.observe({ service }, errorMs),
     render: () => registry.metrics(),
   };
 }
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -5,6 +5,8 @@
 import * as Schema from 'effect/Schema';
 
 const Positive = Schema.Number.pipe(Schema.positive());
+const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative());
+const Share = Schema.Number.pipe(Schema.between(0, 1));
 const NonNegative = Schema.Number.pipe(Schema.nonNegative());
 /** Far above the usual size of an event, which holds a few tokens or one tool call. */
 const DEFAULT_MAX_EVENT_BYTES = 1_048_576;
@@ -15,6 +17,12 @@
 /** With buffers that grow by doubling and the program itself, less than 128 MB. */
 const DEFAULT_MAX_HELD_BYTES = 16_777_216;
 
+/** Far more than arrive at one daemon within the time for which a request may wait. */
+const DEFAULT_MAX_WAITING = 256;
+
+/** Keeps some answers of each kind; urgent kinds still get most of an overloaded service. */
+const DEFAULT_FLOOR_SHARE = 0.2;
+
 /** `IP:PORT`. */
 const Address = Schema.String.pipe(Schema.pattern(/^[\d.]+:\d+$/));
 
@@ -77,6 +85,18 @@
       maxPlainBytes: DEFAULT_MAX_PLAIN_BYTES,
     }),
   }),
+  /** Admission to the engines of overloaded services. */
+  overload: Schema.optionalWith(Schema.Struct({
+    enabled: Schema.optionalWith(Schema.Boolean, { default: () => false }),
+    /** Number of requests that wait in the daemon at once. */
+    maxWaiting: Schema.optionalWith(Count, { default: () => DEFAULT_MAX_WAITING }),
+    /** Share of the requests of a route that is sent although the service is overloaded. */
+    floorShare: Schema.optionalWith(Share, { default: () => DEFAULT_FLOOR_SHARE }),
+  }), {
+    default: () => ({
+      enabled: false, floorShare: DEFAULT_FLOOR_SHARE, maxWaiting: DEFAULT_MAX_WAITING,
+    }),
+  }),
   /** Budget for repeated requests. */
   repeats: Schema.Struct({
     /** Repeats at a service as a share of its requests, over all daemons. */
--- a/packages/routing/src/ServerObservation.ts
+++ b/packages/routing/src/ServerObservation.ts
@@ -5,6 +5,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as BackendExchange from './BackendExchange.js';
+import * as EngineRates from './EngineRates.js';
 import type * as FleetOutcomes from './FleetOutcomes.js';
 import type * as PathContext from './PathContext.js';
 import * as RequestLimits from './RequestLimits.js';
@@ -103,10 +104,12 @@
 /** Records the time to the first token, or the response time of a request without a prompt. */
 export function observeLatency(
   context: Context,
-  { pooled, unloadedMs }: ServerSelection.ChosenServer,
+  chosen: ServerSelection.ChosenServer,
   elapsedMs: Core.Millis,
   hasPrompt: boolean,
 ): void {
+  const { pooled, unloadedMs } = chosen;
+  EngineRates.observeFirstToken(context, chosen, elapsedMs);
   if (!hasPrompt) {
     ServerPool.observeResponseTime(pooled, elapsedMs);
     return;
--- a/packages/routing/src/ServerPicker.ts
+++ b/packages/routing/src/ServerPicker.ts
@@ -142,6 +142,43 @@
   return new Set(Core.rankCandidates(RESERVED_KEY, serverIds).slice(0, count));
 }
 
+/** How well an engine suits a prompt, apart from its load. */
+export interface EnginePlacement {
+  /** Tokens of the shared prefix that the engine is expected to have cached. */
+  readonly cachedTokens: number;
+  /** Additional weight of the prefix tokens that the engine has to read again. */
+  readonly recomputedTokens: number;
+  /** Whether engines of this kind are meant for other prompts. */
+  readonly isMisplaced: boolean;
+  /** Cost of that. */
+  readonly penaltyMs: Core.Millis;
+}
+
+/** Estimates for each candidate how well it suits a prompt. */
+export function estimatePlacements(
+  candidates: readonly Pick<Candidate, 'cachedTokens' | 'id'>[],
+  prompt: Prompt,
+): readonly EnginePlacement[] {
+  const shared = countSharedPrefixTokens(prompt);
+  const key = getSharedPrefixKey(prompt);
+  const isShort = prompt.inputTokens <= SHORT_PROMPT_TOKENS;
+  const reserved = selectReservedServers(candidates.map(({ id }) => id));
+  const preferredIds = candidates.map(({ id }) => id).filter((id) => reserved.has(id) === isShort);
+  const rankedIds = key === undefined ? [] : Core.rankCandidates(key, preferredIds);
+  const penalties = { long: LONG_ON_RESERVED_PENALTY_MS, short: SHORT_ON_UNRESERVED_PENALTY_MS };
+  return candidates.map(({ cachedTokens, id }) => {
+    const rankShare = EXPECTED_CACHED_SHARES[rankedIds.indexOf(id)] ?? 0;
+    const cached = Math.min(shared, Math.max(cachedTokens, shared * rankShare));
+    const isMisplaced = reserved.size > 0 && reserved.has(id) !== isShort;
+    return {
+      cachedTokens: cached,
+      isMisplaced,
+      penaltyMs: isMisplaced ? penalties[isShort ? 'short' : 'long'] : 0,
+      recomputedTokens: (shared - cached) * (RECOMPUTE_WEIGHT - 1),
+    };
+  });
+}
+
 interface EngineCost {
   readonly costMs: Core.Millis;
   readonly unloadedMs: Core.Millis;
@@ -152,24 +189,14 @@
   prompt: Prompt,
   context: PickContext,
 ): readonly EngineCost[] {
-  const shared = countSharedPrefixTokens(prompt);
-  const key = getSharedPrefixKey(prompt);
-  const isShort = prompt.inputTokens <= SHORT_PROMPT_TOKENS;
-  const reserved = selectReservedServers(candidates.map(({ id }) => id));
-  const preferredIds = candidates.map(({ id }) => id).filter((id) => reserved.has(id) === isShort);
-  const rankedIds = key === undefined ? [] : Core.rankCandidates(key, preferredIds);
+  const placements = estimatePlacements(candidates, prompt);
   const fleetLoadFactor = Math.min(MAX_FLEET_LOAD_FACTOR, 1 + (context.daemonCount - 1) / 2);
-  return candidates.map((candidate) => {
-    const rankShare = EXPECTED_CACHED_SHARES[rankedIds.indexOf(candidate.id)] ?? 0;
-    const cached = Math.min(shared, Math.max(candidate.cachedTokens, shared * rankShare));
-    const uncachedTokens = Math.max(0, prompt.inputTokens - cached);
+  return candidates.map((candidate, index) => {
+    const { cachedTokens, penaltyMs, recomputedTokens } = placements[index] as EnginePlacement;
+    const uncachedTokens = Math.max(0, prompt.inputTokens - cachedTokens);
     const queueMs = (candidate.pendingPromptTokens * fleetLoadFactor) / PREFILL_TOKENS_PER_MS;
-    const prefillMs = (uncachedTokens + (shared - cached) * (RECOMPUTE_WEIGHT - 1))
-      / PREFILL_TOKENS_PER_MS;
+    const prefillMs = (uncachedTokens + recomputedTokens) / PREFILL_TOKENS_PER_MS;
     const batchMs = candidate.inFlight * fleetLoadFactor * BATCH_DELAY_MS;
-    const penalties = { long: LONG_ON_RESERVED_PENALTY_MS, short: SHORT_ON_UNRESERVED_PENALTY_MS };
-    const isMisplaced = reserved.size > 0 && reserved.has(candidate.id) !== isShort;
-    const penaltyMs = isMisplaced ? penalties[isShort ? 'short' : 'long'] : 0;
     return {
       costMs: candidate.delayMs + queueMs + batchMs + prefillMs + penaltyMs,
       unloadedMs: uncachedTokens / PREFILL_TOKENS_PER_MS + FIRST_TOKEN_MS,
@@ -177,6 +204,26 @@
   });
 }
 
+/** Selects the candidates to compare: those without known trouble, if there are any. */
+export function selectPool<T extends Pick<Candidate, 'isAtCapacity' | 'isSuspect'>>(
+  candidates: readonly T[],
+): readonly T[] {
+  const healthy = candidates.filter(({ isSuspect }) => !isSuspect);
+  const available = healthy.filter(({ isAtCapacity }) => !isAtCapacity);
+  return [available, healthy, candidates].find(({ length }) => length > 0) ?? [];
+}
+
+/** Adds what a pick weighs beside the expected time: failures, distance and jitter. */
+export function computePickCost(
+  expectedMs: Core.Millis,
+  { dataCentre, failureRate }: Pick<Candidate, 'dataCentre' | 'failureRate'>,
+  context: Pick<PickContext, 'dataCentre' | 'random'>,
+): Core.Millis {
+  const crossDataCentreMs = dataCentre === context.dataCentre ? 0 : CROSS_DATA_CENTRE_PENALTY_MS;
+  const failureMs = failureRate * FAILURE_COST_MS;
+  return (expectedMs + failureMs) * (1 + COST_JITTER * context.random()) + crossDataCentreMs;
+}
+
 /**
  * Picks the cheapest server; returns undefined if there is none. `expectedResponseMs` is the
  * response time of a request without a prompt.
@@ -187,20 +234,14 @@
   expectedResponseMs: number,
   context: PickContext,
 ): PickedServer | undefined {
-  const healthy = candidates.filter(({ isSuspect }) => !isSuspect);
-  const available = healthy.filter(({ isAtCapacity }) => !isAtCapacity);
-  const pool = [available, healthy, candidates].find(({ length }) => length > 0) ?? [];
+  const pool = selectPool(candidates);
   const engineCosts = prompt === undefined
     ? undefined
     : estimateEngineCosts(pool, prompt, context);
   const costs = pool.map((candidate, index) => {
     const base = engineCosts?.[index]?.costMs
       ?? (candidate.inFlight + 1) * expectedResponseMs * candidate.slowdown;
-    const crossDataCentreMs = candidate.dataCentre === context.dataCentre
-      ? 0
-      : CROSS_DATA_CENTRE_PENALTY_MS;
-    const failureMs = candidate.failureRate * FAILURE_COST_MS;
-    return (base + failureMs) * (1 + COST_JITTER * context.random()) + crossDataCentreMs;
+    return computePickCost(base, candidate, context);
   });
   const best = costs.indexOf(Math.min(...costs));
   const chosen = pool[best];
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -4,8 +4,10 @@
  */
 import * as Core from '@berylyoke/core';
 import type * as ColdLimits from './ColdLimits.js';
+import * as EnginePicker from './EnginePicker.js';
 import * as FailureRate from './FailureRate.js';
 import type * as PathContext from './PathContext.js';
+import type * as RoutingConfig from './RoutingConfig.js';
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPool from './ServerPool.js';
 import * as ServerPicker from './ServerPicker.js';
@@ -40,6 +42,8 @@
   readonly prefixHash: number | undefined;
   /** Tokens of the shared prefix that the server is expected to have cached. */
   readonly cachedTokens: number;
+  /** Prediction by the model of engines; undefined if the server was not chosen by it. */
+  readonly engine: EnginePicker.PickedEngine['engine'] | undefined;
 }
 
 function computeMedian(values: readonly number[]): number | undefined {
@@ -85,6 +89,33 @@
   if (cold !== undefined) context.coldLimits.recordSend(cold, nowMs);
 }
 
+/**
+ * Returns the terms of the engines of a service; undefined if it has none, or if their load by all
+ * daemons is not known.
+ */
+function findEngineTerms(
+  { fleetLoad, getActiveConfig }: PathContext.PathContext,
+  service: string,
+  nowMs: Core.Millis,
+): RoutingConfig.EngineTerms | undefined {
+  if (!fleetLoad.isFresh(nowMs)) return undefined;
+  return getActiveConfig()?.config.services.get(service)?.engine;
+}
+
+function readEngine(
+  { fleetLoad }: PathContext.PathContext,
+  server: ServerTable.BackendServer,
+  terms: RoutingConfig.EngineTerms,
+  nowMs: Core.Millis,
+): EnginePicker.EngineCandidate['engine'] {
+  const name = ServerTable.formatIncarnation(server);
+  return {
+    load: fleetLoad.getServerLoad(name, nowMs),
+    slowdown: fleetLoad.getSlowdown(name, nowMs),
+    terms,
+  };
+}
+
 /** Chooses among the available servers that meet the requirements. */
 export function chooseServer(
   context: PathContext.PathContext,
@@ -132,20 +163,35 @@
       pendingPromptTokens,
     };
   });
-  const pick = ServerPicker.pickServer(candidates, prompt, median ?? DEFAULT_RESPONSE_MS, {
+  const pickContext: ServerPicker.PickContext = {
     daemonCount: context.countDaemons(),
     dataCentre: context.dataCentre,
     random: context.random,
-  });
+  };
+  const terms = findEngineTerms(context, service, nowMs);
+  const engine = prompt === undefined || terms === undefined
+    ? undefined
+    : EnginePicker.pickEngine(
+      candidates.map((candidate, index) => {
+        const { server } = pooled[index] as ServerPool.PooledServer;
+        return { ...candidate, engine: readEngine(context, server, terms, nowMs) };
+      }),
+      prompt,
+      context.engineRates.get(service).getRate(),
+      pickContext,
+    );
+  const pick = engine
+    ?? ServerPicker.pickServer(candidates, prompt, median ?? DEFAULT_RESPONSE_MS, pickContext);
   const index = candidates.findIndex(({ id }) => id === pick?.id);
   const chosen = pooled[index];
   const candidate = candidates[index];
   if (pick === undefined || chosen === undefined || candidate === undefined) return undefined;
   const { costMs, unloadedMs } = pick;
   return {
-    cachedTokens: candidate.cachedTokens,
+    cachedTokens: engine?.cachedTokens ?? candidate.cachedTokens,
     candidates: pick.candidates,
     costMs,
+    engine: engine?.engine,
     limitPerS: context.requestLimits.getLimit(chosen.server, nowMs),
     pooled: chosen,
     prefixHash,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -128,6 +128,7 @@
   readonly call: (options?: {
     readonly requestId?: string;
     readonly key?: string;
+    readonly path?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly disconnectAfterMs?: number;
     /** Body, as chunks that are sent separately. */
@@ -169,6 +170,9 @@
   readonly setListReadable: (isReadable: boolean) => void;
   /** Applies the entry of a server again, as a read of the store does. */
   readonly applyServer: (index: number, extra?: Partial<Routing.BackendServer>) => void;
+  readonly admissionGate: Routing.AdmissionGate;
+  /** Renders the metrics. */
+  readonly renderMetrics: () => Promise<string>;
   readonly close: () => void;
 }
 
@@ -181,12 +185,24 @@
 
 const silentLogger = Core.createLogger('silent', {});
 
+/** Engines of the service and the settings and load by which requests are admitted to them. */
+export interface EngineOptions {
+  readonly engine?: Routing.EngineTerms;
+  readonly fleetLoad?: Partial<Routing.FleetLoad>;
+  readonly overload?: Partial<Routing.RoutingSettings['overload']>;
+  /** Routes beside the one of the harness. */
+  readonly routes?: readonly Routing.Route[];
+  /** Phase of the daemon; `running` if it is not given. */
+  readonly getPhase?: () => PathContext.Phase;
+}
+
 /** Starts a harness with one route to servers at the given ports. */
 export async function startHarness(
   ports: readonly number[],
   route: Routing.Route,
   maxConnections = DEFAULT_MAX_CONNECTIONS,
   limits: Partial<Routing.CallerLimits> = {},
+  engines: EngineOptions = {},
 ): Promise<PathHarness> {
   const servers = Routing.createServerTable();
   const applyServer: PathHarness['applyServer'] = (index, extra = {}) => (
@@ -218,9 +234,13 @@
       maxHeaderBytes: 8_000,
       ...limits,
     },
-    routes: [route],
+    routes: [route, ...engines.routes ?? []],
     services: new Map([['s', {
-      coldRequestsPerS: COLD_REQUESTS_PER_S, maxConnections: 100, name: 's', purchase: undefined,
+      coldRequestsPerS: COLD_REQUESTS_PER_S,
+      engine: engines.engine,
+      maxConnections: 100,
+      name: 's',
+      purchase: undefined,
     }]]),
     version: 1,
   };
@@ -272,7 +292,30 @@
       },
     },
   );
+  const metrics = RoutingMetrics.createRoutingMetrics({
+    countActive: () => 0,
+    countBlockedParts: () => 0,
+    countBlockedRequests: () => 0,
+    countDroppedLogs: () => 0,
+    countLimitedServers: () => 0,
+    countWaiting: () => 0,
+  });
+  const getPhase = engines.getPhase ?? (() => 'running');
+  const getActiveConfig: PathContext.PathContext['getActiveConfig'] = () => (
+    { config, routes: Routing.buildRouteTable(config.routes) }
+  );
+  const admissionGate = Routing.createAdmissionGate({
+    clock: Core.systemClock,
+    getActiveConfig,
+    getPhase,
+    metrics,
+    random: () => 0,
+    settings: {
+      enabled: false, floorShare: 0, maxWaiting: 256, ...engines.overload,
+    },
+  });
   const context: PathContext.PathContext = {
+    admissionGate,
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
     answeredLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
     areKeysCurrent: () => areKeysCurrent,
@@ -294,21 +337,16 @@
     crashReports,
     dataCentre: 'a',
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
-    fleetLoad: Routing.createFleetLoad(Core.systemClock),
-    getActiveConfig: () => ({ config, routes: Routing.buildRouteTable(config.routes) }),
+    engineRates: Routing.createEngineRates(),
+    fleetLoad: { ...Routing.createFleetLoad(Core.systemClock), ...engines.fleetLoad },
+    getActiveConfig,
     getKeyProofAge: () => 0,
-    getPhase: () => 'running',
+    getPhase,
     handleDefect: (error) => defects.push(error),
     health: Routing.createServerHealth(Core.systemClock, () => undefined),
     bufferBudget: ByteBudget.createByteBudget(10_000),
     logger: silentLogger,
-    metrics: RoutingMetrics.createRoutingMetrics({
-      countActive: () => 0,
-      countBlockedParts: () => 0,
-      countBlockedRequests: () => 0,
-      countDroppedLogs: () => 0,
-      countLimitedServers: () => 0,
-    }),
+    metrics,
     names: HEADER_NAMES,
     availability: ServerAvailability.createServerAvailability(),
     outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
@@ -330,6 +368,7 @@
     requestId: string,
     key: string,
     headers: Readonly<Record<string, string>>,
+    path = '/a/b',
   ): http.ClientRequest => http.request({
     agent: false,
     headers: {
@@ -341,10 +380,11 @@
     },
     host: '127.0.0.1',
     method: 'POST',
-    path: '/a/b',
+    path,
     port,
   });
   return {
+    admissionGate,
     applyCrashReport: (trait, report) => crashReports.applyChanges([{
       key: `${trait}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
     }]),
@@ -354,9 +394,10 @@
       headers = {},
       key = 'good',
       disconnectAfterMs,
+      path,
       requestId = 'r1',
     } = {}) => new Promise((resolve) => {
-      const request = createRequest(requestId, key, headers);
+      const request = createRequest(requestId, key, headers, path);
       const receivedChunks: Buffer[] = [];
       const finish = (
         response: http.IncomingMessage | undefined,
@@ -387,6 +428,7 @@
       .map((server) => pool.get(server).inFlight).reduce((sum, count) => sum + count, 0),
     defects,
     port,
+    renderMetrics: metrics.render,
     throwOnce: () => {
       willThrow = true;
     },
@@ -430,10 +472,11 @@
   route: Partial<Routing.Route> = {},
   maxConnections = DEFAULT_MAX_CONNECTIONS,
   limits: Partial<Routing.CallerLimits> = {},
+  engines: EngineOptions = {},
 ): Promise<PathSetUp> {
   const servers = await Promise.all(responders.map(startRawServer));
   const ports = servers.map(({ port }) => port);
-  const path = await startHarness(ports, createRoute(route), maxConnections, limits);
+  const path = await startHarness(ports, createRoute(route), maxConnections, limits, engines);
   return {
     close: () => [path, ...servers].forEach(({ close }) => close()),
     path,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Routing daemon: request path, server selection and duties, with its ports and settings. */
+export * from './AdmissionGate.js';
 export * from './BackendExchange.js';
 export * from './BaseVersions.js';
 export * from './ByteCollector.js';
@@ -14,6 +15,8 @@
 export * from './FailureRate.js';
 export * from './FeedCopy.js';
 export * from './FeedLoop.js';
+export * from './EnginePicker.js';
+export * from './EngineRates.js';
 export * from './FleetLoad.js';
 export * from './FleetOutcomes.js';
 export * from './HandOverBatch.js';
--- a/packages/scheduling/src/OverloadControl.ts
+++ b/packages/scheduling/src/OverloadControl.ts
@@ -117,6 +117,11 @@
   return usableMs * OVERLOAD.usableTargetShare;
 }
 
+/** Computes the time until which a request may wait in the daemon. */
+export function computeWaitEnd({ deadlineMs, decidedMs, terms }: OverloadRequest): Core.Millis {
+  return Math.min(deadlineMs, decidedMs + terms.targetMs * OVERLOAD.waitTargetShare);
+}
+
 function clampRetryAfter(retryAfterMs: Core.Millis): Core.Millis {
   return Math.min(OVERLOAD.maxRetryAfterMs, Math.max(OVERLOAD.minRetryAfterMs, retryAfterMs));
 }
@@ -164,10 +169,7 @@
         return { _tag: 'Send', allowanceMs, reason };
       }
       contendedMs = nowMs;
-      const untilMs = Math.min(
-        deadlineMs,
-        request.decidedMs + terms.targetMs * OVERLOAD.waitTargetShare,
-      );
+      const untilMs = computeWaitEnd(request);
       if (nowMs < untilMs) return { _tag: 'Wait', allowanceMs, untilMs };
       if (claimFloor(kind, hasRoom)) return { _tag: 'Send', allowanceMs, reason: 'floor' };
       return {
