Prefer engines that a request may be sent to over those with its prefix

A pick weighs a prefix that has to be read again three times, so it may choose an engine whose predicted wait exceeds the allowance while others are idle, and the request would wait or be refused. The pick now takes the cheapest of the engines to which the request may be sent, if there are any.

--- a/packages/routing/src/AdmissionGate.ts
+++ b/packages/routing/src/AdmissionGate.ts
@@ -6,6 +6,7 @@
  */
 import type * as Core from '@berylyoke/core';
 import * as Scheduling from '@berylyoke/scheduling';
+import type * as EnginePicker from './EnginePicker.js';
 import type * as FleetLoad from './FleetLoad.js';
 import type * as PathContext from './PathContext.js';
 import * as Refusals from './Refusals.js';
@@ -24,11 +25,16 @@
   readonly account: RoutingConfig.ClientAccount | undefined;
   /** Monotonic time at which its caller stops waiting. */
   readonly deadlineMs: Core.Millis;
-  /** Chooses the best server at the time of the call; undefined if there is none. */
-  readonly choose: () => ServerSelection.ChosenServer | undefined;
+  /**
+   * Chooses the best server at the time of the call, one to which the request may be sent if there
+   * is any; undefined if there is no server.
+   */
+  readonly choose: (
+    isAllowed: EnginePicker.AllowanceCheck,
+  ) => ServerSelection.ChosenServer | undefined;
   /** Returns the share of its account in the load of the fleet. */
   readonly getAccountShare: () => FleetLoad.AccountShare;
-  /** Called unless `onRefuse` is; `chosen` is undefined if the gate doesn't apply any more. */
+  /** Called unless `onRefuse` is; `chosen` is undefined if there was no server. */
   readonly onSend: (chosen: ServerSelection.ChosenServer | undefined) => void;
   /** `retryAfterMs` is the predicted time after which the request would be admitted. */
   readonly onRefuse: (code: Refusals.RefusalCode, retryAfterMs: Core.Millis) => void;
@@ -51,7 +57,7 @@
 /** Admission of one request. */
 export interface Admission {
   /** Decides for the first time; may call a handler of the request before it returns. */
-  readonly start: (chosen: ServerSelection.ChosenServer) => void;
+  readonly start: () => void;
   /** Ends a wait without a decision; no handler is called afterwards. */
   readonly cancel: () => void;
   /** Undefined before the first decision. */
@@ -169,20 +175,22 @@
       evicted?.refuse('overloaded', 'too-many-waiting', Scheduling.OVERLOAD.minRetryAfterMs);
       schedule();
     };
-    const decide = (
-      chosen: ServerSelection.ChosenServer | undefined,
-      nowMs: Core.Millis,
-    ): Scheduling.OverloadDecision['_tag'] => {
+    const decide = (nowMs: Core.Millis): Scheduling.OverloadDecision['_tag'] | undefined => {
+      const situation: Scheduling.OverloadSituation = {
+        account: request.getAccountShare(),
+        routes: listRouteTerms(getActiveConfig()?.config, service),
+      };
+      const chosen = request.choose((prediction) => (
+        control.isAllowed(getOverloadRequest(), situation, prediction, nowMs)
+      ));
+      // The choice may have ended the request by an unexpected error.
+      if (state === 'done') return undefined;
       if (chosen?.engine === undefined) {
-        send(undefined, 'not-applicable');
+        send(chosen, 'not-applicable');
         return 'Send';
       }
       const { load, prediction } = chosen.engine;
-      const decision = control.decide(getOverloadRequest(), {
-        account: request.getAccountShare(),
-        prediction,
-        routes: listRouteTerms(getActiveConfig()?.config, service),
-      }, nowMs);
+      const decision = control.decide(getOverloadRequest(), situation, prediction, nowMs);
       summary = {
         allowanceMs: Number.isFinite(decision.allowanceMs) ? decision.allowanceMs : undefined,
         loadAgeMs: load.ageMs,
@@ -197,22 +205,17 @@
 
     return {
       cancel: () => {
-        if (state !== 'waiting') return;
-        finish('waiting', 'ended');
+        if (state === 'waiting') finish('waiting', 'ended');
+        state = 'done';
       },
       describe: () => (summary === undefined
         ? undefined
         : { ...summary, waitedMs: (endedMs ?? clock.readMonotonic()) - startedMs }),
-      start: (chosen) => {
+      start: () => {
         startedMs = clock.readMonotonic();
-        if (!settings.enabled) {
-          state = 'done';
-          request.onSend(chosen);
-          return;
-        }
         entry = {
           deadlineMs,
-          decide: (nowMs) => (state === 'waiting' ? decide(request.choose(), nowMs) : undefined),
+          decide: (nowMs) => (state === 'waiting' ? decide(nowMs) : undefined),
           isOverdue: (nowMs) => nowMs >= untilMs,
           kind,
           priority,
@@ -224,9 +227,8 @@
           && Scheduling.compareWaiting(other, entry as WaitingRequest) <= 0
         ));
         // Those ahead of it are decided on first.
-        if (!isBehind) decide(chosen, startedMs);
-        else if (recheck().has(kind)) wait();
-        else decide(request.choose(), clock.readMonotonic());
+        if (isBehind && recheck().has(kind)) wait();
+        else decide(clock.readMonotonic());
       },
     };
   };
--- a/packages/routing/src/EnginePicker.ts
+++ b/packages/routing/src/EnginePicker.ts
@@ -66,20 +66,25 @@
   ];
 }
 
+/** Checks whether a request could be sent to an engine with the given prediction. */
+export type AllowanceCheck = (prediction: Scheduling.FirstTokenPrediction) => boolean;
+
 /**
  * Picks an engine; undefined if there is no candidate. The pick has no room for the request only if
- * no candidate has.
+ * no candidate has. An engine at which the request may be sent precedes those with less cost, or
+ * requests would wait for the engine that has their prefix while others are idle.
  */
 export function pickEngine(
   candidates: readonly EngineCandidate[],
   prompt: ServerPicker.Prompt,
   rate: Scheduling.EngineRate,
   context: ServerPicker.PickContext,
+  isAllowed: AllowanceCheck = () => true,
 ): PickedEngine | undefined {
   const pool = ServerPicker.selectPool(candidates);
   const placements = ServerPicker.estimatePlacements(pool, prompt);
   const heldTokens = prompt.inputTokens + prompt.maxOutputTokens;
-  const options = selectOptions(pool.map((candidate, index): Option => {
+  const drawn = selectOptions(pool.map((candidate, index): Option => {
     const placement = placements[index] as ServerPicker.EnginePlacement;
     const uncachedTokens = Math.max(0, prompt.inputTokens - placement.cachedTokens);
     const demand = { heldTokens, uncachedTokens };
@@ -90,6 +95,10 @@
       uncachedTokens,
     };
   }), context.random);
+  const allowed = drawn.filter(({ placement, prediction }) => (
+    isAllowed({ ...prediction, waitMs: prediction.waitMs + placement.penaltyMs })
+  ));
+  const options = allowed.length > 0 ? allowed : drawn;
   const costs = options.map(({ candidate, placement, prediction }): Core.Millis => (
     ServerPicker.computePickCost(
       prediction.ownMs + prediction.waitMs + placement.penaltyMs
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -13,6 +13,7 @@
 import type * as ByteBudget from './ByteBudget.js';
 import * as ByteCollector from './ByteCollector.js';
 import * as CrashEvidence from './CrashEvidence.js';
+import type * as EnginePicker from './EnginePicker.js';
 import * as EngineRates from './EngineRates.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
@@ -409,20 +410,30 @@
       return;
     }
     const isFirst = this.#admission === undefined && this.#triedIds.size === 0;
-    const chosen = this.#chooseServer(isFirst);
-    if (isFirst && chosen?.engine !== undefined) this.#admitToEngine(chosen, route);
-    else if (chosen !== undefined) this.#forward(chosen, route);
+    if (isFirst && this.#head.prompt !== undefined && this.#context.admissionGate.isEnabled) {
+      this.#admitToEngine(route);
+      return;
+    }
+    const chosen = this.#chooseServer();
+    if (chosen !== undefined) this.#forward(chosen, route);
     else if (this.#blockedTrait !== undefined && !this.#mayHaveRun) {
       this.#refuse(BLOCKED_REFUSALS[RequestTraits.parseTrait(this.#blockedTrait).kind]);
     } else this.#apply(RetryPolicy.chooseFinalStep(undefined, this.#getState()));
   }
 
   /** Sends the request as soon as the load of the engines allows it. */
-  #admitToEngine(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
+  #admitToEngine(route: RoutingConfig.Route): void {
     const { admissionGate, clock, fleetLoad } = this.#context;
     this.#admission = admissionGate.open({
       account: this.#account,
-      choose: () => this.#chooseServer(true),
+      choose: (isAllowed) => {
+        try {
+          return this.#chooseServer(isAllowed);
+        } catch (error) {
+          this.#handleDefect(error);
+          return undefined;
+        }
+      },
       deadlineMs: this.#receivedMs + this.#timeoutMs,
       getAccountShare: () => (this.#account === undefined
         ? { accounts: 1, share: 0 }
@@ -437,18 +448,22 @@
       route,
       service: this.#service,
     });
-    this.#admission.start(chosen);
+    this.#admission.start();
   }
 
   /**
    * Chooses the server for the next attempt.
    *
-   * @param canBeFull whether it may have no room for the request, as its admission finds out
+   * @param isAllowed check of the request's admission, which also finds out whether an engine has
+   *   no room; an attempt without admission is not sent to such an engine
    */
-  #chooseServer(canBeFull: boolean): ServerSelection.ChosenServer | undefined {
+  #chooseServer(
+    isAllowed?: EnginePicker.AllowanceCheck,
+  ): ServerSelection.ChosenServer | undefined {
     this.#blockedTrait = this.#context.crashReports.findBlocked(this.#traits);
     if (this.#blockedTrait !== undefined) return undefined;
     const chosen = ServerSelection.chooseServer(this.#context, {
+      isAllowed,
       prompt: this.#head.prompt,
       service: this.#service,
       triedIds: this.#triedIds,
@@ -456,7 +471,7 @@
     });
     const isFull = this.#context.admissionGate.isEnabled
       && chosen?.engine?.prediction.hasRoom === false;
-    return isFull && !canBeFull ? undefined : chosen;
+    return isFull && isAllowed === undefined ? undefined : chosen;
   }
 
   #forward(chosen: ServerSelection.ChosenServer, route: RoutingConfig.Route): void {
@@ -614,7 +629,7 @@
    * keeps waiting, because the response may still arrive.
    */
   #handleSilence(maxSilenceMs: Core.Millis): void {
-    const chosen = this.#chooseServer(false);
+    const chosen = this.#chooseServer();
     const canReplace = chosen !== undefined
       && !this.#isSuspect(this.#attempt as Attempt)
       && RetryPolicy.canRetry('silent', this.#getState())
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -28,6 +28,8 @@
   readonly triedIds: ReadonlySet<string>;
   /** Software version that began the stream; undefined if any version can serve the request. */
   readonly version: string | undefined;
+  /** Whether the request may be sent to an engine; engines of which that is true are preferred. */
+  readonly isAllowed?: EnginePicker.AllowanceCheck | undefined;
 }
 
 /** A server that was chosen for an attempt. */
@@ -120,7 +122,7 @@
 export function chooseServer(
   context: PathContext.PathContext,
   {
-    prompt, service, triedIds, version,
+    isAllowed, prompt, service, triedIds, version,
   }: ServerRequirements,
 ): ChosenServer | undefined {
   const nowMs = context.clock.readMonotonic();
@@ -179,6 +181,7 @@
       prompt,
       context.engineRates.get(service).getRate(),
       pickContext,
+      isAllowed,
     );
   const pick = engine
     ?? ServerPicker.pickServer(candidates, prompt, median ?? DEFAULT_RESPONSE_MS, pickContext);
--- a/packages/scheduling/src/OverloadControl.ts
+++ b/packages/scheduling/src/OverloadControl.ts
@@ -32,8 +32,6 @@
 export interface OverloadSituation {
   /** Terms of all routes to the service. */
   readonly routes: readonly RouteTerms[];
-  /** Prediction for the best server. */
-  readonly prediction: EngineModel.FirstTokenPrediction;
   /** Share of the request's account in the prompt tokens of all accounts. */
   readonly account: { readonly share: number; readonly accounts: number };
 }
@@ -63,8 +61,19 @@
 
 /** Admission to the engines of all services by one daemon. */
 export interface OverloadControl {
+  /** Checks whether a request could be sent at once to a server with the given prediction. */
+  readonly isAllowed: (
+    request: OverloadRequest,
+    situation: OverloadSituation,
+    prediction: EngineModel.FirstTokenPrediction,
+    nowMs: Core.Millis,
+  ) => boolean;
+  /** Decides on a request by the prediction for the best server. */
   readonly decide: (
-    request: OverloadRequest, situation: OverloadSituation, nowMs: Core.Millis,
+    request: OverloadRequest,
+    situation: OverloadSituation,
+    prediction: EngineModel.FirstTokenPrediction,
+    nowMs: Core.Millis,
   ) => OverloadDecision;
 }
 
@@ -147,17 +156,27 @@
     return isClaimed;
   };
 
+  const computeOwnAllowance = (
+    { terms }: OverloadRequest,
+    { account, routes }: OverloadSituation,
+    { ownMs }: EngineModel.FirstTokenPrediction,
+    nowMs: Core.Millis,
+  ): Core.Millis => {
+    const isContended = nowMs - contendedMs < OVERLOAD.contentionMs;
+    const hasExcessiveShare = account.accounts > 1
+      && account.share > OVERLOAD.maxShareFactor / account.accounts;
+    return computeAllowance(terms, routes, ownMs)
+      * (isContended && hasExcessiveShare ? OVERLOAD.excessAllowanceFactor : 1);
+  };
+
   return {
-    decide: (request, { account, prediction, routes }, nowMs) => {
+    decide: (request, situation, prediction, nowMs) => {
       const { deadlineMs, kind, terms } = request;
+      const { routes } = situation;
       const {
         hasRoom, ownMs, roomWaitMs, waitMs,
       } = prediction;
-      const isContended = nowMs - contendedMs < OVERLOAD.contentionMs;
-      const hasExcessiveShare = account.accounts > 1
-        && account.share > OVERLOAD.maxShareFactor / account.accounts;
-      const allowanceMs = computeAllowance(terms, routes, ownMs)
-        * (isContended && hasExcessiveShare ? OVERLOAD.excessAllowanceFactor : 1);
+      const allowanceMs = computeOwnAllowance(request, situation, prediction, nowMs);
       const lateMs = nowMs + waitMs + ownMs - deadlineMs;
       if (lateMs >= 0) {
         return {
@@ -179,6 +198,11 @@
         retryAfterMs: clampRetryAfter(Math.max(roomWaitMs, waitMs - allowanceMs)),
       };
     },
+    isAllowed: (request, situation, prediction, nowMs) => (
+      prediction.hasRoom
+        && nowMs + prediction.waitMs + prediction.ownMs < request.deadlineMs
+        && prediction.waitMs <= computeOwnAllowance(request, situation, prediction, nowMs)
+    ),
   };
 }
 
--- a/packages/scheduling/src/__tests__/unit/OverloadControl.test.ts
+++ b/packages/scheduling/src/__tests__/unit/OverloadControl.test.ts
@@ -36,11 +36,11 @@
     },
     {
       account,
-      prediction: {
-        hasRoom, ownMs, roomWaitMs: hasRoom ? 0 : 400, waitMs,
-      },
       routes: ROUTES,
     },
+    {
+      hasRoom, ownMs, roomWaitMs: hasRoom ? 0 : 400, waitMs,
+    },
     nowMs,
   );
 }
@@ -215,11 +215,11 @@
           },
           {
             account: { accounts: 2, share: 0.5 },
-            prediction: {
-              hasRoom, ownMs, roomWaitMs: waitMs, waitMs,
-            },
             routes,
           },
+          {
+            hasRoom, ownMs, roomWaitMs: waitMs, waitMs,
+          },
           nowMs,
         );
         switch (decision._tag) {
@@ -238,11 +238,13 @@
   implementation: Scheduling.createOverloadControl,
   mutants: {
     'everything is sent': () => ({
+      isAllowed: () => true,
       decide: () => ({ _tag: 'Send', allowanceMs: 0, reason: 'allowed' }),
     }),
     'waits end late': (floorShare, random) => {
       const control = Scheduling.createOverloadControl(floorShare, random);
       return {
+        ...control,
         decide: (...values) => {
           const decision = control.decide(...values);
           return decision._tag === 'Wait'
@@ -254,6 +256,7 @@
     'retry times are not bounded': (floorShare, random) => {
       const control = Scheduling.createOverloadControl(floorShare, random);
       return {
+        ...control,
         decide: (...values) => {
           const decision = control.decide(...values);
           return decision._tag === 'Refuse' ? { ...decision, retryAfterMs: 1 } : decision;
