--- a/packages/routing/src/EngineRates.ts
+++ b/packages/routing/src/EngineRates.ts
@@ -26,34 +26,25 @@
 
 /**
  * Records the time from a request's dispatch to its first token at an engine that the model chose.
- * The fleet learns the slowdown of the engine from the prefill time alone, with the nominal rate,
- * and only where no place in the batch was waited for.
  */
 export function observeFirstToken(
-  { engineRates, fleetLoad, metrics }: Pick<
-    PathContext.PathContext,
-    'engineRates' | 'fleetLoad' | 'metrics'
-  >,
+  { engineRates, metrics }: Pick<PathContext.PathContext, 'engineRates' | 'metrics'>,
   { engine, pooled: { server } }: ServerSelection.ChosenServer,
   observedMs: Core.Millis,
 ): void {
   if (engine === undefined) return;
   const {
-    load, prediction, rate, terms, uncachedTokens,
+    load, prediction, terms, uncachedTokens,
   } = engine;
   metrics.observeFirstTokenError(
     server.service,
     observedMs - prediction.ownMs - prediction.waitMs,
   );
+  // A wait for a place in the batch says nothing about the rate.
   if (load.requests >= terms.concurrentRequests) return;
-  const name = ServerTable.formatIncarnation(server);
   engineRates.get(server.service).observeFirstToken({
-    load, observedMs, server: name, uncachedTokens,
+    load, observedMs, server: ServerTable.formatIncarnation(server), uncachedTokens,
   });
-  const tokens = load.pendingPromptTokens + uncachedTokens;
-  if (tokens < Scheduling.ENGINE_MODEL.minObservedTokens) return;
-  const prefillMs = observedMs - rate.baseMs - Scheduling.computeBatchDelay(load);
-  fleetLoad.observeFirstToken(name, tokens / rate.tokensPerMs, Math.max(0, prefillMs));
 }
 
 /** Records the time from a request's dispatch to the end of its answer. */
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -18,6 +18,7 @@
 import * as FleetLoad from './FleetLoad.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
+import * as LoadGauges from './LoadGauges.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
 import * as OrderPlan from './OrderPlan.js';
 import * as OutcomeExchange from './OutcomeExchange.js';
@@ -151,7 +152,11 @@
   const streamRecords = StreamRecords.startStreamRecords({
     clock, feed: streamRecordFeed, logger, readTrueTime: trueTime.read,
   });
+  const gauges = LoadGauges.createLoadGauges(settings.daemonId);
   const metrics = RoutingMetrics.createRoutingMetrics({
+    countInvalidLoads: gauges.countInvalid,
+    countLoadReporters: () => gauges.countReporters(clock.readMonotonic()),
+    getLoadAge: () => gauges.getAge(clock.readMonotonic()),
     countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
     countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
@@ -227,6 +232,8 @@
     choice: relayChoice,
     client: relayClient,
     clock,
+    gauges,
+    hasEngines: () => RoutingConfig.hasEngines(getActiveConfig()?.config),
     limits: requestLimits,
     logger,
     random: Math.random,
@@ -263,7 +270,7 @@
     dataCentre: settings.dataCentre,
     engineRates: EngineRates.createEngineRates(),
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(clock, FAILED_LINES_PER_S),
-    fleetLoad: FleetLoad.createFleetLoad(clock),
+    fleetLoad: FleetLoad.createFleetLoad({ clock, gauges, outcomes }),
     getActiveConfig,
     getKeyProofAge: feeds.getKeyProofAge,
     getPhase: () => phase,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -143,6 +143,8 @@
     readonly requestId?: string;
     readonly headers?: Readonly<Record<string, string>>;
   }) => http.ClientRequest;
+  /** Load and demand as this daemon reports them to its relay. */
+  readonly buildLoadReport: () => Routing.LoadReport;
   /** Client accounts of the requests that were counted as started. */
   readonly startedAccounts: readonly string[];
   /** Port on which the harness listens for callers. */
@@ -237,7 +239,7 @@
     routes: [route, ...engines.routes ?? []],
     services: new Map([['s', {
       coldRequestsPerS: COLD_REQUESTS_PER_S,
-      engine: engines.engine,
+      engine: engines.engine ?? { concurrentRequests: 4, memoryTokens: 100_000 },
       maxConnections: 100,
       name: 's',
       purchase: undefined,
@@ -297,7 +299,10 @@
     countBlockedParts: () => 0,
     countBlockedRequests: () => 0,
     countDroppedLogs: () => 0,
+    countInvalidLoads: () => 0,
     countLimitedServers: () => 0,
+    countLoadReporters: () => 0,
+    getLoadAge: () => Infinity,
     countWaiting: () => 0,
   });
   const getPhase = engines.getPhase ?? (() => 'running');
@@ -314,6 +319,7 @@
       enabled: false, floorShare: 0, maxWaiting: 256, ...engines.overload,
     },
   });
+  const gauges = Routing.createLoadGauges('d');
   const context: PathContext.PathContext = {
     admissionGate,
     answers: { maxEventBytes: 2_000, maxHeldBytes: 10_000, maxPlainBytes: 4_000 },
@@ -338,7 +344,14 @@
     dataCentre: 'a',
     failedLogLimiter: LogRateLimiter.createLogRateLimiter(Core.systemClock, 1),
     engineRates: Routing.createEngineRates(),
-    fleetLoad: { ...Routing.createFleetLoad(Core.systemClock), ...engines.fleetLoad },
+    fleetLoad: {
+      ...Routing.createFleetLoad({
+        clock: Core.systemClock,
+        gauges,
+        outcomes: { getOutcomes: (server) => fleet.get(server, 0), observe: observed.add },
+      }),
+      ...engines.fleetLoad,
+    },
     getActiveConfig,
     getKeyProofAge: () => 0,
     getPhase,
@@ -389,6 +402,7 @@
       key: `${trait}/other`, offset: 0, raw: Buffer.alloc(0), value: report,
     }]),
     applyServer,
+    buildLoadReport: () => gauges.buildReport(Core.systemClock.readMonotonic()),
     call: ({
       chunks: requestChunks = ['body'],
       headers = {},
--- a/packages/scheduling/src/EngineModel.ts
+++ b/packages/scheduling/src/EngineModel.ts
@@ -28,7 +28,7 @@
 export interface EngineState {
   readonly terms: EngineTerms;
   readonly load: EngineLoad;
-  /** Ratio of the observed to the expected prefill time; 1 for a new server. */
+  /** Ratio of the observed to the nominal time to the first token; 1 for a new server. */
   readonly slowdown: number;
 }
 
@@ -55,6 +55,8 @@
   readonly ownMs: Core.Millis;
   /** Additional time because of the engine's load. */
   readonly waitMs: Core.Millis;
+  /** Time to the first token with this load at an engine of nominal speed. */
+  readonly nominalMs: Core.Millis;
   /** Whether the request fits into the memory and the queue of the engine. */
   readonly hasRoom: boolean;
   /** Estimated time until the request fits; 0 if it does. */
@@ -144,7 +146,10 @@
   return (endings * placeMs) / Math.max(1, concurrentRequests);
 }
 
-/** Predicts the time to the first token of a request at an engine. */
+/**
+ * Predicts the time to the first token of a request at an engine. The slowdown applies to the whole
+ * time, as it is observed, so it also corrects what the nominal time leaves out.
+ */
 export function predictFirstToken(
   engine: EngineState,
   demand: EngineDemand,
@@ -156,16 +161,19 @@
     ENGINE_MODEL.minSlowdown,
     ENGINE_MODEL.maxSlowdown,
   );
-  const msPerToken = slowdown / rate.tokensPerMs;
   const excess = load.requests - terms.concurrentRequests + 1;
   const placeWaitMs = excess <= 0
     ? 0
     : (excess * rate.placeMs) / Math.max(1, terms.concurrentRequests);
+  const ownMs = demand.uncachedTokens / rate.tokensPerMs + rate.baseMs;
+  const waitMs = load.pendingPromptTokens / rate.tokensPerMs + computeBatchDelay(load)
+    + placeWaitMs;
   return {
     hasRoom: hasRoom(engine, demand),
-    ownMs: demand.uncachedTokens * msPerToken + rate.baseMs,
+    nominalMs: ownMs + waitMs,
+    ownMs: ownMs * slowdown,
     roomWaitMs: estimateRoomWait(engine, demand, rate),
-    waitMs: load.pendingPromptTokens * msPerToken + computeBatchDelay(load) + placeWaitMs,
+    waitMs: waitMs * slowdown,
   };
 }
 
