Replace missing servers for two thirds of the demand

Change: missing servers are replaced for two thirds of the demand; the reserve of the servers that are left carries the rest.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -81,6 +81,13 @@
 /** Number of past windows whose largest demand determines the orders. */
 const DEMAND_WINDOWS = 4;
 
+/**
+ * Share of the demand for which missing servers are replaced. A replacement costs several times the
+ * price of a reclaimable server, and the reserve of the others carries the rest: a deployment whose
+ * base plan is just large enough would otherwise order replacements for each single loss.
+ */
+export const REPLACED_DEMAND_SHARE = 2 / 3;
+
 /**
  * Time after the end of a window by which its counts should have been read: the time for the
  * hand-over, and the interval between two reads.
@@ -610,8 +617,9 @@
   }
 
   /**
-   * Returns the demand in the newest window with counts; undefined if the counts of the window
-   * after it should be known as well. Before the first counts of a fleet, there is no demand.
+   * Returns the demand for which missing servers are replaced, by the newest window with counts;
+   * undefined if the counts of the window after it should be known as well. Before the first counts
+   * of a fleet, there is no demand.
    */
   #readMeasuredDemand(service: string): Scheduling.MeasuredDemand | undefined {
     if (this.#countsReadMs === -Infinity) return undefined;
@@ -624,7 +632,8 @@
       return undefined;
     }
     const tokens = this.#usageCollection.sumTokens(window, service);
-    return { requests, tokensPerSecond: tokens / (this.#context.windowMs / MS_PER_S) };
+    const tokensPerSecond = tokens / (this.#context.windowMs / MS_PER_S);
+    return { requests, tokensPerSecond: tokensPerSecond * REPLACED_DEMAND_SHARE };
   }
 
   #planOrders(nowMs: Core.Millis): readonly Ports.ServerOrder[] {
