Pack the reports of load into lists

Cause: a message for each server takes most of the processor time of an answer; encoding 100 of them takes 0.48 ms and decoding 0.31 ms, in a loop. Change: the values of a report are packed lists in the order of its servers; a report with lists of unequal length is ignored. Whole exchanges over loopback, measured beside the work of others, differ more between runs than between both encodings.

--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -85,41 +85,70 @@
   (Object.keys(LOAD_SCOPES) as LoadGauges.LoadScope[]).map((scope) => [LOAD_SCOPES[scope], scope]),
 );
 
+type LoadReportInit = protobuf.MessageInitShape<typeof Relay.LoadReportSchema>;
+
+function encodeLoad(
+  {
+    ageMs, daemonId, demands, scope, servers,
+  }: LoadGauges.LoadReport,
+): LoadReportInit {
+  return {
+    ...ageMs === undefined ? {} : { ageMs },
+    accounts: demands.map(({ account }) => account),
+    accountTokens: demands.map(({ promptTokens }) => promptTokens),
+    daemonId,
+    heldTokens: servers.map(({ heldTokens }) => heldTokens),
+    pendingPromptTokens: servers.map(({ pendingPromptTokens }) => pendingPromptTokens),
+    requests: servers.map(({ requests }) => requests),
+    scope: LOAD_SCOPES[scope],
+    servers: servers.map(({ server }) => server),
+  };
+}
+
+/** Reads a report of load; undefined if it is of an unknown scope or its lists differ in length. */
+function decodeLoad(message: Relay.LoadReport | undefined): LoadGauges.LoadReport | undefined {
+  const scope = message === undefined ? undefined : SCOPES_BY_VALUE.get(message.scope);
+  if (message === undefined || scope === undefined) return undefined;
+  const {
+    accounts, accountTokens, ageMs, daemonId, heldTokens, pendingPromptTokens, requests, servers,
+  } = message;
+  const areComplete = accounts.length === accountTokens.length
+    && [heldTokens, pendingPromptTokens, requests].every(({ length }) => length === servers.length);
+  return areComplete ? {
+    ageMs,
+    daemonId,
+    demands: accounts.map((account, index) => (
+      { account, promptTokens: accountTokens[index] as number }
+    )),
+    scope,
+    servers: servers.map((server, index) => ({
+      heldTokens: heldTokens[index] as number,
+      pendingPromptTokens: pendingPromptTokens[index] as number,
+      requests: requests[index] as number,
+      server,
+    })),
+  } : undefined;
+}
+
 type ObservationsInit = protobuf.MessageInitShape<typeof Relay.ExchangeOutcomesRequestSchema>
   & protobuf.MessageInitShape<typeof Relay.ExchangeOutcomesResponseSchema>;
 
 /** Copies observations into the mutable arrays of a message. */
-function encodeObservations({ limits, load, outcomes }: FleetObservations): ObservationsInit {
-  const observations = { limits: [...limits], outcomes: [...outcomes] };
-  if (load === undefined) return observations;
+export function encodeObservations(
+  { limits, load, outcomes }: FleetObservations,
+): ObservationsInit {
   return {
-    ...observations,
-    load: {
-      ...load.ageMs === undefined ? {} : { ageMs: load.ageMs },
-      daemonId: load.daemonId,
-      demands: [...load.demands],
-      scope: LOAD_SCOPES[load.scope],
-      servers: [...load.servers],
-    },
+    limits: [...limits],
+    outcomes: [...outcomes],
+    ...load === undefined ? {} : { load: encodeLoad(load) },
   };
 }
 
-/** Reads observations from a message; a report of an unknown scope is ignored. */
-function decodeObservations(
+/** Reads observations from a message. */
+export function decodeObservations(
   { limits, load, outcomes }: Relay.ExchangeOutcomesRequest | Relay.ExchangeOutcomesResponse,
 ): FleetObservations {
-  const scope = load === undefined ? undefined : SCOPES_BY_VALUE.get(load.scope);
-  if (load === undefined || scope === undefined) return { limits, outcomes };
-  const {
-    ageMs, daemonId, demands, servers,
-  } = load;
-  return {
-    limits,
-    load: {
-      ageMs, daemonId, demands, scope, servers,
-    },
-    outcomes,
-  };
+  return { limits, load: decodeLoad(load), outcomes };
 }
 
 function encodePage(copyPage: FeedCopy.CopyPage | undefined): Relay.ReadFeedResponse {
--- a/packages/routing/src/__tests__/measureExchange.ts
+++ b/packages/routing/src/__tests__/measureExchange.ts
@@ -115,22 +115,16 @@
 };
 
 /** Counts the bytes of a message. */
-const countBytes = (size: Size): number => {
-  const { demands, servers } = createGauges('i-4096', size).buildReport(performance.now());
-  return protobuf.toBinary(
-    Relay.ExchangeOutcomesResponseSchema,
-    protobuf.create(Relay.ExchangeOutcomesResponseSchema, {
-      outcomes: [...createOutcomes(size)],
-      ...size.hasLoad
-        ? {
-          load: {
-            ageMs: 100, daemonId: 'i-4096', demands: [...demands], servers: [...servers],
-          },
-        }
-        : {},
-    }),
-  ).length;
-};
+const countBytes = (size: Size): number => protobuf.toBinary(
+  Relay.ExchangeOutcomesResponseSchema,
+  protobuf.create(Relay.ExchangeOutcomesResponseSchema, Routing.encodeObservations({
+    limits: [],
+    load: size.hasLoad
+      ? { ...createGauges('i-4096', size).buildReport(performance.now()), ageMs: 100 }
+      : undefined,
+    outcomes: createOutcomes(size),
+  })),
+).length;
 
 const measureAll = async (): Promise<void> => {
   [15, 50, 100, 200, 512].forEach((servers) => {
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -403,6 +403,30 @@
     expect(answer).toMatchObject(observations);
   });
 
+  // Guards against amounts that are taken for those of another server.
+  test.each([
+    ['lists of unequal length', { requests: [1] }],
+    ['more accounts than demands', { accounts: ['shop'] }],
+    ['an unknown scope', { scope: 9 as Relay.LoadScope }],
+    ['no scope', { scope: Relay.LoadScope.UNSPECIFIED }],
+  ])('a report of load with %s is ignored', (_, extra) => {
+    const report = {
+      daemonId: 'd',
+      heldTokens: [9, 9],
+      pendingPromptTokens: [4, 4],
+      requests: [1, 1],
+      scope: Relay.LoadScope.DAEMON,
+      servers: ['i-1@5', 'i-2@5'],
+    };
+    const decode = (load: Partial<typeof report>): unknown => (
+      Routing.decodeObservations(
+        protobuf.create(Relay.ExchangeOutcomesRequestSchema, { load }),
+      ).load
+    );
+    expect(decode(report)).toMatchObject({ daemonId: 'd', servers: [{ requests: 1 }, {}] });
+    expect(decode({ ...report, ...extra })).toBeUndefined();
+  });
+
   // Guards a rolling update: bytes as the version before the exchange of load wrote and read them.
   test('messages without load are those of the previous version', () => {
     const bytes = Buffer.from(
