--- a/packages/routing/src/AdmissionGate.ts
+++ b/packages/routing/src/AdmissionGate.ts
@@ -157,7 +157,7 @@
     const refuse: WaitingRequest['refuse'] = (code, reason, retryAfterMs) => {
       finish(reason, 'refused');
       const remainingMs = deadlineMs - clock.readMonotonic();
-      request.onRefuse(code, Refusals.limitRetryAfter(retryAfterMs, remainingMs));
+      request.onRefuse(code, Refusals.clampRetryAfter(retryAfterMs, remainingMs));
     };
     const send = (chosen: ServerSelection.ChosenServer | undefined, reason: string): void => {
       finish(reason, 'sent');
--- a/packages/routing/src/EnginePicker.ts
+++ b/packages/routing/src/EnginePicker.ts
@@ -43,8 +43,8 @@
   readonly uncachedTokens: number;
 }
 
-/** Draws some options at random. */
-function drawOptions(
+/** Chooses some options at random. */
+function chooseAtRandom(
   options: readonly Option[],
   count: number,
   random: () => number,
@@ -60,8 +60,8 @@
   const usable = withRoom.length > 0 ? withRoom : options;
   const isMisplaced = ({ placement }: Option): boolean => placement.isMisplaced;
   return [
-    ...drawOptions(usable.filter((option) => !isMisplaced(option)), DRAWN_ENGINES, random),
-    ...drawOptions(usable.filter(isMisplaced), DRAWN_MISPLACED_ENGINES, random),
+    ...chooseAtRandom(usable.filter((option) => !isMisplaced(option)), DRAWN_ENGINES, random),
+    ...chooseAtRandom(usable.filter(isMisplaced), DRAWN_MISPLACED_ENGINES, random),
     ...usable.filter(({ placement }) => placement.cachedTokens > 0),
   ];
 }
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -109,7 +109,7 @@
 }
 
 /** Limits a retry delay so that the jitter that is added to it stays within the caller's time. */
-export function limitRetryAfter(retryAfterMs: Core.Millis, remainingMs: Core.Millis): Core.Millis {
+export function clampRetryAfter(retryAfterMs: Core.Millis, remainingMs: Core.Millis): Core.Millis {
   return Math.min(retryAfterMs, (remainingMs * MAX_RETRY_AFTER_SHARE) / (1 + RETRY_AFTER_JITTER));
 }
 
