Share relays among nine daemons or more of a region

Cause: with 16 daemons in three data centres, ten of them in two small ones had no relay. They made most of the calls to the store and had no load of the fleet. Change: nine daemons in the small data centres of a region share relays; the limit was twelve. Deployments with eight daemons are as before.

--- a/packages/routing/src/RelayPlan.ts
+++ b/packages/routing/src/RelayPlan.ts
@@ -31,9 +31,10 @@
 
 /**
  * Minimum total of daemons in the small data centres of a region that share relays. Fewer daemons
- * would save only about ten calls a second, and all of them would depend on two relays.
+ * would save few calls, and all of them would depend on two relays. Daemons without relays also
+ * don't know the load of the fleet, so that they cannot admit requests by it.
  */
-const MIN_SHARING_MEMBERS = 12;
+const MIN_SHARING_MEMBERS = 9;
 
 /** Minimum number of relays in a group; with two, the loss of one leaves another. */
 const MIN_RELAYS = 2;
