--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -19,6 +19,7 @@
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
 import * as LoadGauges from './LoadGauges.js';
+import * as ListenerLimits from './ListenerLimits.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
 import * as OutcomeExchange from './OutcomeExchange.js';
 import type * as PathContext from './PathContext.js';
@@ -158,6 +159,8 @@
     getLoadAge: () => gauges.getAge(clock.readMonotonic()),
     countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
+    countCallerBytes: () => entry?.getTotals().bytes ?? 0,
+    countCallerConnections: () => entry?.getTotals().connections ?? 0,
     countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
     countDroppedLogs: log.countDroppedRecords,
     countLimitedServers: () => {
@@ -198,7 +201,10 @@
     metrics,
     onBaseVersions: (changes) => baseVersions?.applyChanges(changes),
     onCrashReports: crashReports.applyChanges,
-    onConfig: ({ limits }) => entry?.setLimits(limits),
+    onConfig: ({ limits }) => entry?.setLimits(
+      limits,
+      ListenerLimits.computeIngressLimits(settings, limits.maxBodyBytes),
+    ),
     onRestored: () => {
       // A fleet must not write everything again at the same moment.
       setTimeout(() => {
@@ -300,6 +306,23 @@
     ),
   };
 
+  /** Creates the guard of a listener, which counts and logs the clients that it ends. */
+  const createGuardSettings = (
+    listener: string,
+    limits: Core.GuardLimits,
+  ): HttpListeners.GuardSettings => ({
+    clock,
+    limits,
+    onEnd: (reason, { bytes, connections }) => {
+      metrics.addEndedClient(listener, reason);
+      const suppressed = context.failedLogLimiter.take();
+      if (suppressed === undefined) return;
+      logger.warn({
+        connections, heldBytes: bytes, listener, reason, suppressed,
+      }, 'misbehaving client ended');
+    },
+    onError: (error) => handleDefect(error),
+  });
   entry = await HttpListeners.startIngressListener(settings.listen.entry, (request, response) => {
     try {
       const routed = new RoutedRequest.RoutedRequest(context, request, response, () => {
@@ -312,13 +335,17 @@
       handleDefect(error, '');
       response.destroy();
     }
-  });
+  }, createGuardSettings('entry', ListenerLimits.computeIngressLimits(settings)));
   const limits = getActiveConfig()?.config.limits;
-  if (limits !== undefined) entry.setLimits(limits);
+  if (limits !== undefined) {
+    entry.setLimits(limits, ListenerLimits.computeIngressLimits(settings, limits.maxBodyBytes));
+  }
+  const statusLimits = ListenerLimits.computeStatusLimits(settings);
   const isReady = (): boolean => phase === 'running' && feeds.isComplete();
   const readiness = await HttpListeners.startStatusListener(
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
+    createGuardSettings('readiness', statusLimits),
   );
   const counts = CountsHandOver.createCountsHandOver({
     choice: relayChoice,
@@ -333,12 +360,13 @@
       readCopy: feeds.readCopy,
       receiveCounts: counts.receiveCounts,
       receiveObservations: outcomes.receiveObservations,
-    });
+    }, createGuardSettings('peers', ListenerLimits.computePeerLimits(settings)));
   const metricsListener = settings.listen.metrics === undefined
     ? undefined
     : await HttpListeners.startStatusListener(
       settings.listen.metrics,
       async () => ({ status: 200, text: await metrics.render() }),
+      createGuardSettings('metrics', statusLimits),
     );
   duties = DutyRunner.startDuties({
     usageCounter,
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -39,6 +39,8 @@
   readonly observeFirstTokenError: (service: string, errorMs: Core.Millis) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
   readonly addDefect: (cause: DefectHandler.DefectCause) => void;
+  /** Counts a request that a listener's guard refused, or a connection that it closed. */
+  readonly addEndedClient: (listener: string, reason: Core.GuardReason) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
   readonly addOrder: (order: Ports.ServerOrder, answer: Ports.DutyAnswer) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
@@ -48,6 +50,8 @@
 /** Values that are read from the process when the metrics are rendered. */
 export interface MetricSources {
   readonly countActive: () => number;
+  readonly countCallerBytes: () => number;
+  readonly countCallerConnections: () => number;
   readonly countBlockedParts: () => number;
   readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
@@ -83,6 +87,12 @@
     name: 'berylyoke_unexpected_errors_total',
     registers,
   });
+  const endedClients = new PromClient.Counter({
+    help: 'Misbehaving clients that were refused or whose connection was closed, by reason',
+    labelNames: ['listener', 'reason'],
+    name: 'berylyoke_ended_clients_total',
+    registers,
+  });
   const dependencies = new PromClient.Counter({
     help: 'Calls to the platform by dependency and outcome',
     labelNames: ['dependency', 'outcome'],
@@ -123,6 +133,16 @@
     }));
   };
   registerGauge('berylyoke_active_requests', 'Requests in progress', sources.countActive);
+  registerGauge(
+    'berylyoke_caller_connections',
+    'Open connections of callers',
+    sources.countCallerConnections,
+  );
+  registerGauge(
+    'berylyoke_caller_held_bytes',
+    'Bytes that the connections of callers hold together',
+    sources.countCallerBytes,
+  );
   registerGauge(
     'berylyoke_dropped_log_records',
     'Log records dropped because their reader was too slow',
@@ -223,6 +243,7 @@
     addOrder: ({ dataCentre, isReclaimable, service }, answer) => orders.inc({
       answer, data_centre: dataCentre, kind: isReclaimable ? 'reclaimable' : 'lasting', service,
     }),
+    addEndedClient: (listener, reason) => endedClients.inc({ listener, reason }),
     addRequest: (service, outcome) => requests.inc({ outcome, service }),
     observe: (latency, service, valueMs) => {
       const micros = Math.round(valueMs * MICROS_PER_MS);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -23,6 +23,7 @@
 export * from './HeaderRules.js';
 export * from './HttpListeners.js';
 export * from './LoadGauges.js';
+export * from './ListenerLimits.js';
 export * from './LogPosition.js';
 export * from './OrderPlan.js';
 export * from './OutcomeExchange.js';
