Bound what all callers of a routing daemon hold together

Cause: the daemon limits each request, but neither the sum of unfinished bodies, of requests sent ahead and of connections, nor the time for which a body may stop. It read bodies before it checked keys, and refused requests kept their connections open.

Keys are checked before the body and again after it; the second look-up is left out while the accounts are the same and current. A Content-Length over the limit is refused at the head. Refusals with an incomplete body state "Connection: close", and the connection is closed after at most 1 s. New refusals are body_idle (408) and overloaded_memory (503). Reading a body moves to RequestBody.

Crowds and bounds are unchanged.

--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -158,6 +158,15 @@
     holder: Schema.optional(Schema.String),
     offset: Count,
   }),
+  'misbehaving client ended': Schema.Struct({
+    ...COMMON_FIELDS,
+    /** Connections of the listener and the bytes that they hold together. */
+    connections: Count,
+    heldBytes: Count,
+    listener: Schema.Literal('entry', 'metrics', 'peers', 'readiness'),
+    reason: Schema.String,
+    suppressed: Count,
+  }),
   'program loaded': Schema.Struct({
     ...COMMON_FIELDS, codeCache: Schema.Literal('not used', 'used'),
   }),
--- a/packages/cli/src/RequestExplanation.ts
+++ b/packages/cli/src/RequestExplanation.ts
@@ -12,6 +12,7 @@
 
 /** Causes by outcome; `answered` has no entry, as it needs no explanation. */
 const CAUSES_BY_OUTCOME: Readonly<Record<string, string>> = {
+  body_idle: 'the body of the request stopped before its end',
   body_too_large: 'the body is larger than the configured limit',
   caller_left: 'the caller closed the connection before the response was complete',
   headers_too_large: 'the headers are larger than the configured limit',
@@ -25,6 +26,7 @@
   origin_unknown: 'the caller resumed a stream, and the daemon could not read which software '
     + 'version had begun it',
   outcome_unknown: 'the connection to the backend server failed after the request was sent',
+  overloaded_memory: 'requests held all the memory that the daemon has for them',
   prompt_blocked: 'backend servers crashed under other requests with a part of its prompt, so it '
     + 'was not sent',
   request_blocked: 'backend servers crashed under the same request, so it was not sent',
--- a/packages/core/src/ListenerGuard.ts
+++ b/packages/core/src/ListenerGuard.ts
@@ -111,11 +111,6 @@
   return REQUEST_COST_BYTES + bytes + (rawHeaders.length / 2) * FIELD_COST_BYTES;
 }
 
-function hasBody({ headers }: http.IncomingMessage): boolean {
-  const length = headers['content-length'];
-  return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-}
-
 function isBodyDue({ body, request }: GuardedRequest): boolean {
   return body !== undefined && !request.complete;
 }
@@ -194,7 +189,7 @@
       const nowMs = clock.readMonotonic();
       /* eslint-disable no-param-reassign */
       connection.bodyMs = nowMs;
-      if (body.isDiscarded) return true;
+      if (body.isDiscarded) return !request.isPaused();
       body.bytes += chunk.length;
       body.pieces += 1;
       /* eslint-enable no-param-reassign */
@@ -211,7 +206,7 @@
   };
 
   const createBody = (request: http.IncomingMessage): RefusedBody.BodyState | undefined => {
-    if (!hasBody(request)) return undefined;
+    if (!RefusedBody.hasBody(request)) return undefined;
     return {
       bytes: 0,
       handleRefusal: undefined,
--- a/packages/core/src/RefusedBody.ts
+++ b/packages/core/src/RefusedBody.ts
@@ -49,6 +49,12 @@
   if (state !== undefined) state.handleRefusal = handleRefusal;
 }
 
+/** Checks whether the head of a request announces a body. */
+export function hasBody({ headers }: http.IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
 /**
  * Ends a response whose head is written. If the body of the request is incomplete, its rest is
  * discarded for at most `BODY_LINGER_MS` and the connection is closed then: closing a connection
@@ -79,6 +85,47 @@
   request.resume();
 }
 
+/** An answer as a whole. */
+export interface WholeAnswer {
+  readonly status: number;
+  /** Names and values of headers in turn, without `Content-Length` and `Connection`. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  /** Whether the connection is closed after the answer even if the request is complete. */
+  readonly isLast?: boolean;
+}
+
+/** Sends a whole answer at any time, also when the body of the request is incomplete. */
+export function sendWholeAnswer(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  {
+    body, headers, isLast = false, status,
+  }: WholeAnswer,
+): void {
+  const send = (): void => {
+    if (response.headersSent || response.destroyed) return;
+    const isIncomplete = hasBody(request) && !request.complete;
+    response.writeHead(status, [
+      ...headers,
+      'Content-Length',
+      String(body.length),
+      ...isIncomplete || isLast ? ['Connection', 'close'] : [],
+    ]);
+    if (isIncomplete) endRefusal(request, response, body);
+    else response.end(body);
+  };
+  if (!hasBody(request) || request.complete) {
+    send();
+    return;
+  }
+  const state = bodyStates.get(request);
+  if (state !== undefined) state.isDiscarded = true;
+  // A short body is complete once all that was read with the head is parsed, which goes on after
+  // callbacks and ticks; the connection of its request need not be closed then.
+  setImmediate(send);
+}
+
 /** Writes a bare status to a connection, and closes it when the client may have read that. */
 export function endWithStatus(socket: stream.Duplex, status: number, headers = ''): void {
   socket.end(
--- a/packages/routing/src/HttpListeners.ts
+++ b/packages/routing/src/HttpListeners.ts
@@ -22,10 +22,17 @@
   request: http.IncomingMessage, response: http.ServerResponse,
 ) => void;
 
+/** Limits of the clients of a listener, and what is called when one of them is ended. */
+export type GuardSettings = Pick<Core.GuardOptions, 'clock' | 'limits' | 'onEnd' | 'onError'>;
+
 /** Listener for callers. */
 export interface IngressListener {
-  /** Applies the limits of a configuration to subsequent connections. */
-  readonly setLimits: (limits: RoutingConfig.CallerLimits) => void;
+  /** Applies the limits of a configuration to subsequent connections, and those of the guard. */
+  readonly setLimits: (
+    limits: RoutingConfig.CallerLimits, guardLimits: Core.GuardLimits,
+  ) => void;
+  /** Counts the connections and the bytes that they hold. */
+  readonly getTotals: () => Core.LedgerTotals;
   /**
    * Waits for the load balancer to notice, closes the listener, and waits for responses in
    * progress.
@@ -60,24 +67,26 @@
 export async function startIngressListener(
   address: string,
   handleRequest: RequestHandler,
+  guardSettings: GuardSettings,
 ): Promise<IngressListener> {
   const server = http.createServer({
     connectionsCheckingInterval: 1_000,
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
     requestTimeout: 0,
-  }, (request, response) => {
-    response.sendDate = false;
-    handleRequest(request, response);
   });
-  server.on('clientError', (error, socket) => {
-    // Malformed request: a 400 response without a body, like the default of Node.js, is enough.
-    if (socket.writable && !socket.destroyed) socket.end('HTTP/1.1 400 Bad Request\r\n\r\n');
-    else socket.destroy(error);
+  const guard = Core.guardListener(server, {
+    ...guardSettings,
+    handleRequest: (request, response) => {
+      response.sendDate = false;
+      handleRequest(request, response);
+    },
   });
   await listen(server, address);
   return {
-    setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
+    getTotals: guard.getTotals,
+    setLimits: ({ headerTimeoutMs, idleTimeoutMs }, guardLimits) => {
+      guard.setLimits(guardLimits);
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
     },
@@ -100,8 +109,10 @@
 export async function startInternalListener(
   address: string,
   handleRequest: http.RequestListener,
+  guardSettings: GuardSettings,
 ): Promise<InternalListener> {
-  const server = http.createServer(handleRequest);
+  const server = http.createServer();
+  Core.guardListener(server, { ...guardSettings, handleRequest });
   await listen(server, address);
   const { port } = server.address() as net.AddressInfo;
   return {
@@ -117,11 +128,11 @@
 export function startStatusListener(
   address: string,
   getStatus: () => Promise<{ readonly status: number; readonly text: string }>,
+  guardSettings: GuardSettings,
 ): Promise<InternalListener> {
-  return startInternalListener(address, (_, response) => {
-    getStatus().then(({ status, text }) => {
-      response.writeHead(status, { 'content-type': 'text/plain' });
-      response.end(text);
-    }, () => response.destroy());
-  });
+  return startInternalListener(address, (request, response) => {
+    getStatus().then(({ status, text }) => Core.sendWholeAnswer(request, response, {
+      body: Buffer.from(text), headers: ['Content-Type', 'text/plain'], status,
+    }), () => response.destroy());
+  }, guardSettings);
 }
--- a/packages/routing/src/Refusals.ts
+++ b/packages/routing/src/Refusals.ts
@@ -1,5 +1,5 @@
 /**
- * Error responses that the daemon generates itself. Status 429, 503 and 421 guarantee that the
+ * Error responses that the daemon generates itself. Status 408, 421, 429 and 503 guarantee that the
  * request has not run and never will; 502 and 504 guarantee nothing.
  */
 import type * as Core from '@berylyoke/core';
@@ -20,6 +20,7 @@
 
 /** All refusals by code. */
 export const REFUSALS = {
+  body_idle: { message: 'the body stopped before its end', status: 408 },
   body_in_pieces: { message: 'the body comes in too many pieces', status: 400 },
   body_too_large: { message: 'the body is larger than the limit', status: 413 },
   headers_too_large: { message: 'the headers are larger than the limit', status: 431 },
@@ -58,6 +59,9 @@
   outcome_unknown: {
     message: 'the connection to the backend server broke; the request may have run', status: 502,
   },
+  overloaded_memory: {
+    message: 'the memory for requests is used up', retryAfterMs: 250, status: 503,
+  },
   prompt_blocked: {
     isLasting: true,
     message: 'backend servers crashed under requests with a part of this prompt; it was not sent',
--- a/packages/routing/src/RelayCalls.ts
+++ b/packages/routing/src/RelayCalls.ts
@@ -160,6 +160,7 @@
 export function startRelayListener(
   address: string,
   handlers: RelayHandlers,
+  guardSettings: HttpListeners.GuardSettings,
 ): Promise<HttpListeners.InternalListener> {
   return HttpListeners.startInternalListener(address, connectNode.connectNodeAdapter({
     routes: (router) => {
@@ -171,5 +172,5 @@
         readFeed: ({ feed, from }) => encodePage(handlers.readCopy(feed, from)),
       });
     },
-  }));
+  }), guardSettings);
 }
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -16,6 +16,7 @@
 import * as HeaderRules from './HeaderRules.js';
 import type * as PathContext from './PathContext.js';
 import * as Refusals from './Refusals.js';
+import * as RequestBody from './RequestBody.js';
 import * as RequestFingerprint from './RequestFingerprint.js';
 import * as RequestHead from './RequestHead.js';
 import * as RequestTraits from './RequestTraits.js';
@@ -44,16 +45,6 @@
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
-/**
- * Limits of the pieces of a caller's body: so many of any size, and one more for each piece of the
- * usual minimum. Each piece costs a callback of the parser, however small it is.
- */
-const MAX_SMALL_PIECES = 16_384;
-const MIN_PIECE_BYTES = 64;
-
-/** Time for which the rest of a refused body is read. */
-const BODY_LINGER_MS = 1_000;
-
 /** Memory that an event takes beside its bytes; many events are much shorter than this. */
 const EVENT_OVERHEAD_BYTES = 256;
 
@@ -166,10 +157,16 @@
 
   #account: RoutingConfig.ClientAccount | undefined;
 
+  /** Accounts among which that of the key was looked up last. */
+  #checkedAccounts: RoutingConfig.RoutingConfig['accountsByKeyDigest'];
+
   #timeoutMs = DEFAULT_TIMEOUT_MS;
 
   #body: Buffer = Buffer.alloc(0);
 
+  /** Drops what was read of an incomplete body. */
+  #cancelBody: (() => void) | undefined;
+
   #attempt: Attempt | undefined;
 
   /** Attempts that may have reached a server of the service. */
@@ -291,64 +288,59 @@
     this.#timeoutMs = Math.min(this.#head.callerTimeoutMs ?? Infinity, route.timeoutMs);
     const handleTimeout = this.#withDefectHandler(() => this.#handleTimeout());
     this.#timeoutTimer = setTimeout(handleTimeout, this.#timeoutMs);
-    this.#readBody(config.limits.maxBodyBytes, () => this.#authenticate(route, config));
-  }
-
-  #readBody(maxBytes: number, onBody: () => void): void {
-    const body = ByteCollector.createByteCollector(maxBytes);
-    let pieces = 0;
-    this.#request.on('data', this.#withDefectHandler((chunk: Buffer) => {
-      pieces += 1;
-      const isFragmented = pieces > MAX_SMALL_PIECES + body.getLength() / MIN_PIECE_BYTES;
-      if (isFragmented) this.#request.pause();
-      if (this.#isEnded) return;
-      if (isFragmented) this.#refuseBody('body_in_pieces');
-      else if (!body.append(chunk)) this.#refuseBody('body_too_large');
-    }));
-    this.#request.on('end', this.#withDefectHandler(() => {
-      if (this.#isEnded) return;
-      this.#body = body.take();
-      onBody();
+    // Without a valid key, a request holds no body; meanwhile its key may be withdrawn.
+    this.#authenticate(route, config, () => this.#readBody(config.limits.maxBodyBytes, () => {
+      const current = this.#context.getActiveConfig()?.config ?? config;
+      this.#authenticate(route, current, () => this.#dispatch());
     }));
   }
 
-  /**
-   * Refuses a request because of its body. The caller has some time to read the refusal before the
-   * connection is reset, which would discard it, unless the rest of the body arrives until then.
-   */
-  #refuseBody(code: Refusals.RefusalCode): void {
-    this.#refuse(code);
-    setTimeout(() => {
-      if (!this.#request.complete) this.#request.socket.destroy();
-    }, BODY_LINGER_MS);
+  #readBody(maxBytes: number, onBody: () => void): void {
+    this.#cancelBody = RequestBody.readRequestBody(this.#request, maxBytes, {
+      onBody: this.#withDefectHandler((body: Buffer) => {
+        if (this.#isEnded) return;
+        this.#body = body;
+        onBody();
+      }),
+      onRefuse: this.#withDefectHandler((code: Refusals.RefusalCode) => {
+        if (!this.#isEnded) this.#refuse(code);
+      }),
+    });
   }
 
-  #authenticate(route: RoutingConfig.Route, config: RoutingConfig.RoutingConfig): void {
+  #authenticate(
+    route: RoutingConfig.Route,
+    config: RoutingConfig.RoutingConfig,
+    onValid: () => void,
+  ): void {
     const accounts = config.accountsByKeyDigest;
     if (route.isOpen || accounts === undefined) {
-      this.#dispatch();
+      onValid();
       return;
     }
     if (!this.#context.areKeysCurrent()) {
-      this.#renewKeys(route);
+      this.#renewKeys(route, onValid);
       return;
     }
-    const key = this.#head.bearerKey;
-    this.#account = key === undefined ? undefined : accounts.get(RoutingConfig.hashKey(key));
+    if (accounts !== this.#checkedAccounts) {
+      const key = this.#head.bearerKey;
+      this.#checkedAccounts = accounts;
+      this.#account = key === undefined ? undefined : accounts.get(RoutingConfig.hashKey(key));
+    }
     if (this.#account === undefined) this.#refuse('invalid_key');
-    else this.#dispatch();
+    else onValid();
   }
 
   /**
    * Refreshes the list of keys and then authenticates against the newest configuration, which may
    * be newer than the one that the route came from.
    */
-  #renewKeys(route: RoutingConfig.Route): void {
+  #renewKeys(route: RoutingConfig.Route, onValid: () => void): void {
     this.#context.renewKeys().then(this.#withDefectHandler((isCurrent: boolean) => {
       if (this.#isEnded) return;
       const active = this.#context.getActiveConfig();
       if (!isCurrent || active === undefined) this.#refuse('keys_not_current');
-      else this.#authenticate(route, active.config);
+      else this.#authenticate(route, active.config, onValid);
     }), this.#withDefectHandler((error: unknown) => {
       throw error;
     }));
@@ -997,16 +989,17 @@
   #refuse(code: Refusals.RefusalCode): void {
     const refusal: Refusals.Refusal = Refusals.REFUSALS[code];
     const body = Refusals.buildRefusalBody(code);
-    const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+    const headers = ['Content-Type', 'application/json'];
     const afterMs = this.#computeRetryAfter(code, refusal);
     if (afterMs !== undefined) headers.push('Retry-After', (afterMs / 1_000).toFixed(3));
     const { requestId } = this.#head;
     if (requestId !== '' && Core.isWritableText(requestId)) {
       headers.push(this.#context.names.requestId, requestId);
     }
-    this.#addConnectionHeader(headers);
-    this.#response.writeHead(refusal.status, headers);
-    this.#response.end(body);
+    const isLast = this.#context.getPhase() !== 'running';
+    Core.sendWholeAnswer(this.#request, this.#response, {
+      body, headers, isLast, status: refusal.status,
+    });
     this.#end(code, refusal.status);
   }
 
@@ -1030,6 +1023,7 @@
     this.#isEnded = true;
     clearTimeout(this.#timeoutTimer);
     clearTimeout(this.#silenceTimer);
+    this.#cancelBody?.();
     this.#recordEnds.forEach((endRecord) => endRecord(outcome === 'answered'));
     const server = this.#attempt?.chosen.pooled.server.id;
     if (this.#attempt !== undefined) {
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -15,6 +15,7 @@
 import * as DutyRunner from './DutyRunner.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
+import * as ListenerLimits from './ListenerLimits.js';
 import * as LogRateLimiter from './LogRateLimiter.js';
 import * as OrderPlan from './OrderPlan.js';
 import * as OutcomeExchange from './OutcomeExchange.js';
@@ -150,6 +151,8 @@
   const metrics = RoutingMetrics.createRoutingMetrics({
     countActive: () => activeRequests.size,
     countBlockedParts: () => crashReports.countBlocked('promptPart'),
+    countCallerBytes: () => entry?.getTotals().bytes ?? 0,
+    countCallerConnections: () => entry?.getTotals().connections ?? 0,
     countBlockedRequests: () => crashReports.countBlocked('fingerprint'),
     countDroppedLogs: log.countDroppedRecords,
     countLimitedServers: () => {
@@ -188,7 +191,10 @@
     metrics,
     onBaseVersions: (changes) => baseVersions?.applyChanges(changes),
     onCrashReports: crashReports.applyChanges,
-    onConfig: ({ limits }) => entry?.setLimits(limits),
+    onConfig: ({ limits }) => entry?.setLimits(
+      limits,
+      ListenerLimits.computeIngressLimits(settings, limits.maxBodyBytes),
+    ),
     onRestored: () => {
       // A fleet must not write everything again at the same moment.
       setTimeout(() => {
@@ -276,6 +282,23 @@
     ),
   };
 
+  /** Creates the guard of a listener, which counts and logs the clients that it ends. */
+  const createGuardSettings = (
+    listener: string,
+    limits: Core.GuardLimits,
+  ): HttpListeners.GuardSettings => ({
+    clock,
+    limits,
+    onEnd: (reason, { bytes, connections }) => {
+      metrics.addEndedClient(listener, reason);
+      const suppressed = context.failedLogLimiter.take();
+      if (suppressed === undefined) return;
+      logger.warn({
+        connections, heldBytes: bytes, listener, reason, suppressed,
+      }, 'misbehaving client ended');
+    },
+    onError: (error) => handleDefect(error),
+  });
   entry = await HttpListeners.startIngressListener(settings.listen.entry, (request, response) => {
     try {
       const routed = new RoutedRequest.RoutedRequest(context, request, response, () => {
@@ -288,13 +311,17 @@
       handleDefect(error, '');
       response.destroy();
     }
-  });
+  }, createGuardSettings('entry', ListenerLimits.computeIngressLimits(settings)));
   const limits = getActiveConfig()?.config.limits;
-  if (limits !== undefined) entry.setLimits(limits);
+  if (limits !== undefined) {
+    entry.setLimits(limits, ListenerLimits.computeIngressLimits(settings, limits.maxBodyBytes));
+  }
+  const statusLimits = ListenerLimits.computeStatusLimits(settings);
   const isReady = (): boolean => phase === 'running' && feeds.isComplete();
   const readiness = await HttpListeners.startStatusListener(
     settings.listen.readiness,
     async () => (isReady() ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' }),
+    createGuardSettings('readiness', statusLimits),
   );
   const counts = CountsHandOver.createCountsHandOver({
     choice: relayChoice,
@@ -309,12 +336,13 @@
       readCopy: feeds.readCopy,
       receiveCounts: counts.receiveCounts,
       receiveObservations: outcomes.receiveObservations,
-    });
+    }, createGuardSettings('peers', ListenerLimits.computePeerLimits(settings)));
   const metricsListener = settings.listen.metrics === undefined
     ? undefined
     : await HttpListeners.startStatusListener(
       settings.listen.metrics,
       async () => ({ status: 200, text: await metrics.render() }),
+      createGuardSettings('metrics', statusLimits),
     );
   duties = DutyRunner.startDuties({
     usageCounter,
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -23,6 +23,8 @@
   readonly addRequest: (service: string, outcome: string) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
   readonly addDefect: (cause: DefectHandler.DefectCause) => void;
+  /** Counts a request that a listener's guard refused, or a connection that it closed. */
+  readonly addEndedClient: (listener: string, reason: Core.GuardReason) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
   readonly render: () => Promise<string>;
@@ -31,6 +33,8 @@
 /** Values that are read from the process when the metrics are rendered. */
 export interface MetricSources {
   readonly countActive: () => number;
+  readonly countCallerBytes: () => number;
+  readonly countCallerConnections: () => number;
   readonly countBlockedParts: () => number;
   readonly countBlockedRequests: () => number;
   readonly countDroppedLogs: () => number;
@@ -59,6 +63,12 @@
     name: 'berylyoke_unexpected_errors_total',
     registers,
   });
+  const endedClients = new PromClient.Counter({
+    help: 'Misbehaving clients that were refused or whose connection was closed, by reason',
+    labelNames: ['listener', 'reason'],
+    name: 'berylyoke_ended_clients_total',
+    registers,
+  });
   const dependencies = new PromClient.Counter({
     help: 'Calls to the platform by dependency and outcome',
     labelNames: ['dependency', 'outcome'],
@@ -76,6 +86,16 @@
     }));
   };
   registerGauge('berylyoke_active_requests', 'Requests in progress', sources.countActive);
+  registerGauge(
+    'berylyoke_caller_connections',
+    'Open connections of callers',
+    sources.countCallerConnections,
+  );
+  registerGauge(
+    'berylyoke_caller_held_bytes',
+    'Bytes that the connections of callers hold together',
+    sources.countCallerBytes,
+  );
   registerGauge(
     'berylyoke_dropped_log_records',
     'Log records dropped because their reader was too slow',
@@ -126,6 +146,7 @@
     addAttemptFailure: (service, reason) => failures.inc({ reason, service }),
     addDefect: (cause) => defects.inc({ cause }),
     addDependency: (dependency, outcome) => dependencies.inc({ dependency, outcome }),
+    addEndedClient: (listener, reason) => endedClients.inc({ listener, reason }),
     addRequest: (service, outcome) => requests.inc({ outcome, service }),
     observe: (latency, service, valueMs) => {
       const micros = Math.round(valueMs * MICROS_PER_MS);
--- a/packages/routing/src/RoutingSettings.ts
+++ b/packages/routing/src/RoutingSettings.ts
@@ -15,6 +15,12 @@
 /** With buffers that grow by doubling and the program itself, less than 128 MB. */
 const DEFAULT_MAX_HELD_BYTES = 16_777_216;
 
+/** Clients that pipeline at all send a few requests ahead. */
+const DEFAULT_REQUESTS_AHEAD = 32;
+
+/** Longer than the time for which a connection that recovers from losses is silent. */
+const DEFAULT_BODY_IDLE_MS = 10_000;
+
 /** `IP:PORT`. */
 const Address = Schema.String.pipe(Schema.pattern(/^[\d.]+:\d+$/));
 
@@ -46,7 +52,26 @@
     /** Share of each core that the daemon may use. */
     cpuShare: Positive,
     cores: Positive,
+    /** Memory of the VM in MB. */
+    memoryMb: Schema.optional(Positive),
+    /** Limit of open descriptors of the process. */
+    maxDescriptors: Schema.optional(Positive),
   }), { default: () => ({ cores: 1, cpuShare: 1 }) }),
+  /** Limits of all callers together; none is reached by clients within the operator's limits. */
+  callers: Schema.optionalWith(Schema.Struct({
+    /** Connections of callers; derived from the descriptors of the VM by default. */
+    maxConnections: Schema.optional(Positive),
+    /** Bytes that they hold together; derived from the memory of the VM by default. */
+    maxHeldBytes: Schema.optional(Positive),
+    /** Requests of one connection that may wait for the answer to an earlier one. */
+    maxRequestsAhead: Schema.optionalWith(Positive, { default: () => DEFAULT_REQUESTS_AHEAD }),
+    /** Time without a byte after which an incomplete body is refused, in milliseconds. */
+    bodyIdleMs: Schema.optionalWith(Positive, { default: () => DEFAULT_BODY_IDLE_MS }),
+  }), {
+    default: () => ({
+      bodyIdleMs: DEFAULT_BODY_IDLE_MS, maxRequestsAhead: DEFAULT_REQUESTS_AHEAD,
+    }),
+  }),
   bounds: Schema.Struct({
     /** Maximum time from the withdrawal of a key to its last use. */
     keyWithdrawalMs: Positive,
--- a/packages/routing/src/__tests__/support/PathHarness.ts
+++ b/packages/routing/src/__tests__/support/PathHarness.ts
@@ -35,6 +35,9 @@
 /** Connections to one server, unless a test sets another limit. */
 const DEFAULT_MAX_CONNECTIONS = 8;
 
+/** Time after which a body that stops is refused; short to keep the tests short. */
+const BODY_IDLE_MS = 500;
+
 /** Requests a second that a cold server takes. */
 export const COLD_REQUESTS_PER_S = 2;
 
@@ -305,6 +308,8 @@
       countActive: () => 0,
       countBlockedParts: () => 0,
       countBlockedRequests: () => 0,
+      countCallerBytes: () => 0,
+      countCallerConnections: () => 0,
       countDroppedLogs: () => 0,
       countLimitedServers: () => 0,
     }),
@@ -318,8 +323,15 @@
     servers,
     streamVersions,
   };
-  const listener = http.createServer((request, response) => {
-    new RoutedRequest.RoutedRequest(context, request, response, () => undefined).start();
+  const listener = http.createServer();
+  Core.guardListener(listener, {
+    clock: Core.systemClock,
+    handleRequest: (request, response) => {
+      new RoutedRequest.RoutedRequest(context, request, response, () => undefined).start();
+    },
+    limits: Routing.computeIngressLimits({
+      callers: { bodyIdleMs: BODY_IDLE_MS, maxRequestsAhead: 32 }, vm: { cores: 1, cpuShare: 1 },
+    }),
   });
   await new Promise<void>((resolve) => {
     listener.listen(0, '127.0.0.1', resolve);
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -307,6 +307,14 @@
   });
 });
 
+/** Limits of the listener, those of a daemon without settings. */
+const PEER_GUARD: Routing.GuardSettings = {
+  clock: Core.systemClock,
+  limits: Routing.computePeerLimits({
+    callers: { bodyIdleMs: 10_000, maxRequestsAhead: 32 }, vm: { cores: 1, cpuShare: 1 },
+  }),
+};
+
 describe('calls between daemons', () => {
   let listener: Routing.InternalListener | undefined;
   afterEach(() => listener?.close());
@@ -328,7 +336,7 @@
       readCopy: () => copyPage,
       receiveCounts: async () => true,
       receiveObservations: () => NO_OBSERVATIONS,
-    });
+    }, PEER_GUARD);
     const { read } = Routing.createRelayClient();
     expect(await Effect.runPromise(read(listener.address, 'servers', 1))).toEqual(copyPage);
   });
@@ -338,7 +346,7 @@
       readCopy: () => undefined,
       receiveCounts: async () => true,
       receiveObservations: () => NO_OBSERVATIONS,
-    });
+    }, PEER_GUARD);
     const { read } = Routing.createRelayClient();
     const unknown = await Effect.runPromise(Effect.either(read(listener.address, 'other', 1)));
     expect(Either.isLeft(unknown)).toBe(true);
@@ -363,7 +371,7 @@
         received.push(sent);
         return observations;
       },
-    });
+    }, PEER_GUARD);
     const { exchangeObservations } = Routing.createRelayClient();
     const answer = await Effect.runPromise(exchangeObservations(listener.address, observations));
     expect(received).toMatchObject([observations]);
@@ -379,7 +387,7 @@
         received.push(...records);
         return !isFinal;
       },
-    });
+    }, PEER_GUARD);
     const { handOver } = Routing.createRelayClient();
     const { address } = listener;
     const interim = await Effect.runPromise(Effect.either(handOver(address, [counts], false)));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,6 +18,7 @@
 export * from './HandOverBatch.js';
 export * from './HeaderRules.js';
 export * from './HttpListeners.js';
+export * from './ListenerLimits.js';
 export * from './LogPosition.js';
 export * from './OrderPlan.js';
 export * from './OutcomeExchange.js';
