--- a/packages/routing/src/__tests__/measureExchange.ts
+++ b/packages/routing/src/__tests__/measureExchange.ts
@@ -3,6 +3,7 @@
  * with reports of load: processor time of both processes, and bytes of the messages by number of
  * servers. Run with `npm run measure:exchange`.
  */
+import * as Core from '@berylyoke/core';
 import * as protobuf from '@bufbuild/protobuf';
 import * as Effect from 'effect/Effect';
 import * as childProcess from 'node:child_process';
@@ -63,6 +64,11 @@
         outcomes,
       };
     },
+  }, {
+    clock: Core.systemClock,
+    limits: Routing.computePeerLimits({
+      callers: { bodyIdleMs: 10_000, maxRequestsAhead: 32 }, vm: { cores: 1, cpuShare: 1 },
+    }),
   });
   process.on('message', () => process.send?.(readCpuMs()));
   process.on('disconnect', () => listener.close());
--- a/packages/routing/src/__tests__/unit/Relays.test.ts
+++ b/packages/routing/src/__tests__/unit/Relays.test.ts
@@ -411,7 +411,7 @@
         received.push(sent);
         return observations;
       },
-    });
+    }, PEER_GUARD);
     const { exchangeObservations } = Routing.createRelayClient();
     const answer = await Effect.runPromise(exchangeObservations(listener.address, observations));
     expect(received).toMatchObject([observations]);
