Count the reading of a moved prefix as a wait

Cause: an engine at which a request may be sent preceded those with its prefix. Change: such an engine precedes only if the time to read the prefix again fits into the allowed wait as well. Not measured yet.

--- a/packages/routing/src/EnginePicker.ts
+++ b/packages/routing/src/EnginePicker.ts
@@ -84,7 +84,9 @@
 /**
  * Picks an engine; undefined if there is no candidate. The pick has no room for the request only if
  * no candidate has. An engine at which the request may be sent precedes those with less cost, or
- * requests would wait for the engine that has their prefix while others are idle.
+ * requests would wait for the engine that has their prefix while others are idle. The time to read
+ * the prefix again counts as a wait there: in an overload, prefixes that move from engine to engine
+ * took half of the time of all engines.
  */
 export function pickEngine(
   candidates: readonly EngineCandidate[],
@@ -112,7 +114,11 @@
     context.random,
   );
   const allowed = isAllowed === undefined ? [] : drawn.filter(({ placement, prediction }) => (
-    isAllowed({ ...prediction, waitMs: prediction.waitMs + placement.penaltyMs })
+    isAllowed({
+      ...prediction,
+      waitMs: prediction.waitMs + placement.penaltyMs
+        + placement.recomputedTokens / rate.tokensPerMs,
+    })
   ));
   const options = allowed.length > 0 ? allowed : drawn;
   const costs = options.map(({ candidate, placement, prediction }): Core.Millis => (
