End only the request in whose callback berylyoked throws

berylyoked had no handler of unexpected errors: a throw in a callback of one request was an uncaught error and ended the process with all its requests.

The handler moves from packages/routing to packages/core, with the wrapper for callbacks that RoutedRequest had. berylyoked registers it, wraps the callbacks of its requests and gives the place at the engine back as cancelled, since the server did not fail. berylyoke_unexpected_errors_total counts by cause, as in the routing daemon.

--- a/packages/routing/src/DefectHandler.ts
+++ b/packages/core/src/DefectHandler.ts
@@ -5,7 +5,9 @@
  * daemon reads its state again. So do repeated defects outside of requests, since the loops that
  * keep the state of the daemon current may have ended with them.
  */
-import * as Core from '@berylyoke/core';
+import type * as Clock from './Clock.js';
+import * as Invariant from './Invariant.js';
+import type * as Logging from './Logging.js';
 
 /** Defects outside of requests within the interval that end the process. */
 const MAX_BACKGROUND_DEFECTS = 20;
@@ -16,8 +18,8 @@
 
 /** Dependencies of the handler. */
 export interface DefectHandlerContext {
-  readonly clock: Core.Clock;
-  readonly logger: Core.Logger;
+  readonly clock: Clock.Clock;
+  readonly logger: Logging.Logger;
   readonly onDefect: (cause: DefectCause) => void;
   /** Ends the process once the log is flushed. */
   readonly endProcess: () => void;
@@ -31,13 +33,13 @@
 export type DefectHandler = (error: unknown, requestId?: string) => void;
 
 function getCause(error: unknown, requestId: string | undefined): DefectCause {
-  if (error instanceof Core.InvariantError) return 'invariant';
+  if (error instanceof Invariant.InvariantError) return 'invariant';
   return requestId === undefined ? 'background' : 'request';
 }
 
 /** Creates a defect handler. */
 export function createDefectHandler(context: DefectHandlerContext): DefectHandler {
-  let recentMs: readonly Core.Millis[] = [];
+  let recentMs: readonly Clock.Millis[] = [];
   const isTooFrequent = (): boolean => {
     const nowMs = context.clock.readMonotonic();
     recentMs = [...recentMs.filter((atMs) => nowMs - atMs < DEFECT_INTERVAL_MS), nowMs];
@@ -76,3 +78,20 @@
     },
   };
 }
+
+/**
+ * Wraps a callback so that an error which it throws is passed to `handleError`. Node.js would
+ * report the error of an event listener as an uncaught error of the process.
+ */
+export function withErrorHandler<Values extends readonly unknown[]>(
+  callback: (...values: Values) => void,
+  handleError: (error: unknown) => void,
+): (...values: Values) => void {
+  return (...values) => {
+    try {
+      callback(...values);
+    } catch (error) {
+      handleError(error);
+    }
+  };
+}
--- a/packages/routing/src/__tests__/unit/DefectHandler.test.ts
+++ b/packages/core/src/__tests__/unit/DefectHandler.test.ts
@@ -1,6 +1,8 @@
-import * as Core from '@berylyoke/core';
 import { describe, expect, test } from 'vitest';
+import * as Clock from '../../Clock.js';
 import * as DefectHandler from '../../DefectHandler.js';
+import * as Invariant from '../../Invariant.js';
+import * as Logging from '../../Logging.js';
 
 interface Calls {
   readonly causes: DefectHandler.DefectCause[];
@@ -12,11 +14,11 @@
   return {
     calls,
     handle: DefectHandler.createDefectHandler({
-      clock: Core.systemClock,
+      clock: Clock.systemClock,
       endProcess: () => {
         calls.ends += 1;
       },
-      logger: Core.createLogger('silent', {}),
+      logger: Logging.createLogger('silent', {}),
       onDefect: (cause) => calls.causes.push(cause),
     }),
   };
@@ -32,7 +34,7 @@
 
   test('ends the process if an invariant of shared state is violated', () => {
     const { calls, handle } = setUp();
-    handle(new Core.InvariantError('counts never fall'));
+    handle(new Invariant.InvariantError('counts never fall'));
     expect(calls.ends).toBe(1);
   });
 
@@ -55,7 +57,7 @@
 
   test('ends the process if a request finds that an invariant is violated', () => {
     const { calls, handle } = setUp();
-    handle(new Core.InvariantError('counts never fall'), 'r1');
+    handle(new Invariant.InvariantError('counts never fall'), 'r1');
     expect(calls).toEqual({ causes: ['invariant'], ends: 1 });
   });
 });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './BoundedMap.js';
 export * from './Cleanup.js';
 export * from './Clock.js';
+export * from './DefectHandler.js';
 export * from './DrainListener.js';
 export * from './HttpJson.js';
 export * from './HttpSyntax.js';
--- a/packages/daemon/src/BackendCall.ts
+++ b/packages/daemon/src/BackendCall.ts
@@ -34,13 +34,13 @@
 }
 
 /**
- * Sends a call. Resolves with the response once its head is received, or with the failure; never
- * rejects.
+ * Sends a call. Resolves with the response once its head is received, or with the failure. Rejects
+ * only with an unexpected error of a callback, which also ends the call.
  */
 export function sendBackendRequest(
   call: BackendRequest,
 ): Promise<BackendFailure | http.IncomingMessage> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     let sent = false;
     let hasTimedOut = false;
     let isPermitted = true;
@@ -53,6 +53,10 @@
       path: call.path,
       port: Number(port),
     });
+    const handleError = (error: unknown): void => {
+      reject(error);
+      request.destroy();
+    };
     // Adding a listener here costs a third of using the `signal` option of `http.request`.
     const handleAbort = (): void => {
       request.destroy();
@@ -71,26 +75,26 @@
         _tag: 'BackendFailure', reason: call.signal?.aborted === true ? 'aborted' : reason, sent,
       });
     };
-    request.on('socket', (socket) => {
+    request.on('socket', Core.withErrorHandler((socket) => {
       if (!socket.connecting) {
         sent = true;
         return;
       }
       const timer = setTimeout(() => request.destroy(), call.connectTimeoutMs);
-      socket.once('connect', () => {
+      socket.once('connect', Core.withErrorHandler(() => {
         clearTimeout(timer);
         // Node writes the pending request after this listener returns, and writes nothing if the
         // request has been destroyed.
         isPermitted = call.canSend?.() ?? true;
         if (isPermitted) sent = true;
         else request.destroy();
-      });
+      }, handleError));
       socket.once('close', () => clearTimeout(timer));
-    });
+    }, handleError));
     request.on('error', handleFailure);
     // A request that is destroyed without an error emits only `close`.
     request.on('close', handleFailure);
-    request.on('response', (response) => {
+    request.on('response', Core.withErrorHandler((response) => {
       if (!Core.isFinalStatus(response.statusCode ?? 0)) {
         request.destroy();
         return;
@@ -98,7 +102,7 @@
       clearTimeout(headTimer);
       response.once('close', () => call.signal?.removeEventListener('abort', handleAbort));
       resolve(response);
-    });
+    }, handleError));
     // If the caller disconnected while the request was queued, the signal fired its event before
     // the listener was added.
     if (call.signal?.aborted === true) handleAbort();
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -26,6 +26,9 @@
 /** Retry-After of calls that need a claim while no claims can be made, in milliseconds. */
 const CLAIM_RETRY_AFTER_MS = 2_000;
 
+/** Exit status after an unexpected error that the daemon cannot go on after. */
+const DEFECT_EXIT_CODE = 70;
+
 /** A running daemon. */
 export interface Daemon {
   readonly entryUrl: string;
@@ -110,6 +113,14 @@
   const drainHooks = createRegistry<() => Promise<void>>();
   const activeRequests = ActiveRequests.createActiveRequests();
   const metrics = RequestMetrics.createRequestMetrics(activeRequests.count);
+  const endProcess = (): void => {
+    // State that requests share may be corrupt; a restarted daemon reads it again.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(DEFECT_EXIT_CODE);
+  };
+  const { handleDefect, unregister } = Core.registerDefectHandler({
+    clock, endProcess, logger, onDefect: metrics.addDefect,
+  });
   const tracing = await Tracing.createTracing(settings.trace.otlpUrl);
   let draining = false;
 
@@ -126,6 +137,7 @@
     }),
     clock,
     config,
+    handleDefect,
     explanations: Explanations.createExplanations(MAX_EXPLAINED_REQUESTS),
     isDraining: () => draining,
     listReadinessProblems: () => [
@@ -181,6 +193,7 @@
       log.close();
       await tracing.close().catch(() => logger.warn('the last trace spans were not exported'));
       await operator.close(OPERATOR_CLOSE_TIMEOUT_MS);
+      unregister();
       logger.info('stopped');
     },
   };
--- a/packages/daemon/src/DaemonContext.ts
+++ b/packages/daemon/src/DaemonContext.ts
@@ -52,6 +52,8 @@
   readonly activeRequests: ActiveRequests.ActiveRequests;
   readonly metrics: RequestMetrics.RequestMetrics;
   readonly tracing: Tracing.Tracing;
+  /** Handles an unexpected error; `requestId` is that of the request which it ended. */
+  readonly handleDefect: Core.DefectHandler;
   readonly explanations: Explanations.Explanations;
   readonly isDraining: () => boolean;
   readonly registerReadinessCheck: (name: string, check: ReadinessCheck) => Core.Cleanup;
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -50,7 +50,6 @@
   context: DaemonContext.DaemonContext,
 ): Promise<HttpServer.RunningServer> {
   const { limits } = context.settings;
-  const logger = Core.getPartLogger(context.logger, 'path');
   const relay: RelayChat.RelayContext = {
     agent: new http.Agent({ keepAlive: true, maxFreeSockets: 256 }),
     clock: context.clock,
@@ -77,9 +76,9 @@
   const handleRequest = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    requestId: string,
   ): Promise<void> => {
     const [path = '/', query = ''] = (request.url ?? '/').split('?', 2);
-    const requestId = Core.createId();
     response.setHeader('x-request-id', requestId);
     // During a drain each response closes its connection, so that the caller reconnects to another
     // daemon.
@@ -97,10 +96,10 @@
       return;
     }
     const abort = new AbortController();
-    response.on('close', () => {
+    response.on('close', Core.withErrorHandler(() => {
       bodyReceiver.release(body);
       if (!response.writableFinished) abort.abort();
-    });
+    }, (error) => context.handleDefect(error, requestId)));
     const received: RequestTypes.ReceivedRequest = {
       body,
       headers: request.headers,
@@ -129,8 +128,9 @@
     maxHeaderSize: limits.headerBytes,
     requestTimeout: limits.requestReadMs,
   }, (request, response) => {
-    handleRequest(request, response).catch((error: unknown) => {
-      logger.error({ err: error }, 'request failed');
+    const requestId = Core.createId();
+    handleRequest(request, response, requestId).catch((error: unknown) => {
+      context.handleDefect(error, requestId);
       response.destroy();
     });
   });
--- a/packages/daemon/src/HealthRoutes.ts
+++ b/packages/daemon/src/HealthRoutes.ts
@@ -24,7 +24,7 @@
     merged.metrics().then((text) => {
       response.writeHead(HTTP_OK, { 'content-type': PromClient.register.contentType });
       response.end(text);
-    }, () => response.destroy());
+    }).catch(() => response.destroy());
   },
   '/readyz': (context, response) => {
     const missing = context.listReadinessProblems();
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -1,4 +1,5 @@
 /** HTTP interface for operators: status, request explanations and health. */
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import type * as DaemonContext from './DaemonContext.js';
 import * as HealthRoutes from './HealthRoutes.js';
@@ -16,7 +17,7 @@
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(JSON.stringify(body));
   };
-  const server = http.createServer((request, response) => {
+  const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
     const [path = '/'] = (request.url ?? '/').split('?');
     if (HealthRoutes.handleHealth(context, path, response)) return;
     if (path === '/operator/status') {
@@ -27,6 +28,12 @@
     const entry = match === null ? undefined : context.explanations.find(match[1] ?? '');
     if (entry === undefined) sendJson(response, HTTP_NOT_FOUND, { error: { code: 'not_found' } });
     else sendJson(response, HTTP_OK, { daemonId: context.settings.daemonId, ...entry });
+  };
+  const server = http.createServer((request, response) => {
+    Core.withErrorHandler(handleRequest, (error) => {
+      context.handleDefect(error, Core.createId());
+      response.destroy();
+    })(request, response);
   });
   return HttpServer.startHttpServer(server, context.settings.operator);
 }
--- a/packages/daemon/src/ReadResponse.ts
+++ b/packages/daemon/src/ReadResponse.ts
@@ -7,13 +7,13 @@
 
 /**
  * Reads a body of at most `maxBytes` bytes; undefined if it is truncated, reset, late or too large.
- * Never rejects.
+ * Rejects only with an unexpected error of a callback.
  */
 export function readResponseBody(
   response: http.IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
     const timer = setTimeout(() => response.destroy(), READ_TIMEOUT_MS);
@@ -21,13 +21,20 @@
       clearTimeout(timer);
       resolve(body);
     };
+    const handleError = (error: unknown): void => {
+      clearTimeout(timer);
+      reject(error);
+      response.destroy();
+    };
     Core.watchReset(response, () => finish(undefined));
-    response.on('data', (chunk: Buffer) => {
+    response.on('data', Core.withErrorHandler((chunk: Buffer) => {
       bytes += chunk.length;
       chunks.push(chunk);
       if (bytes > maxBytes) response.destroy();
-    });
-    response.on('end', () => finish(response.complete ? Buffer.concat(chunks) : undefined));
+    }, handleError));
+    response.on('end', Core.withErrorHandler(() => {
+      finish(response.complete ? Buffer.concat(chunks) : undefined);
+    }, handleError));
     response.on('error', () => finish(undefined));
     response.on('close', () => finish(undefined));
   });
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -2,7 +2,7 @@
  * Relays chat completions: runs attempts until the response is complete, and resumes a broken
  * stream on another server after the last delivered token.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
@@ -122,7 +122,7 @@
   answer, context, responseWriter, observeTokens, requestId, signal, target,
 }: StreamRelay): Promise<AttemptResult> {
   const reader = SseReader.createSseReader(requestId);
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     let isFinished = false;
     let timer: NodeJS.Timeout | undefined;
     const finish = (result: AttemptResult): void => {
@@ -132,12 +132,16 @@
       if (result !== 'done') answer.destroy();
       resolve(result);
     };
+    const handleError = (error: unknown): void => {
+      reject(error);
+      finish('failed');
+    };
     const startSilenceTimer = (): void => {
       timer = setTimeout(() => finish('silent'), context.silentStreamMs);
     };
     const handleStreamEnd = (): void => finish(signal.aborted ? 'aborted' : 'failed');
     startSilenceTimer();
-    answer.on('data', (data: Buffer) => {
+    answer.on('data', Core.withErrorHandler((data: Buffer) => {
       if (isFinished) return;
       timer?.refresh();
       const batch = reader.read(data);
@@ -156,13 +160,13 @@
       answer.pause();
       clearTimeout(timer);
       timer = setTimeout(() => finish('aborted'), STALLED_CALLER_TIMEOUT_MS);
-      responseWriter.onDrain(() => {
+      responseWriter.onDrain(Core.withErrorHandler(() => {
         if (isFinished) return;
         clearTimeout(timer);
         startSilenceTimer();
         answer.resume();
-      });
-    });
+      }, handleError));
+    }, handleError));
     answer.on('end', handleStreamEnd);
     answer.on('error', handleStreamEnd);
     answer.on('close', handleStreamEnd);
@@ -314,6 +318,12 @@
       context.metrics.observe('queue', request.class.id, startedMs - request.received.receivedAtMs);
     }
     const span = trace?.startChild('berylyoke.forward', { 'berylyoke.server': server.id });
+    const settle = (result: AttemptResult): void => dispatch.settle(buildAttemptOutcome(
+      result,
+      startedMs,
+      context.clock.readMonotonic(),
+      responseWriter.getProgress(),
+    ));
     const result = await runAttempt(
       context,
       request,
@@ -321,12 +331,16 @@
       dispatch,
       responseWriter,
       span?.traceparent,
-    );
+    ).catch((error: unknown) => {
+      // An unexpected error of the daemon is no failure of the server.
+      span?.end('aborted');
+      settle('aborted');
+      throw error;
+    });
     span?.end(result);
-    const endedMs = context.clock.readMonotonic();
     const progress = responseWriter.getProgress();
     if (result === 'silent') cancelOnServer(context, server.address, requestId);
-    dispatch.settle(buildAttemptOutcome(result, startedMs, endedMs, progress));
+    settle(result);
     context.explain(requestId, 'forward', result, {
       delivered: progress.delivered, server: server.id,
     });
--- a/packages/daemon/src/RelayRoute.ts
+++ b/packages/daemon/src/RelayRoute.ts
@@ -150,7 +150,17 @@
       dispatch.server,
       span?.traceparent,
       canSend,
-    );
+    ).catch((error: unknown) => {
+      // An unexpected error of the daemon is no failure of the server.
+      span?.end('cancelled');
+      dispatch.settle({
+        durationMs: context.clock.readMonotonic() - startedMs,
+        firstTokenMs: undefined,
+        outputTokens: 0,
+        result: 'cancelled',
+      });
+      throw error;
+    });
     span?.end(answer === undefined ? 'failed' : 'answered');
     const durationMs = context.clock.readMonotonic() - startedMs;
     dispatch.settle({
--- a/packages/daemon/src/RequestMetrics.ts
+++ b/packages/daemon/src/RequestMetrics.ts
@@ -27,6 +27,7 @@
   readonly registry: PromClient.Registry;
   readonly observe: (latency: Latency, requestClass: string, valueMs: Core.Millis) => void;
   readonly addAnswer: (requestClass: string, result: string, tokens: number) => void;
+  readonly addDefect: (cause: Core.DefectCause) => void;
   readonly addRefusal: (code: Refusal.RefusalCode) => void;
   readonly addRetry: (kind: 'denied' | 'restart' | 'resume') => void;
 }
@@ -92,6 +93,12 @@
     name: 'berylyoke_refusals_total',
     registers: [registry],
   });
+  const defects = new PromClient.Counter({
+    help: 'unexpected errors of the daemon itself, by cause',
+    labelNames: ['cause'],
+    name: 'berylyoke_unexpected_errors_total',
+    registers: [registry],
+  });
   const retries = new PromClient.Counter({
     help: 'further attempts by kind; denied ones exceeded the retry budget',
     labelNames: ['kind'],
@@ -111,6 +118,7 @@
       answers.inc({ class: requestClass, result });
       tokens.inc({ class: requestClass }, count);
     },
+    addDefect: (cause) => defects.inc({ cause }),
     addRefusal: (code) => refusals.inc({ code }),
     addRetry: (kind) => retries.inc({ kind }),
     observe: createLatencyObserver(registry),
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -235,13 +235,7 @@
   #withDefectHandler<Values extends readonly unknown[]>(
     handle: (...values: Values) => void,
   ): (...values: Values) => void {
-    return (...values) => {
-      try {
-        handle(...values);
-      } catch (error) {
-        this.#handleDefect(error);
-      }
-    };
+    return Core.withErrorHandler(handle, (error) => this.#handleDefect(error));
   }
 
   #handleDefect(error: unknown): void {
--- a/packages/routing/src/RoutingDaemon.ts
+++ b/packages/routing/src/RoutingDaemon.ts
@@ -11,7 +11,6 @@
 import * as CountsHandOver from './CountsHandOver.js';
 import * as CrashReports from './CrashReports.js';
 import * as DaemonFeeds from './DaemonFeeds.js';
-import * as DefectHandler from './DefectHandler.js';
 import * as DutyRunner from './DutyRunner.js';
 import type * as HeaderRules from './HeaderRules.js';
 import * as HttpListeners from './HttpListeners.js';
@@ -164,7 +163,7 @@
     // eslint-disable-next-line n/no-process-exit
     process.exit(DEFECT_EXIT_CODE);
   };
-  const { handleDefect, unregister } = DefectHandler.registerDefectHandler({
+  const { handleDefect, unregister } = Core.registerDefectHandler({
     clock, endProcess, logger, onDefect: metrics.addDefect,
   });
   const region = settings.regions[settings.dataCentre];
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -2,7 +2,6 @@
 import type * as Core from '@berylyoke/core';
 import * as Hdr from 'hdr-histogram-js';
 import * as PromClient from 'prom-client';
-import type * as DefectHandler from './DefectHandler.js';
 
 const PERCENTILES = [50, 90, 95, 99] as const;
 const MICROS_PER_MS = 1_000;
@@ -22,7 +21,7 @@
 export interface RoutingMetrics {
   readonly addRequest: (service: string, outcome: string) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
-  readonly addDefect: (cause: DefectHandler.DefectCause) => void;
+  readonly addDefect: (cause: Core.DefectCause) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
   readonly observe: (latency: Latency, service: string, valueMs: Core.Millis) => void;
   readonly render: () => Promise<string>;
