Check the key before the body is read, and bound the bodies in memory

Path, method and key are checked at the head, and again when the body is complete, since keys may be withdrawn meanwhile. Bodies are collected in one buffer by ByteCollector, which moves to packages/core, since a list of small pieces takes a multiple of their size. After a refusal the rest of a body is discarded for at most 1 s before the connection closes, so that the refusal is not lost.

--- a/packages/config/src/Settings.ts
+++ b/packages/config/src/Settings.ts
@@ -19,6 +19,11 @@
 /** Limits of the interface for callers. */
 export const Limits = Schema.Struct({
   bodyBytes: Schema.optionalWith(PositiveInt, { default: () => 4 * 1024 * 1024 }),
+  /**
+   * Largest total size of the request bodies in memory; at least twice `bodyBytes` applies. The
+   * default suits a VM of 210 MB, of which the daemon alone takes about 120.
+   */
+  heldBytes: Schema.optionalWith(PositiveInt, { default: () => 24 * 1024 * 1024 }),
   headerBytes: Schema.optionalWith(PositiveInt, { default: () => 16 * 1024 }),
   connections: Schema.optionalWith(PositiveInt, { default: () => 20_000 }),
   queuedRequests: Schema.optionalWith(PositiveInt, { default: () => 10_000 }),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Clock, ids, typed errors, hashing, bounded maps, body framing, cleanup and log prefixes. */
 export * from './Addresses.js';
 export * from './BoundedMap.js';
+export * from './ByteCollector.js';
 export * from './Cleanup.js';
 export * from './Clock.js';
 export * from './DefectHandler.js';
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -17,24 +17,51 @@
 
 /** Longest time to open a connection to a backend server, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
+/** The total of all bodies leaves room for at least this many of the largest size. */
+const MIN_HELD_BODIES = 2;
 /**
- * Largest total size of the request bodies in memory, in bytes: on a small VM they share the memory
- * with the streams.
+ * Longest time for which the rest of a refused request is read and discarded, in milliseconds.
+ * Closing a connection with unread bytes resets it, and the caller would lose the refusal.
  */
-const MAX_TOTAL_BODY_BYTES = 256 * 1024 * 1024;
+const BODY_LINGER_MS = 1_000;
 /** Interval at which Node checks the time limits of requests, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-function sendRefusal(response: http.ServerResponse, refusal: Refusal.Refusal): void {
+function hasUnreadBody({ complete, headers }: http.IncomingMessage): boolean {
+  const hasBody = headers['transfer-encoding'] !== undefined
+    || Number(headers['content-length'] ?? 0) > 0;
+  return hasBody && !complete;
+}
+
+/** Sends a refusal. If the body has not been received, the connection closes afterwards. */
+function sendRefusal(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  refusal: Refusal.Refusal,
+): void {
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  response.writeHead(
-    Refusal.REFUSAL_CODES[refusal.code].status,
-    Refusal.buildRefusalHeaders(refusal),
-  );
-  response.end(Refusal.buildRefusalBody(refusal));
+  const { status } = Refusal.REFUSAL_CODES[refusal.code];
+  const headers = Refusal.buildRefusalHeaders(refusal);
+  const body = Refusal.buildRefusalBody(refusal);
+  if (!hasUnreadBody(request)) {
+    response.writeHead(status, headers);
+    response.end(body);
+    return;
+  }
+  response.writeHead(status, {
+    ...headers, connection: 'close', 'content-length': Buffer.byteLength(body),
+  });
+  response.write(body);
+  const end = (): void => {
+    response.end();
+  };
+  const timer = setTimeout(end, BODY_LINGER_MS);
+  response.on('close', () => clearTimeout(timer));
+  request.on('end', end);
+  request.resume();
 }
 
 /** Event of the server directory for each result of an attempt; undefined for no event. */
@@ -66,7 +93,10 @@
     ports: context.ports,
     silentStreamMs: limits.silentStreamMs,
   };
-  const bodyReceiver = ReceiveBody.createBodyReceiver(limits.bodyBytes, MAX_TOTAL_BODY_BYTES);
+  const bodyReceiver = ReceiveBody.createBodyReceiver(
+    limits.bodyBytes,
+    Math.max(limits.heldBytes, MIN_HELD_BODIES * limits.bodyBytes),
+  );
   const handlers = RequestHandlers.createRequestHandlers(context, relay);
   const handlersByRoute: Readonly<Record<string, RequestHandlers.RequestHandler>> = {
     'GET /v1/models': handlers.handleModels,
@@ -84,11 +114,18 @@
     // daemon.
     if (context.isDraining()) response.setHeader('connection', 'close');
     if (HealthRoutes.handleHealth(context, path, response)) return;
-    const body = await bodyReceiver.receive(request);
+    const { headers, method = 'GET' } = request;
+    const handler = handlersByRoute[`${method} ${path}`];
+    const checkHead = handler === undefined ? handlers.checkRoute : handlers.checkCaller;
+    // A request without a valid key must not hold a body. The handlers check the key again, since
+    // it may be withdrawn while the body is received.
+    const headRefusal = checkHead({ headers, method, path });
+    // The parser has not processed what came with the head yet; a microtask runs after it.
+    const body = await (headRefusal ?? bodyReceiver.receive(request));
     if (Refusal.isRefusal(body)) {
       context.metrics.addRefusal(body.code);
-      response.setHeader('connection', 'close');
-      sendRefusal(response, body);
+      relay.explain(requestId, 'refuse', body.code, { notRun: body.notRun });
+      sendRefusal(request, response, body);
       return;
     }
     if (response.closed) {
@@ -102,24 +139,23 @@
     }, (error) => context.handleDefect(error, requestId)));
     const received: RequestTypes.ReceivedRequest = {
       body,
-      headers: request.headers,
-      method: request.method ?? 'GET',
+      headers,
+      method,
       path,
       query,
       receivedAtMs: context.clock.readMonotonic(),
       requestId,
       signal: abort.signal,
       trace: context.tracing.startRequest(request.headers.traceparent, {
-        'berylyoke.request_id': requestId, 'http.request.method': request.method ?? 'GET',
+        'berylyoke.request_id': requestId, 'http.request.method': method,
       }),
     };
-    const handler = handlersByRoute[`${received.method} ${path}`] ?? handlers.handleRoute;
-    const refusal = await handler(received, response, abort);
+    const refusal = await (handler ?? handlers.handleRoute)(received, response, abort);
     received.trace?.end(refusal?.code ?? 'answered');
     if (refusal === undefined) return;
     context.metrics.addRefusal(refusal.code);
     relay.explain(requestId, 'refuse', refusal.code, { notRun: refusal.notRun });
-    sendRefusal(response, refusal);
+    sendRefusal(request, response, refusal);
   };
 
   const server = http.createServer({
--- a/packages/daemon/src/RequestHandlers.ts
+++ b/packages/daemon/src/RequestHandlers.ts
@@ -2,6 +2,7 @@
  * Handlers of chat completions, the model list and configured routes. Each identifies the caller,
  * classifies the request, relays it to a backend server and records its usage.
  */
+import type * as Config from '@berylyoke/config';
 import type * as http from 'node:http';
 import * as Classify from './Classify.js';
 import type * as DaemonContext from './DaemonContext.js';
@@ -42,22 +43,59 @@
   abort: AbortController,
 ) => Promise<Refusal.Refusal | undefined>;
 
+/** What is known of a request before its body is read. */
+export type RequestHeadView = Pick<RequestTypes.ReceivedRequest, 'headers' | 'method' | 'path'>;
+
+/** Checks a request before its body is read; undefined if its body may be read. */
+export type HeadCheck = (head: RequestHeadView) => Refusal.Refusal | undefined;
+
+interface RouteAccess {
+  readonly caller: RequestTypes.Caller | undefined;
+  readonly route: Config.Route;
+}
+
 /** Creates the request handlers of a daemon. */
 export function createRequestHandlers(
   context: DaemonContext.DaemonContext,
   relay: RelayChat.RelayContext,
-): { readonly handleChat: RequestHandler;
+): {
+  /** Checks the key of a chat completion or of a request for the model list. */
+  readonly checkCaller: HeadCheck;
+  /** Checks path, method and key of a call to a plain service. */
+  readonly checkRoute: HeadCheck;
+  readonly handleChat: RequestHandler;
   readonly handleModels: RequestHandler;
-  readonly handleRoute: RequestHandler; } {
+  readonly handleRoute: RequestHandler;
+} {
   const identify = (
-    received: RequestTypes.ReceivedRequest,
+    head: RequestHeadView,
   ): RequestTypes.Caller | Refusal.Refusal => Identify.identifyCaller(
-    received.headers,
+    head.headers,
     context.config.getState(),
     context.ports.get('keyGuard'),
     context.clock.readMonotonic(),
   );
 
+  const findRouteAccess = (head: RequestHeadView): RouteAccess | Refusal.Refusal => {
+    const route = Classify.findRoute(context.config.getState().lists, head.path);
+    if (route === undefined) return Refusal.createRefusal('not_found', 'no such path');
+    if (!(route.methods as readonly string[]).includes(head.method)) {
+      return Refusal.createRefusal('method_not_allowed', 'the route does not allow this method');
+    }
+    const caller = route.open ? undefined : identify(head);
+    return Refusal.isRefusal(caller) ? caller : { caller, route };
+  };
+
+  const checkCaller: HeadCheck = (head) => {
+    const caller = identify(head);
+    return Refusal.isRefusal(caller) ? caller : undefined;
+  };
+
+  const checkRoute: HeadCheck = (head) => {
+    const access = findRouteAccess(head);
+    return Refusal.isRefusal(access) ? access : undefined;
+  };
+
   const runActive = async <A>(
     request: RequestTypes.ClassifiedRequest,
     abort: AbortController,
@@ -124,14 +162,11 @@
   };
 
   const handleRoute: RequestHandler = async (received, response, abort) => {
+    // Keys and routes may have changed while the body was read.
+    const access = findRouteAccess(received);
+    if (Refusal.isRefusal(access)) return access;
+    const { caller, route } = access;
     const { lists } = context.config.getState();
-    const route = Classify.findRoute(lists, received.path);
-    if (route === undefined) return Refusal.createRefusal('not_found', 'no such path');
-    if (!(route.methods as readonly string[]).includes(received.method)) {
-      return Refusal.createRefusal('method_not_allowed', 'the route does not allow this method');
-    }
-    const caller = route.open ? undefined : identify(received);
-    if (Refusal.isRefusal(caller)) return caller;
     const request = Classify.classifyRoute(received, caller, lists, route);
     if (Refusal.isRefusal(request)) return request;
     explainClassification(request);
@@ -156,5 +191,7 @@
     );
     return undefined;
   };
-  return { handleChat, handleModels, handleRoute };
+  return {
+    checkCaller, checkRoute, handleChat, handleModels, handleRoute,
+  };
 }
--- a/packages/routing/src/EventFramer.ts
+++ b/packages/routing/src/EventFramer.ts
@@ -3,7 +3,7 @@
  * relayed and a resumed stream can continue after the last delivered event. The bytes are not
  * changed. Each byte is scanned once, regardless of how the stream is divided into chunks.
  */
-import * as ByteCollector from './ByteCollector.js';
+import * as Core from '@berylyoke/core';
 
 /** One complete event, with the empty line that ends it. */
 export interface StreamEvent {
@@ -59,7 +59,7 @@
 
 /** Creates a framer for events of at most `maxEventBytes`. */
 export function createEventFramer(maxEventBytes: number): EventFramer {
-  const pending = ByteCollector.createByteCollector(maxEventBytes);
+  const pending = Core.createByteCollector(maxEventBytes);
   /** Length of the incomplete line, and whether it begins with a carriage return. */
   let lineLength = 0;
   let startsWithReturn = false;
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -10,7 +10,6 @@
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
 import type * as ByteBudget from './ByteBudget.js';
-import * as ByteCollector from './ByteCollector.js';
 import * as CrashEvidence from './CrashEvidence.js';
 import * as EventFramer from './EventFramer.js';
 import * as HeaderRules from './HeaderRules.js';
@@ -84,7 +83,7 @@
   /** Whether the server sent a complete event. */
   hasEvents: boolean;
   /** Body of a non-streaming response, buffered until it is complete. */
-  readonly held: ByteCollector.ByteCollector;
+  readonly held: Core.ByteCollector;
   /** Whether the server began to respond. */
   hasStarted: boolean;
   /** Whether the server should be sending events; false while the caller applies backpressure. */
@@ -289,7 +288,7 @@
   }
 
   #readBody(maxBytes: number, onBody: () => void): void {
-    const body = ByteCollector.createByteCollector(maxBytes);
+    const body = Core.createByteCollector(maxBytes);
     let pieces = 0;
     this.#request.on('data', this.#withDefectHandler((chunk: Buffer) => {
       pieces += 1;
@@ -474,7 +473,7 @@
       heldEvents: undefined,
       head: undefined,
       isStreaming: false,
-      held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
+      held: Core.createByteCollector(this.#context.answers.maxPlainBytes),
       startedMs: this.#sentMs,
       pendingPromptTokens,
       version: server.version,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,7 +1,6 @@
 /** Routing daemon: request path, server selection and duties, with its ports and settings. */
 export * from './BackendExchange.js';
 export * from './BaseVersions.js';
-export * from './ByteCollector.js';
 export * from './ClockReading.js';
 export * from './ColdLimits.js';
 export * from './CountsHandOver.js';
