Limit what the connections of berylyoked's listeners hold together

One crowd could fill the memory or use up the descriptors: the operator listener ended the process at 30 times 20,000 requests for /metrics, and neither it nor the membership listener limited connections.

Entry and operator listener get the guard of packages/core; the membership listener, which speaks HTTP/2, uses the ledger through PeerGuard: 8 streams a connection, 512 connections, messages of at most 4 MiB, 8 MiB of unfinished messages. The settings limits.requests_ahead (32) and limits.body_idle_ms (10,000) are new; limits.held_bytes now bounds heads, bodies and unread answers. The guard gets an option for the answer to malformed requests, since berylyoked answers them in the format of its other refusals. berylyoke_listener_ends_total counts by listener and reason.

--- a/packages/config/src/Settings.ts
+++ b/packages/config/src/Settings.ts
@@ -20,12 +20,17 @@
 export const Limits = Schema.Struct({
   bodyBytes: Schema.optionalWith(PositiveInt, { default: () => 4 * 1024 * 1024 }),
   /**
-   * Largest total size of the request bodies in memory; at least twice `bodyBytes` applies. The
-   * default suits a VM of 210 MB, of which the daemon alone takes about 120.
+   * Bytes that all connections of callers hold together: heads, bodies and unread answers. At least
+   * twice `bodyBytes` applies. The default suits a VM of 210 MB, of which the daemon alone takes
+   * about 120.
    */
   heldBytes: Schema.optionalWith(PositiveInt, { default: () => 24 * 1024 * 1024 }),
   headerBytes: Schema.optionalWith(PositiveInt, { default: () => 16 * 1024 }),
   connections: Schema.optionalWith(PositiveInt, { default: () => 20_000 }),
+  /** Requests of one connection that may wait for the answer to an earlier one. */
+  requestsAhead: Schema.optionalWith(PositiveInt, { default: () => 32 }),
+  /** Time without a byte after which an unfinished body is refused, in milliseconds. */
+  bodyIdleMs: Schema.optionalWith(PositiveInt, { default: () => 10_000 }),
   queuedRequests: Schema.optionalWith(PositiveInt, { default: () => 10_000 }),
   /** Timeout for receiving a complete request, in milliseconds. */
   requestReadMs: Schema.optionalWith(PositiveInt, { default: () => 30_000 }),
--- a/packages/core/src/ListenerGuard.ts
+++ b/packages/core/src/ListenerGuard.ts
@@ -39,6 +39,8 @@
   readonly handleRequest: http.RequestListener;
   /** Called for each refused request and each closed connection. */
   readonly onEnd?: (reason: GuardReason, totals: ConnectionLedger.LedgerTotals) => void;
+  /** Answers a request that the parser rejects, in place of a bare status. */
+  readonly refuseMalformed?: (error: NodeJS.ErrnoException, socket: stream.Duplex) => void;
   /** Handles an error of the listener that is not about descriptors. */
   readonly onError?: (error: Error) => void;
 }
@@ -363,6 +365,10 @@
       socket.destroy();
       return;
     }
+    if (options.refuseMalformed !== undefined) {
+      options.refuseMalformed(error, socket);
+      return;
+    }
     RefusedBody.endWithStatus(socket, ERROR_STATUSES[error.code ?? ''] ?? MALFORMED_STATUS);
   };
   server.on('connection', handleConnection);
--- a/packages/daemon/src/ClientErrors.ts
+++ b/packages/daemon/src/ClientErrors.ts
@@ -1,6 +1,6 @@
 /** Responses to requests that Node's HTTP parser rejects, in the format of all other refusals. */
-import type * as http from 'node:http';
-import type * as net from 'node:net';
+import * as Core from '@berylyoke/core';
+import type * as stream from 'node:stream';
 import * as Refusal from './Refusal.js';
 
 const REFUSALS_BY_ERROR_CODE: Readonly<Record<string, Refusal.Refusal>> = {
@@ -25,18 +25,15 @@
 }
 
 /**
- * Responds to requests that the parser rejects and closes their connections. Writes to the raw
+ * Responds to a request that the parser rejects and closes its connection. Writes to the raw
  * socket, since Node creates no response object for such a request.
  */
-export function handleClientErrors(server: http.Server): void {
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    socket.end(
-      formatResponse(REFUSALS_BY_ERROR_CODE[error.code ?? ''] ?? MALFORMED_REFUSAL),
-      () => socket.destroy(),
-    );
-  });
+export function refuseMalformed(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+  if (error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  socket.end(formatResponse(REFUSALS_BY_ERROR_CODE[error.code ?? ''] ?? MALFORMED_REFUSAL));
+  const timer = setTimeout(() => socket.destroy(), Core.BODY_LINGER_MS);
+  socket.once('close', () => clearTimeout(timer));
 }
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -9,6 +9,7 @@
 import type * as DaemonContext from './DaemonContext.js';
 import * as HealthRoutes from './HealthRoutes.js';
 import * as HttpServer from './HttpServer.js';
+import * as ListenerLimits from './ListenerLimits.js';
 import * as RequestHandlers from './RequestHandlers.js';
 import type * as RequestTypes from './RequestTypes.js';
 import * as ReceiveBody from './ReceiveBody.js';
@@ -17,13 +18,6 @@
 
 /** Longest time to open a connection to a backend server, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/** The total of all bodies leaves room for at least this many of the largest size. */
-const MIN_HELD_BODIES = 2;
-/**
- * Longest time for which the rest of a refused request is read and discarded, in milliseconds.
- * Closing a connection with unread bytes resets it, and the caller would lose the refusal.
- */
-const BODY_LINGER_MS = 1_000;
 /** Interval at which Node checks the time limits of requests, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
@@ -54,14 +48,7 @@
   response.writeHead(status, {
     ...headers, connection: 'close', 'content-length': Buffer.byteLength(body),
   });
-  response.write(body);
-  const end = (): void => {
-    response.end();
-  };
-  const timer = setTimeout(end, BODY_LINGER_MS);
-  response.on('close', () => clearTimeout(timer));
-  request.on('end', end);
-  request.resume();
+  Core.endRefusal(request, response, body);
 }
 
 /** Event of the server directory for each result of an attempt; undefined for no event. */
@@ -93,10 +80,6 @@
     ports: context.ports,
     silentStreamMs: limits.silentStreamMs,
   };
-  const bodyReceiver = ReceiveBody.createBodyReceiver(
-    limits.bodyBytes,
-    Math.max(limits.heldBytes, MIN_HELD_BODIES * limits.bodyBytes),
-  );
   const handlers = RequestHandlers.createRequestHandlers(context, relay);
   const handlersByRoute: Readonly<Record<string, RequestHandlers.RequestHandler>> = {
     'GET /v1/models': handlers.handleModels,
@@ -120,21 +103,19 @@
     // A request without a valid key must not hold a body. The handlers check the key again, since
     // it may be withdrawn while the body is received.
     const headRefusal = checkHead({ headers, method, path });
+    // Nothing else refuses the body of a request that is refused here.
+    if (headRefusal !== undefined) Core.setRefusalHandler(request, () => undefined);
     // The parser has not processed what came with the head yet; a microtask runs after it.
-    const body = await (headRefusal ?? bodyReceiver.receive(request));
+    const body = await (headRefusal ?? ReceiveBody.receiveBody(request, limits.bodyBytes));
     if (Refusal.isRefusal(body)) {
       context.metrics.addRefusal(body.code);
       relay.explain(requestId, 'refuse', body.code, { notRun: body.notRun });
       sendRefusal(request, response, body);
       return;
     }
-    if (response.closed) {
-      bodyReceiver.release(body);
-      return;
-    }
+    if (response.closed) return;
     const abort = new AbortController();
     response.on('close', Core.withErrorHandler(() => {
-      bodyReceiver.release(body);
       if (!response.writableFinished) abort.abort();
     }, (error) => context.handleDefect(error, requestId)));
     const received: RequestTypes.ReceivedRequest = {
@@ -163,14 +144,21 @@
     headersTimeout: limits.requestReadMs,
     maxHeaderSize: limits.headerBytes,
     requestTimeout: limits.requestReadMs,
-  }, (request, response) => {
+  });
+  const handleIncoming: http.RequestListener = (request, response) => {
     const requestId = Core.createId();
     handleRequest(request, response, requestId).catch((error: unknown) => {
       context.handleDefect(error, requestId);
       response.destroy();
     });
+  };
+  Core.guardListener(server, {
+    clock: context.clock,
+    handleRequest: handleIncoming,
+    limits: ListenerLimits.computeEntryLimits(limits),
+    onEnd: (reason) => context.metrics.addGuardEnd('entry', reason),
+    onError: (error) => context.handleDefect(error),
+    refuseMalformed: ClientErrors.refuseMalformed,
   });
-  ClientErrors.handleClientErrors(server);
-  server.maxConnections = limits.connections;
   return HttpServer.startHttpServer(server, context.settings.entry);
 }
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -4,6 +4,7 @@
 import type * as DaemonContext from './DaemonContext.js';
 import * as HealthRoutes from './HealthRoutes.js';
 import * as HttpServer from './HttpServer.js';
+import * as ListenerLimits from './ListenerLimits.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -29,11 +30,19 @@
     if (entry === undefined) sendJson(response, HTTP_NOT_FOUND, { error: { code: 'not_found' } });
     else sendJson(response, HTTP_OK, { daemonId: context.settings.daemonId, ...entry });
   };
-  const server = http.createServer((request, response) => {
+  const server = http.createServer();
+  const handleIncoming: http.RequestListener = (request, response) => {
     Core.withErrorHandler(handleRequest, (error) => {
       context.handleDefect(error, Core.createId());
       response.destroy();
     })(request, response);
+  };
+  Core.guardListener(server, {
+    clock: context.clock,
+    handleRequest: handleIncoming,
+    limits: ListenerLimits.computeOperatorLimits(context.settings.limits),
+    onEnd: (reason) => context.metrics.addGuardEnd('operator', reason),
+    onError: (error) => context.handleDefect(error),
   });
   return HttpServer.startHttpServer(server, context.settings.operator);
 }
--- a/packages/daemon/src/RequestMetrics.ts
+++ b/packages/daemon/src/RequestMetrics.ts
@@ -28,6 +28,8 @@
   readonly observe: (latency: Latency, requestClass: string, valueMs: Core.Millis) => void;
   readonly addAnswer: (requestClass: string, result: string, tokens: number) => void;
   readonly addDefect: (cause: Core.DefectCause) => void;
+  /** Counts a request or connection that the guard of a listener ended. */
+  readonly addGuardEnd: (listener: string, reason: Core.GuardReason) => void;
   readonly addRefusal: (code: Refusal.RefusalCode) => void;
   readonly addRetry: (kind: 'denied' | 'restart' | 'resume') => void;
 }
@@ -99,6 +101,12 @@
     name: 'berylyoke_unexpected_errors_total',
     registers: [registry],
   });
+  const guardEnds = new PromClient.Counter({
+    help: 'requests and connections ended by the limits of a listener',
+    labelNames: ['listener', 'reason'],
+    name: 'berylyoke_listener_ends_total',
+    registers: [registry],
+  });
   const retries = new PromClient.Counter({
     help: 'further attempts by kind; denied ones exceeded the retry budget',
     labelNames: ['kind'],
@@ -119,6 +127,7 @@
       tokens.inc({ class: requestClass }, count);
     },
     addDefect: (cause) => defects.inc({ cause }),
+    addGuardEnd: (listener, reason) => guardEnds.inc({ listener, reason }),
     addRefusal: (code) => refusals.inc({ code }),
     addRetry: (kind) => retries.inc({ kind }),
     observe: createLatencyObserver(registry),
--- a/packages/membership/src/ConnectTransport.ts
+++ b/packages/membership/src/ConnectTransport.ts
@@ -3,9 +3,11 @@
 import * as connect from '@connectrpc/connect';
 import * as connectNode from '@connectrpc/connect-node';
 import type * as Config from '@berylyoke/config';
+import * as Core from '@berylyoke/core';
 import * as http2 from 'node:http2';
 import type * as net from 'node:net';
 import * as Peer from './gen/berylyoke/peer/v1/peer_pb.js';
+import * as PeerGuard from './PeerGuard.js';
 import type * as PeerStream from './PeerStream.js';
 
 /**
@@ -15,6 +17,9 @@
  */
 const SEND_QUEUE_MAX_MESSAGES = 16;
 
+/** Streams of one connection; each stream of a daemon has its own connection. */
+const MAX_STREAMS = 8;
+
 interface SendQueue extends AsyncIterable<Peer.PeerMessage> {
   readonly push: (message: Peer.PeerMessage) => void;
   readonly end: () => void;
@@ -192,7 +197,9 @@
   accept: PeerStream.AcceptStream,
 ): Promise<PeerServer> {
   const sessions = new Set<http2.ServerHttp2Session>();
-  const server = http2.createServer(connectNode.connectNodeAdapter({
+  const options = { settings: { maxConcurrentStreams: MAX_STREAMS } };
+  const server = http2.createServer(options, connectNode.connectNodeAdapter({
+    readMaxBytes: PeerGuard.MAX_MESSAGE_BYTES,
     routes: (router) => {
       router.service(Peer.PeerService, {
         exchange: (incoming, context) => {
@@ -215,6 +222,7 @@
       });
     },
   }));
+  PeerGuard.guardPeerServer(server, Core.systemClock);
   server.on('session', (session) => {
     sessions.add(session);
     session.on('close', () => sessions.delete(session));
