--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,9 +1,11 @@
 /** Clock, ids, typed errors, hashing, bounded maps, body framing, cleanup and log prefixes. */
 export * from './Addresses.js';
 export * from './BoundedMap.js';
+export * from './ByteCollector.js';
 export * from './Cleanup.js';
 export * from './Clock.js';
 export * from './ConnectionLedger.js';
+export * from './DefectHandler.js';
 export * from './DrainListener.js';
 export * from './HttpJson.js';
 export * from './HttpSyntax.js';
@@ -16,3 +18,4 @@
 export * from './RefusedBody.js';
 export * from './ResponseFraming.js';
 export * from './ResponseStatus.js';
+export * from './SendAllowance.js';
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -9,6 +9,7 @@
 import type * as DaemonContext from './DaemonContext.js';
 import * as HealthRoutes from './HealthRoutes.js';
 import * as HttpServer from './HttpServer.js';
+import * as ListenerLimits from './ListenerLimits.js';
 import * as RequestHandlers from './RequestHandlers.js';
 import type * as RequestTypes from './RequestTypes.js';
 import * as ReceiveBody from './ReceiveBody.js';
@@ -17,24 +18,37 @@
 
 /** Longest time to open a connection to a backend server, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/**
- * Largest total size of the request bodies in memory, in bytes: on a small VM they share the memory
- * with the streams.
- */
-const MAX_TOTAL_BODY_BYTES = 256 * 1024 * 1024;
 /** Interval at which Node checks the time limits of requests, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-function sendRefusal(response: http.ServerResponse, refusal: Refusal.Refusal): void {
+function hasUnreadBody({ complete, headers }: http.IncomingMessage): boolean {
+  const hasBody = headers['transfer-encoding'] !== undefined
+    || Number(headers['content-length'] ?? 0) > 0;
+  return hasBody && !complete;
+}
+
+/** Sends a refusal. If the body has not been received, the connection closes afterwards. */
+function sendRefusal(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  refusal: Refusal.Refusal,
+): void {
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  response.writeHead(
-    Refusal.REFUSAL_CODES[refusal.code].status,
-    Refusal.buildRefusalHeaders(refusal),
-  );
-  response.end(Refusal.buildRefusalBody(refusal));
+  const { status } = Refusal.REFUSAL_CODES[refusal.code];
+  const headers = Refusal.buildRefusalHeaders(refusal);
+  const body = Refusal.buildRefusalBody(refusal);
+  if (!hasUnreadBody(request)) {
+    response.writeHead(status, headers);
+    response.end(body);
+    return;
+  }
+  response.writeHead(status, {
+    ...headers, connection: 'close', 'content-length': Buffer.byteLength(body),
+  });
+  Core.endRefusal(request, response, body);
 }
 
 /** Event of the server directory for each result of an attempt; undefined for no event. */
@@ -50,7 +64,6 @@
   context: DaemonContext.DaemonContext,
 ): Promise<HttpServer.RunningServer> {
   const { limits } = context.settings;
-  const logger = Core.getPartLogger(context.logger, 'path');
   const relay: RelayChat.RelayContext = {
     agent: new http.Agent({ keepAlive: true, maxFreeSockets: 256 }),
     clock: context.clock,
@@ -67,7 +80,6 @@
     ports: context.ports,
     silentStreamMs: limits.silentStreamMs,
   };
-  const bodyReceiver = ReceiveBody.createBodyReceiver(limits.bodyBytes, MAX_TOTAL_BODY_BYTES);
   const handlers = RequestHandlers.createRequestHandlers(context, relay);
   const handlersByRoute: Readonly<Record<string, RequestHandlers.RequestHandler>> = {
     'GET /v1/models': handlers.handleModels,
@@ -77,50 +89,54 @@
   const handleRequest = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    requestId: string,
   ): Promise<void> => {
     const [path = '/', query = ''] = (request.url ?? '/').split('?', 2);
-    const requestId = Core.createId();
     response.setHeader('x-request-id', requestId);
     // During a drain each response closes its connection, so that the caller reconnects to another
     // daemon.
     if (context.isDraining()) response.setHeader('connection', 'close');
     if (HealthRoutes.handleHealth(context, path, response)) return;
-    const body = await bodyReceiver.receive(request);
+    const { headers, method = 'GET' } = request;
+    const handler = handlersByRoute[`${method} ${path}`];
+    const checkHead = handler === undefined ? handlers.checkRoute : handlers.checkCaller;
+    // A request without a valid key must not hold a body. The handlers check the key again, since
+    // it may be withdrawn while the body is received.
+    const headRefusal = checkHead({ headers, method, path });
+    // Nothing else refuses the body of a request that is refused here.
+    if (headRefusal !== undefined) Core.setRefusalHandler(request, () => undefined);
+    // The parser has not processed what came with the head yet; a microtask runs after it.
+    const body = await (headRefusal ?? ReceiveBody.receiveBody(request, limits.bodyBytes));
     if (Refusal.isRefusal(body)) {
       context.metrics.addRefusal(body.code);
-      response.setHeader('connection', 'close');
-      sendRefusal(response, body);
-      return;
-    }
-    if (response.closed) {
-      bodyReceiver.release(body);
+      relay.explain(requestId, 'refuse', body.code, { notRun: body.notRun });
+      sendRefusal(request, response, body);
       return;
     }
+    if (response.closed) return;
     const abort = new AbortController();
-    response.on('close', () => {
-      bodyReceiver.release(body);
+    response.on('close', Core.withErrorHandler(() => {
       if (!response.writableFinished) abort.abort();
-    });
+    }, (error) => context.handleDefect(error, requestId)));
     const received: RequestTypes.ReceivedRequest = {
       body,
-      headers: request.headers,
-      method: request.method ?? 'GET',
+      headers,
+      method,
       path,
       query,
       receivedAtMs: context.clock.readMonotonic(),
       requestId,
       signal: abort.signal,
       trace: context.tracing.startRequest(request.headers.traceparent, {
-        'berylyoke.request_id': requestId, 'http.request.method': request.method ?? 'GET',
+        'berylyoke.request_id': requestId, 'http.request.method': method,
       }),
     };
-    const handler = handlersByRoute[`${received.method} ${path}`] ?? handlers.handleRoute;
-    const refusal = await handler(received, response, abort);
+    const refusal = await (handler ?? handlers.handleRoute)(received, response, abort);
     received.trace?.end(refusal?.code ?? 'answered');
     if (refusal === undefined) return;
     context.metrics.addRefusal(refusal.code);
     relay.explain(requestId, 'refuse', refusal.code, { notRun: refusal.notRun });
-    sendRefusal(response, refusal);
+    sendRefusal(request, response, refusal);
   };
 
   const server = http.createServer({
@@ -128,13 +144,21 @@
     headersTimeout: limits.requestReadMs,
     maxHeaderSize: limits.headerBytes,
     requestTimeout: limits.requestReadMs,
-  }, (request, response) => {
-    handleRequest(request, response).catch((error: unknown) => {
-      logger.error({ err: error }, 'request failed');
+  });
+  const handleIncoming: http.RequestListener = (request, response) => {
+    const requestId = Core.createId();
+    handleRequest(request, response, requestId).catch((error: unknown) => {
+      context.handleDefect(error, requestId);
       response.destroy();
     });
+  };
+  Core.guardListener(server, {
+    clock: context.clock,
+    handleRequest: handleIncoming,
+    limits: ListenerLimits.computeEntryLimits(limits),
+    onEnd: (reason) => context.metrics.addGuardEnd('entry', reason),
+    onError: (error) => context.handleDefect(error),
+    refuseMalformed: ClientErrors.refuseMalformed,
   });
-  ClientErrors.handleClientErrors(server);
-  server.maxConnections = limits.connections;
   return HttpServer.startHttpServer(server, context.settings.entry);
 }
--- a/packages/daemon/src/OperatorServer.ts
+++ b/packages/daemon/src/OperatorServer.ts
@@ -1,8 +1,10 @@
 /** HTTP interface for operators: status, request explanations and health. */
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import type * as DaemonContext from './DaemonContext.js';
 import * as HealthRoutes from './HealthRoutes.js';
 import * as HttpServer from './HttpServer.js';
+import * as ListenerLimits from './ListenerLimits.js';
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -16,7 +18,7 @@
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(JSON.stringify(body));
   };
-  const server = http.createServer((request, response) => {
+  const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
     const [path = '/'] = (request.url ?? '/').split('?');
     if (HealthRoutes.handleHealth(context, path, response)) return;
     if (path === '/operator/status') {
@@ -27,6 +29,20 @@
     const entry = match === null ? undefined : context.explanations.find(match[1] ?? '');
     if (entry === undefined) sendJson(response, HTTP_NOT_FOUND, { error: { code: 'not_found' } });
     else sendJson(response, HTTP_OK, { daemonId: context.settings.daemonId, ...entry });
+  };
+  const server = http.createServer();
+  const handleIncoming: http.RequestListener = (request, response) => {
+    Core.withErrorHandler(handleRequest, (error) => {
+      context.handleDefect(error, Core.createId());
+      response.destroy();
+    })(request, response);
+  };
+  Core.guardListener(server, {
+    clock: context.clock,
+    handleRequest: handleIncoming,
+    limits: ListenerLimits.computeOperatorLimits(context.settings.limits),
+    onEnd: (reason) => context.metrics.addGuardEnd('operator', reason),
+    onError: (error) => context.handleDefect(error),
   });
   return HttpServer.startHttpServer(server, context.settings.operator);
 }
--- a/packages/daemon/src/RelayChat.ts
+++ b/packages/daemon/src/RelayChat.ts
@@ -2,7 +2,7 @@
  * Relays chat completions: runs attempts until the response is complete, and resumes a broken
  * stream on another server after the last delivered token.
  */
-import type * as Core from '@berylyoke/core';
+import * as Core from '@berylyoke/core';
 import * as http from 'node:http';
 import * as AcquireDispatch from './AcquireDispatch.js';
 import * as BackendCall from './BackendCall.js';
@@ -122,7 +122,10 @@
   answer, context, responseWriter, observeTokens, requestId, signal, target,
 }: StreamRelay): Promise<AttemptResult> {
   const reader = SseReader.createSseReader(requestId);
-  return new Promise((resolve) => {
+  // Comments and chunks without a token bring the caller no nearer to its answer, and the reader
+  // holds such chunks back.
+  const allowance = Core.createSendAllowance(SseReader.MAX_EVENT_BYTES);
+  return new Promise((resolve, reject) => {
     let isFinished = false;
     let timer: NodeJS.Timeout | undefined;
     const finish = (result: AttemptResult): void => {
@@ -132,16 +135,25 @@
       if (result !== 'done') answer.destroy();
       resolve(result);
     };
+    const handleError = (error: unknown): void => {
+      reject(error);
+      finish('failed');
+    };
     const startSilenceTimer = (): void => {
       timer = setTimeout(() => finish('silent'), context.silentStreamMs);
     };
     const handleStreamEnd = (): void => finish(signal.aborted ? 'aborted' : 'failed');
     startSilenceTimer();
-    answer.on('data', (data: Buffer) => {
+    answer.on('data', Core.withErrorHandler((data: Buffer) => {
       if (isFinished) return;
       timer?.refresh();
+      allowance.spendBytes(data.length);
+      allowance.spendPieces(1);
       const batch = reader.read(data);
-      if (batch.tokens > 0) observeTokens?.(batch.tokens);
+      if (batch.tokens > 0) {
+        allowance.reset();
+        observeTokens?.(batch.tokens);
+      }
       if (batch.state === 'done') {
         responseWriter.endStream(batch, target.includeUsage);
         finish('done');
@@ -150,19 +162,19 @@
       const isWritable = responseWriter.writeBatch(batch);
       // An engine that mixes up responses may also have sent a token of this one to another
       // request, so the rest of the response is generated on another engine.
-      if (batch.state === 'invalid') finish('failed');
+      if (batch.state === 'invalid' || allowance.isExhausted()) finish('failed');
       if (isWritable || isFinished) return;
       // The caller is slower than the engine: stop reading until the write buffer is empty.
       answer.pause();
       clearTimeout(timer);
       timer = setTimeout(() => finish('aborted'), STALLED_CALLER_TIMEOUT_MS);
-      responseWriter.onDrain(() => {
+      responseWriter.onDrain(Core.withErrorHandler(() => {
         if (isFinished) return;
         clearTimeout(timer);
         startSilenceTimer();
         answer.resume();
-      });
-    });
+      }, handleError));
+    }, handleError));
     answer.on('end', handleStreamEnd);
     answer.on('error', handleStreamEnd);
     answer.on('close', handleStreamEnd);
@@ -314,6 +326,12 @@
       context.metrics.observe('queue', request.class.id, startedMs - request.received.receivedAtMs);
     }
     const span = trace?.startChild('berylyoke.forward', { 'berylyoke.server': server.id });
+    const settle = (result: AttemptResult): void => dispatch.settle(buildAttemptOutcome(
+      result,
+      startedMs,
+      context.clock.readMonotonic(),
+      responseWriter.getProgress(),
+    ));
     const result = await runAttempt(
       context,
       request,
@@ -321,12 +339,16 @@
       dispatch,
       responseWriter,
       span?.traceparent,
-    );
+    ).catch((error: unknown) => {
+      // An unexpected error of the daemon is no failure of the server.
+      span?.end('aborted');
+      settle('aborted');
+      throw error;
+    });
     span?.end(result);
-    const endedMs = context.clock.readMonotonic();
     const progress = responseWriter.getProgress();
     if (result === 'silent') cancelOnServer(context, server.address, requestId);
-    dispatch.settle(buildAttemptOutcome(result, startedMs, endedMs, progress));
+    settle(result);
     context.explain(requestId, 'forward', result, {
       delivered: progress.delivered, server: server.id,
     });
--- a/packages/daemon/src/RequestMetrics.ts
+++ b/packages/daemon/src/RequestMetrics.ts
@@ -27,6 +27,9 @@
   readonly registry: PromClient.Registry;
   readonly observe: (latency: Latency, requestClass: string, valueMs: Core.Millis) => void;
   readonly addAnswer: (requestClass: string, result: string, tokens: number) => void;
+  readonly addDefect: (cause: Core.DefectCause) => void;
+  /** Counts a request or connection that the guard of a listener ended. */
+  readonly addGuardEnd: (listener: string, reason: Core.GuardReason) => void;
   readonly addRefusal: (code: Refusal.RefusalCode) => void;
   readonly addRetry: (kind: 'denied' | 'restart' | 'resume') => void;
 }
@@ -92,6 +95,18 @@
     name: 'berylyoke_refusals_total',
     registers: [registry],
   });
+  const defects = new PromClient.Counter({
+    help: 'unexpected errors of the daemon itself, by cause',
+    labelNames: ['cause'],
+    name: 'berylyoke_unexpected_errors_total',
+    registers: [registry],
+  });
+  const guardEnds = new PromClient.Counter({
+    help: 'requests and connections ended by the limits of a listener',
+    labelNames: ['listener', 'reason'],
+    name: 'berylyoke_listener_ends_total',
+    registers: [registry],
+  });
   const retries = new PromClient.Counter({
     help: 'further attempts by kind; denied ones exceeded the retry budget',
     labelNames: ['kind'],
@@ -111,6 +126,8 @@
       answers.inc({ class: requestClass, result });
       tokens.inc({ class: requestClass }, count);
     },
+    addDefect: (cause) => defects.inc({ cause }),
+    addGuardEnd: (listener, reason) => guardEnds.inc({ listener, reason }),
     addRefusal: (code) => refusals.inc({ code }),
     addRetry: (kind) => retries.inc({ kind }),
     observe: createLatencyObserver(registry),
--- a/packages/routing/src/RequestBody.ts
+++ b/packages/routing/src/RequestBody.ts
@@ -1,7 +1,6 @@
 /** Reads the body of a caller's request, within its limits of size and number of pieces. */
 import * as Core from '@berylyoke/core';
 import type * as http from 'node:http';
-import * as ByteCollector from './ByteCollector.js';
 import type * as Refusals from './Refusals.js';
 
 /**
@@ -37,7 +36,7 @@
     onRefuse('body_too_large');
     return () => undefined;
   }
-  const body = ByteCollector.createByteCollector(maxBytes);
+  const body = Core.createByteCollector(maxBytes);
   let pieces = 0;
   let isDone = false;
   const cancel = (): void => {
--- a/packages/routing/src/RoutedRequest.ts
+++ b/packages/routing/src/RoutedRequest.ts
@@ -12,7 +12,6 @@
 import * as BackendExchange from './BackendExchange.js';
 import * as BackendHeaders from './BackendHeaders.js';
 import type * as ByteBudget from './ByteBudget.js';
-import * as ByteCollector from './ByteCollector.js';
 import * as CrashEvidence from './CrashEvidence.js';
 import type * as EnginePicker from './EnginePicker.js';
 import * as EngineRates from './EngineRates.js';
@@ -27,7 +26,6 @@
 import * as ResponseAbort from './ResponseAbort.js';
 import * as RouteTable from './RouteTable.js';
 import * as RoutingConfig from './RoutingConfig.js';
-import * as SendAllowance from './SendAllowance.js';
 import * as ServerSelection from './ServerSelection.js';
 import * as ServerObservation from './ServerObservation.js';
 import * as ServerPicker from './ServerPicker.js';
@@ -71,7 +69,7 @@
   /** Part of the attempt in the load of the fleet. */
   readonly load: AttemptLoad.AttemptLoad;
   readonly crashEvidence: CrashEvidence.CrashEvidence;
-  readonly allowance: SendAllowance.SendAllowance;
+  readonly allowance: Core.SendAllowance;
   /** What the attempt holds of the response: body, waiting events and the incomplete event. */
   readonly heldBytes: ByteBudget.HeldBytes;
   head: BackendExchange.ResponseHead | undefined;
@@ -81,7 +79,7 @@
   /** Whether the server sent a complete event. */
   hasEvents: boolean;
   /** Body of a non-streaming response, buffered until it is complete. */
-  readonly held: ByteCollector.ByteCollector;
+  readonly held: Core.ByteCollector;
   /** Whether the server began to respond. */
   hasStarted: boolean;
   /** Whether the server should be sending events; false while the caller applies backpressure. */
@@ -241,13 +239,7 @@
   #withDefectHandler<Values extends readonly unknown[]>(
     handle: (...values: Values) => void,
   ): (...values: Values) => void {
-    return (...values) => {
-      try {
-        handle(...values);
-      } catch (error) {
-        this.#handleDefect(error);
-      }
-    };
+    return Core.withErrorHandler(handle, (error) => this.#handleDefect(error));
   }
 
   #handleDefect(error: unknown): void {
@@ -482,7 +474,7 @@
     this.#triedIds.add(server.id);
     this.#lastChoice = chosen;
     this.#lastEnd = undefined;
-    const allowance = SendAllowance.createSendAllowance(this.#context.answers.maxEventBytes);
+    const allowance = Core.createSendAllowance(this.#context.answers.maxEventBytes);
     const exchange = BackendExchange.startExchange({
       agent: pooled.agent,
       allowance,
@@ -534,7 +526,7 @@
       heldEvents: undefined,
       head: undefined,
       isStreaming: false,
-      held: ByteCollector.createByteCollector(this.#context.answers.maxPlainBytes),
+      held: Core.createByteCollector(this.#context.answers.maxPlainBytes),
       load: AttemptLoad.openAttemptLoad(
         this.#context,
         chosen,
--- a/packages/routing/src/RoutingMetrics.ts
+++ b/packages/routing/src/RoutingMetrics.ts
@@ -2,7 +2,6 @@
 import type * as Core from '@berylyoke/core';
 import * as Hdr from 'hdr-histogram-js';
 import * as PromClient from 'prom-client';
-import type * as DefectHandler from './DefectHandler.js';
 import type * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
 
@@ -38,7 +37,7 @@
   /** Records by how much a first token was later than predicted; negative if it was earlier. */
   readonly observeFirstTokenError: (service: string, errorMs: Core.Millis) => void;
   readonly addAttemptFailure: (service: string, reason: string) => void;
-  readonly addDefect: (cause: DefectHandler.DefectCause) => void;
+  readonly addDefect: (cause: Core.DefectCause) => void;
   /** Counts a request that a listener's guard refused, or a connection that it closed. */
   readonly addEndedClient: (listener: string, reason: Core.GuardReason) => void;
   readonly addDependency: (dependency: string, outcome: string) => void;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,7 +2,6 @@
 export * from './AdmissionGate.js';
 export * from './BackendExchange.js';
 export * from './BaseVersions.js';
-export * from './ByteCollector.js';
 export * from './ClockReading.js';
 export * from './ColdLimits.js';
 export * from './CountsHandOver.js';
