Read all fields of a head behind a guard

Cause: Node.js keeps about the first 1,000 fields of a head and drops the others without an error. A legal request with 3,900 short fields lost its key and was refused. Change: listeners behind a guard have no limit on the number of fields; the size of the head bounds it, and the ledger counts each field. Test: a head with 3,900 fields is handled with the last one; it failed before.

--- a/packages/core/src/ListenerGuard.ts
+++ b/packages/core/src/ListenerGuard.ts
@@ -366,6 +366,10 @@
     }
     RefusedBody.endWithStatus(socket, ERROR_STATUSES[error.code ?? ''] ?? MALFORMED_STATUS);
   };
+  // Node.js would drop all fields after the first 1,000 or 2,000, a key among them. The size of the
+  // head bounds their number, and the ledger counts each of them.
+  // eslint-disable-next-line no-param-reassign
+  server.maxHeadersCount = 0;
   server.on('connection', handleConnection);
   server.on('request', handleIncoming);
   server.on('clientError', handleClientError);
--- a/packages/core/src/__tests__/unit/ListenerGuard.test.ts
+++ b/packages/core/src/__tests__/unit/ListenerGuard.test.ts
@@ -122,6 +122,33 @@
   });
 });
 
+describe('heads of many short fields', () => {
+  // Guards against the default of Node.js, which drops the fields after about the first thousand.
+  test('are handled with all of their fields', async () => {
+    const server = http.createServer();
+    Core.guardListener(server, {
+      clock: Core.systemClock,
+      handleRequest: ({ headers, rawHeaders }, response) => {
+        response.end(`${rawHeaders.length / 2} ${headers.last}`);
+      },
+      limits: LIMITS,
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    closables.push(() => server.close());
+    const { port } = server.address() as net.AddressInfo;
+    const fields = Array.from({ length: 3_898 }, () => 'a:');
+    const answer = await new Promise<string>((resolve) => {
+      const socket = net.connect(port, '127.0.0.1');
+      closables.push(() => socket.destroy());
+      socket.setEncoding('utf8').on('data', resolve);
+      socket.write(`GET / HTTP/1.1\r\nHost: x\r\n${fields.join('\r\n')}\r\nlast: z\r\n\r\n`);
+    });
+    expect(answer).toMatch(/3900 z/);
+  });
+});
+
 describe('incomplete bodies', () => {
   // Guards against connections that keep what they sent of a body for ever.
   test('are refused with 408 when they stop, and their connection is closed', async () => {
