Compute the growth of queues once for each choice of a server

Cause: each candidate read the clock, counted the daemons and predicted the same growth of its queue again, up to a hundred times for each choice and for each recheck of a waiting request.

--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -21,12 +21,6 @@
 /** Interval at which Node checks the time limits of requests, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-function hasUnreadBody({ complete, headers }: http.IncomingMessage): boolean {
-  const hasBody = headers['transfer-encoding'] !== undefined
-    || Number(headers['content-length'] ?? 0) > 0;
-  return hasBody && !complete;
-}
-
 /** Sends a refusal. If the body has not been received, the connection closes afterwards. */
 function sendRefusal(
   request: http.IncomingMessage,
@@ -40,7 +34,7 @@
   const { status } = Refusal.REFUSAL_CODES[refusal.code];
   const headers = Refusal.buildRefusalHeaders(refusal);
   const body = Refusal.buildRefusalBody(refusal);
-  if (!hasUnreadBody(request)) {
+  if (!Core.hasBody(request) || request.complete) {
     response.writeHead(status, headers);
     response.end(body);
     return;
--- a/packages/routing/src/ServerSelection.ts
+++ b/packages/routing/src/ServerSelection.ts
@@ -113,33 +113,58 @@
   return getActiveConfig()?.config.services.get(service)?.engine;
 }
 
-function readEngine(
+/** Reads what is known of the engines among which a request chooses. */
+function readEngines(
   context: PathContext.PathContext,
-  server: ServerTable.BackendServer,
-  terms: RoutingConfig.EngineTerms,
-  engines: number,
-): EnginePicker.EngineCandidate['engine'] {
-  const { clock, engineRates, fleetLoad } = context;
-  const nowMs = clock.readMonotonic();
-  const name = ServerTable.formatIncarnation(server);
-  const load = fleetLoad.getServerLoad(name, nowMs);
-  const growth = engineRates.get(server.service).predictGrowth({
-    ageMs: load.ageMs, daemons: context.countDaemons(), engines,
+  servers: readonly ServerTable.BackendServer[],
+  { service, terms }: { readonly service: string; readonly terms: RoutingConfig.EngineTerms },
+  nowMs: Core.Millis,
+): readonly EnginePicker.EngineCandidate['engine'][] {
+  const { engineRates, fleetLoad } = context;
+  const names = servers.map(ServerTable.formatIncarnation);
+  const loads = names.map((name) => fleetLoad.getServerLoad(name, nowMs));
+  // The load of all servers has the same age, so that their queues grow alike.
+  const growth = engineRates.get(service).predictGrowth({
+    ageMs: loads[0]?.ageMs ?? 0, daemons: context.countDaemons(), engines: servers.length,
   }, nowMs);
-  return {
+  return loads.map((load, index) => ({
     load: { ...load, pendingPromptTokens: load.pendingPromptTokens + growth },
-    slowdown: fleetLoad.getSlowdown(name, nowMs),
+    slowdown: fleetLoad.getSlowdown(names[index] as string, nowMs),
     terms,
-  };
+  }));
+}
+
+/** Picks an engine by the model; undefined for a request to which it does not apply. */
+function pickEngine(
+  context: PathContext.PathContext,
+  { isAllowed, prompt, service }: ServerRequirements,
+  candidates: readonly ServerPicker.Candidate[],
+  servers: readonly ServerTable.BackendServer[],
+  pickContext: ServerPicker.PickContext,
+  nowMs: Core.Millis,
+): EnginePicker.PickedEngine | undefined {
+  const terms = prompt === undefined ? undefined : findEngineTerms(context, service, nowMs);
+  if (prompt === undefined || terms === undefined) return undefined;
+  const engines = readEngines(context, servers, { service, terms }, nowMs);
+  return EnginePicker.pickEngine(
+    candidates.map((candidate, index) => ({
+      ...candidate, engine: engines[index] as EnginePicker.EngineCandidate['engine'],
+    })),
+    prompt,
+    context.engineRates.get(service).getRate(),
+    pickContext,
+    isAllowed,
+  );
 }
 
 /** Chooses among the available servers that meet the requirements. */
 export function chooseServer(
   context: PathContext.PathContext,
-  {
-    isAllowed, prompt, service, triedIds, version,
-  }: ServerRequirements,
+  requirements: ServerRequirements,
 ): ChosenServer | undefined {
+  const {
+    prompt, service, triedIds, version,
+  } = requirements;
   const nowMs = context.clock.readMonotonic();
   const serving = context.servers.listServing(service, nowMs);
   const servingIds = serving.map(({ id }) => id);
@@ -185,19 +210,14 @@
     dataCentre: context.dataCentre,
     random: context.random,
   };
-  const terms = findEngineTerms(context, service, nowMs);
-  const engine = prompt === undefined || terms === undefined
-    ? undefined
-    : EnginePicker.pickEngine(
-      candidates.map((candidate, index) => {
-        const { server } = pooled[index] as ServerPool.PooledServer;
-        return { ...candidate, engine: readEngine(context, server, terms, pooled.length) };
-      }),
-      prompt,
-      context.engineRates.get(service).getRate(),
-      pickContext,
-      isAllowed,
-    );
+  const engine = pickEngine(
+    context,
+    requirements,
+    candidates,
+    pooled.map(({ server }) => server),
+    pickContext,
+    nowMs,
+  );
   const pick = engine
     ?? ServerPicker.pickServer(candidates, prompt, median ?? DEFAULT_RESPONSE_MS, pickContext);
   const index = candidates.findIndex(({ id }) => id === pick?.id);
