Register the exit listener of a machine only once

Tried: a trial with twelve machines, which warned of many exit listeners. Change: the stand-in of a machine registers its listener with once.

--- a/review/stand-ins-2.mjs
+++ b/review/stand-ins-2.mjs
@@ -305,7 +305,7 @@
     });
   }, 250);
   timer.unref();
-  process.on('exit', () => child?.kill('SIGKILL'));
+  process.once('exit', () => child?.kill('SIGKILL'));
   return {
     front,
     ip,
