Wait a lease term before a claim where records of the lease may be missing

What callers could see: two daemons that both order servers and report usage. Cause: a daemon that started inside a gap of the duties log knew no term and took 0 for it, so it claimed the lease beside a holder that had missed one renewal. After the log had returned from an older copy without any claim, a daemon that started then claimed at once. Change: after a gap, the term is at least that of this daemon's own settings. A first read of a log that returned, and that has no claim since, counts as a gap.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -186,14 +186,25 @@
   };
 }
 
-/** Applies a gap in the log. Records from before the gap do not show who holds the lease now. */
+/**
+ * Applies a gap in the log. Records from before the gap do not show who holds the lease now. A
+ * daemon that claimed it in the gap may hold it for a whole term, `termMs` if no longer one is
+ * known.
+ */
 export function applyDutyGap(
   state: DutyState,
   first: number,
   readAt: ClockReading.ClockReading,
+  termMs: Core.Millis,
 ): DutyState {
   return {
-    ...state, end: first, fence: undefined, hasGap: true, holder: undefined, observedAt: readAt,
+    ...state,
+    end: first,
+    fence: undefined,
+    hasGap: true,
+    holder: undefined,
+    observedAt: readAt,
+    termMs: Math.max(termMs, state.termMs),
   };
 }
 
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -249,6 +249,11 @@
     return DutyLease.computeRemainingTerm(this.#heldLease, this.#readClocks());
   }
 
+  /** Computes the lease term that this daemon claims. */
+  #computeTerm(): Core.Millis {
+    return Math.round(this.#context.leaseMs * LEASE_TERM_FACTOR);
+  }
+
   async #runStep(): Promise<void> {
     // Not awaited: a relay that does not answer must not delay the renewal of the lease.
     this.#handOver.start();
@@ -338,20 +343,26 @@
     if (!this.#hasReadLog) {
       this.#hasReadLog = true;
       // Without a holder of this generation, the log may have returned before this daemon started.
-      if (!DutyLease.hasHolderOfGeneration(this.#state)) {
-        this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
-      }
+      if (!DutyLease.hasHolderOfGeneration(this.#state)) this.#applyUnseenReturn(readAt);
     }
     return true;
   }
 
+  /** Applies that the log may have returned from an older copy, without the newest claim. */
+  #applyUnseenReturn(readAt: ClockReading.ClockReading): void {
+    const { end } = this.#state;
+    this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
+    if (LogPosition.getGeneration(end) === 0) return;
+    this.#state = DutyLease.applyDutyGap(this.#state, end, readAt, this.#computeTerm());
+  }
+
   /** Applies a gap in the log; resolves with whether the log was read after it. */
   async #applyLostHistory(first: number, readAt: ClockReading.ClockReading): Promise<boolean> {
     const { end } = this.#state;
     const isRestored = LogPosition.getGeneration(first) > LogPosition.getGeneration(end);
     // Nobody else can have sealed a window in the gap while this daemon holds the lease.
     const isHolder = !isRestored && this.#computeRemainingTerm() > 0;
-    const gapState = DutyLease.applyDutyGap(this.#state, first, readAt);
+    const gapState = DutyLease.applyDutyGap(this.#state, first, readAt, this.#computeTerm());
     this.#state = {
       ...gapState,
       sealedWindows: new Set([...gapState.sealedWindows, ...this.#listUncertainSeals(end)]),
@@ -456,7 +467,7 @@
       nonce: Core.createId(),
       sealedWindows: DutyLease.listSealedWindows(this.#state),
       sealFrom: this.#state.sealFrom,
-      termMs: Math.round(this.#context.leaseMs * LEASE_TERM_FACTOR),
+      termMs: this.#computeTerm(),
       writtenMs: Math.round(this.#context.trueTime.read()),
     };
     this.#pendingAppends.set(record.nonce, sentAt);
--- a/packages/routing/src/__tests__/unit/DutyLease.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyLease.test.ts
@@ -86,7 +86,7 @@
   });
 
   test('after a gap in the log, a lease cannot be claimed within a term of its renewal', () => {
-    const state = Routing.applyDutyGap(Routing.INITIAL_DUTY_STATE, 40, at(1_000));
+    const state = Routing.applyDutyGap(Routing.INITIAL_DUTY_STATE, 40, at(1_000), TERM_MS);
     const renewed = Routing.applyDutyRecord(
       state,
       40,
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -406,6 +406,27 @@
       checkInvariants(started);
     });
 
+    // Guards against a claim while another daemon holds the lease, whose term is not known.
+    test('a daemon that starts in the gap claims no lease within a term', async () => {
+      fleet = startFleet(1, (daemonId) => (partitioned.has(daemonId) ? 'refusal' : 'none'));
+      await vi.advanceTimersByTimeAsync(3 * WINDOW_MS);
+      // The holder has just renewed and misses its next renewals.
+      const { length } = fleet.dutyLog.records;
+      await vi.waitFor(async () => {
+        await vi.advanceTimersByTimeAsync(10);
+        expect((fleet as Fleet).dutyLog.records.length).toBeGreaterThan(length);
+      }, { interval: 0, timeout: 10_000 });
+      partitioned.add('vm-0');
+      fleet.dutyLog.deleteHistory();
+      const records = fleet.dutyLog.records.length;
+      const restarted = startFleet(2, () => 'none', fleet);
+      await vi.advanceTimersByTimeAsync(LEASE_MS);
+      expect(fleet.dutyLog.records).toHaveLength(records);
+      await vi.advanceTimersByTimeAsync(2 * LEASE_MS);
+      restarted.runners.forEach((runner) => runner.stop());
+      expect(fleet.dutyLog.records.length).toBeGreaterThan(records);
+    });
+
     // Guards against a seal that took effect unanswered and was deleted before its writer read it:
     // another daemon may have read it.
     test('a holder seals no window again whose seal was not answered before the gap', async () => {
@@ -582,6 +603,23 @@
       expect(state.sealFrom).toBe(window + 1);
     });
 
+    // Guards against a claim while the holder, whose claim is gone, has not noticed the return.
+    test('a daemon that starts after the return claims no lease within a term', async () => {
+      let isHolderCut = false;
+      fleet = startFleet(1, (daemonId) => (
+        isHolderCut && daemonId === 'vm-0' ? 'refusal' : 'none'
+      ));
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      isHolderCut = true;
+      fleet.dutyLog.restore(0);
+      const restarted = startFleet(2, () => 'none', fleet);
+      await vi.advanceTimersByTimeAsync(LEASE_MS);
+      expect(fleet.dutyLog.records).toEqual([]);
+      await vi.advanceTimersByTimeAsync(2 * LEASE_MS);
+      restarted.runners.forEach((runner) => runner.stop());
+      expect(fleet.dutyLog.records.length).toBeGreaterThan(0);
+    });
+
     test('a daemon that starts after the return seals no window of before', async () => {
       fleet = startFleetWithOutages(2);
       addRequests(fleet.usageCounters);
