Ask for usage counts again that were deleted before the holder read them

What callers saw: no report, or one that is too low, for a window whose counts were in the part of the counts log that was deleted before a new holder read it. Cause: the new holder took the counts that it could read for all counts; without the windows before, no daemon seemed to be missing, so it sealed at once. Change: a gap in the counts log is kept with the time of the oldest count after it. A window that began before that time is complete only if as many daemons as the duties log states have handed over counts. The holder states from which window on its counts are complete, and daemons hand over again; the window waits for them until shortly before its report is due.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -23,6 +23,11 @@
 
 /** Schema of a record of the duties log. `nonce` identifies the append and its process. */
 export const DutyRecord = Schema.Struct({
+  /**
+   * First window of whose counts the holder has read everything that was handed over. The counts
+   * log deleted older counts before the holder read them, so daemons hand them over again.
+   */
+  countsFrom: Schema.optional(Schema.Finite),
   /** Number of daemons that handed over counts recently, as known to the holder. */
   daemonCount: Schema.optional(Schema.Finite),
   /** Fencing token of the holder. A claim of an earlier version has none: its position is it. */
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -187,7 +187,13 @@
   /** True time of the last read of the counts log. */
   #countsReadMs = -Infinity;
 
-  readonly #usageCollection = UsageCounts.createUsageCollection();
+  /** Whether counts were deleted unread since the newest read of the counts log. */
+  #hasCountsGap = false;
+
+  /** First window of complete counts that a holder stated last; older ones were handed over. */
+  #requestedCountsFrom = -Infinity;
+
+  readonly #usageCollection: UsageCounts.UsageCollection;
 
   readonly #reportedWindows = new Set<number>();
 
@@ -204,6 +210,7 @@
   constructor(context: DutyContext) {
     this.#context = context;
     this.#handOver = WindowHandOver.createWindowHandOver(context);
+    this.#usageCollection = UsageCounts.createUsageCollection(context.windowMs);
     this.#schedule();
   }
 
@@ -419,6 +426,7 @@
     this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
     const { daemonId, trueTime } = this.#context;
     if (record.holder !== daemonId) trueTime.observeRemote(record.writtenMs);
+    if (record.countsFrom !== undefined) this.#handOverAgain(record.countsFrom);
     const sentAt = this.#pendingAppends.get(record.nonce);
     if (sentAt !== undefined) this.#updateHeldLease(sentAt);
     else if (this.#heldLease !== undefined && this.#state.fence !== this.#heldLease.fence) {
@@ -436,6 +444,14 @@
     }
   }
 
+  /** Hands the counts of this daemon over again after the holder stated that some are lost. */
+  #handOverAgain(countsFrom: number): void {
+    if (countsFrom <= this.#requestedCountsFrom) return;
+    this.#requestedCountsFrom = countsFrom;
+    this.#context.logger.info({ countsFrom }, 'usage counts are handed over again');
+    this.#context.usageCounter.resetHandOver();
+  }
+
   /**
    * Updates the held lease after a record of this process appeared in the log. `sentAt` is the
    * clock reading before that record was sent.
@@ -461,8 +477,10 @@
     content: Pick<DutyLease.DutyRecord, 'daemonCount' | 'fence' | 'kind' | 'relays' | 'seal'>,
   ): Promise<void> {
     const sentAt = this.#readClocks();
+    const countsFrom = this.#computeRequestedCounts();
     const record: DutyLease.DutyRecord = {
       ...content,
+      ...countsFrom === undefined ? {} : { countsFrom },
       holder: this.#context.daemonId,
       nonce: Core.createId(),
       sealedWindows: DutyLease.listSealedWindows(this.#state),
@@ -532,8 +550,8 @@
 
   /**
    * Lists the windows to seal now. A daemon that cannot reach the store hands its counts over when
-   * it is connected again. A window whose missing counts exceed the allowed error is therefore
-   * sealed only shortly before its report is due.
+   * it is connected again. A window whose missing counts exceed the allowed error, or are not known
+   * after a gap in the counts log, is therefore sealed only shortly before its report is due.
    */
   async #listSealableWindows(): Promise<readonly number[]> {
     const due = this.#listDueWindows();
@@ -546,11 +564,31 @@
     }
     const { usageDueMs, usageErrorShare, windowMs } = this.#context;
     return due.filter((window) => (
-      this.#usageCollection.estimateMissingShare(window) <= usageErrorShare
+      (this.#hasAllCounts(window)
+        && this.#usageCollection.estimateMissingShare(window) <= usageErrorShare)
       || nowMs >= (window + 1) * windowMs + usageDueMs - SEAL_MARGIN_MS
     ));
   }
 
+  /** Checks whether no counts of a window can be missing because they were deleted unread. */
+  #hasAllCounts(window: number): boolean {
+    return window >= (this.#usageCollection.getCompleteFrom() ?? -Infinity)
+      || this.#usageCollection.countDaemons(window) >= (this.#state.daemonCount ?? Infinity);
+  }
+
+  /**
+   * Computes the first window whose counts need not be handed over again; undefined while no
+   * window that can still be reported in time lacks counts.
+   */
+  #computeRequestedCounts(): number | undefined {
+    if (this.#heldLease === undefined) return undefined;
+    const lacksCounts = this.#listRecentWindows().some((window) => (
+      this.#computeWindowAge(window) < this.#context.usageDueMs
+      && !DutyLease.isSealed(this.#state, window) && !this.#hasAllCounts(window)
+    ));
+    return lacksCounts ? this.#usageCollection.getCompleteFrom() : undefined;
+  }
+
   /**
    * Seals all given windows within one step, one after another. Windows that waited for later steps
    * would be delayed by an outage of the store that begins in the meantime.
@@ -598,16 +636,22 @@
     );
     if (Either.isLeft(result)) {
       if (result.left._tag === 'HistoryLost') {
+        this.#hasCountsGap = true;
         this.#nextCountsOffset = result.left.first;
         return this.#readCounts();
       }
       this.#context.logger.warn({ detail: result.left.message }, 'usage counts not read');
       return false;
     }
-    result.right.records.forEach(({ value }) => {
+    const records = result.right.records.flatMap(({ value }) => {
       const decoded = CountsRecord.decodeCounts(value);
-      if (decoded._tag === 'Some') this.#usageCollection.apply(decoded.value);
+      return decoded._tag === 'Some' ? [decoded.value] : [];
     });
+    if (this.#hasCountsGap) {
+      this.#usageCollection.observeGap(records[0]?.writtenMs ?? this.#context.trueTime.read());
+      this.#hasCountsGap = false;
+    }
+    records.forEach(this.#usageCollection.apply);
     this.#nextCountsOffset = result.right.next;
     return true;
   }
--- a/packages/routing/src/UsageCounts.ts
+++ b/packages/routing/src/UsageCounts.ts
@@ -97,6 +97,13 @@
 export interface UsageCollection {
   /** Adds counts of one process; newer ones replace older ones. */
   readonly apply: (counts: WindowCounts) => void;
+  /**
+   * Records that counts were deleted before they were read, and when the oldest ones that are left
+   * were written, in milliseconds of true time.
+   */
+  readonly observeGap: (oldestMs: Core.Millis) => void;
+  /** Returns the first window that began after the last gap; undefined without a gap. */
+  readonly getCompleteFrom: () => number | undefined;
   /** Sums the requests of a window over all processes, by client account. */
   readonly sumWindow: (window: number) => AccountCounts;
   /**
@@ -118,9 +125,10 @@
 /** Number of preceding windows whose daemons are expected to hand over counts for a window. */
 const LOOKBACK_WINDOWS = 3;
 
-/** Creates an empty collection. */
-export function createUsageCollection(): UsageCollection {
+/** Creates an empty collection of counts of windows of the given length. */
+export function createUsageCollection(windowMs: Core.Millis): UsageCollection {
   const windows = new Map<number, Map<string, WindowCounts>>();
+  let completeFrom: number | undefined;
   const listProcesses = (window: number): readonly WindowCounts[] => (
     [...windows.get(window)?.values() ?? []]
   );
@@ -156,6 +164,7 @@
       )));
       return missing === 0 ? 0 : missing / (missing + sumValues([...handedOver.values()]));
     },
+    getCompleteFrom: () => completeFrom,
     hasCounts: () => windows.size > 0,
     listMembers: (window) => {
       const members = listProcesses(window).flatMap((process) => (
@@ -168,6 +177,9 @@
         address, cores, daemonId, dataCentre, region,
       }])).values()];
     },
+    observeGap: (oldestMs) => {
+      completeFrom = Math.max(completeFrom ?? -Infinity, Math.ceil(oldestMs / windowMs));
+    },
     sumTokens: (window, service) => sumValues(
       listProcesses(window).map(({ tokens }) => tokens[service] ?? 0),
     ),
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -406,6 +406,23 @@
       checkInvariants(started);
     });
 
+    // Guards against a report of the counts that happen to be left, without those that were handed
+    // over before the gap.
+    test('counts that were deleted before the next holder read them are reported', async () => {
+      fleet = startFleet(3);
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      const window = Math.floor(Date.now() / WINDOW_MS);
+      const endMs = (window + 1) * WINDOW_MS;
+      addRequests(fleet.usageCounters);
+      await advanceTo(endMs + 1_000);
+      expect(fleet.countsLog.records.slice(-3)).toMatchObject(Array(3).fill({ window }));
+      fleet.kill(getIndex(getHolder(fleet)));
+      deleteHistory(fleet);
+      await advanceTo(endMs + REPORT_DUE_MS);
+      // The requests of the daemon that was killed are lost with the log.
+      expect(listReports(fleet)).toMatchObject([{ counts: '{"shop":2}', window }]);
+    });
+
     // Guards against a claim while another daemon holds the lease, whose term is not known.
     test('a daemon that starts in the gap claims no lease within a term', async () => {
       fleet = startFleet(1, (daemonId) => (partitioned.has(daemonId) ? 'refusal' : 'none'));
--- a/packages/routing/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/routing/src/__tests__/unit/UsageCounts.test.ts
@@ -36,8 +36,17 @@
       .toEqual([{ counts: {}, tokens: { chat: 17_000 }, window: 0 }]);
   });
 
+  test('windows that began before the oldest counts after a gap are not complete', () => {
+    const collection = Routing.createUsageCollection(WINDOW_MS);
+    expect(collection.getCompleteFrom()).toBeUndefined();
+    collection.observeGap(2 * WINDOW_MS + 1);
+    expect(collection.getCompleteFrom()).toBe(3);
+    collection.observeGap(2 * WINDOW_MS);
+    expect(collection.getCompleteFrom()).toBe(3);
+  });
+
   test('counts that arrive twice, late or from an earlier process are summed correctly', () => {
-    const collection = Routing.createUsageCollection();
+    const collection = Routing.createUsageCollection(WINDOW_MS);
     const create = (incarnation: string, shop: number): Routing.WindowCounts => ({
       address: '10.0.0.1:7340',
       cores: 1,
@@ -63,7 +72,7 @@
   });
 
   test('the missing share is that of daemons which counted in the three preceding windows', () => {
-    const collection = Routing.createUsageCollection();
+    const collection = Routing.createUsageCollection(WINDOW_MS);
     const add = (daemonId: string, window: number, shop: number): void => collection.apply({
       address: undefined,
       cores: 1,
