Order no fewer servers than there are while the demand is unknown

What callers could see: a new holder of the duties gives back servers under load after the history of the counts log was deleted. Cause: without any counts, a holder took the demand for 0 and planned the base plan of an idle fleet. Change: after a gap in the counts log, the demand is unknown until a window has all its counts. Until then, no order is for fewer servers than are ready.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -701,11 +701,19 @@
     return Math.max(...tokens) / (this.#context.windowMs / MS_PER_S);
   }
 
-  /** Finds the newest window for which counts are known; undefined if none is recent. */
+  /** Finds the newest window for which all counts are known; undefined if none is recent. */
   #findDemandWindow(): number | undefined {
     const current = this.#computeCurrentWindow();
     return Array.from({ length: DEMAND_WINDOWS }, (_, index) => current - 1 - index)
-      .find((window) => this.#usageCollection.countDaemons(window) > 0);
+      .find((window) => (
+        this.#usageCollection.countDaemons(window) > 0 && this.#hasAllCounts(window)
+      ));
+  }
+
+  /** Checks whether the absence of counts says nothing of the demand. */
+  #canLackCounts(): boolean {
+    return this.#usageCollection.hasCounts()
+      || this.#usageCollection.getCompleteFrom() !== undefined;
   }
 
   /** Computes the time since the end of a window. */
@@ -723,7 +731,7 @@
     const requests = this.#context.countRequestsInProgress?.(service);
     const window = this.#findDemandWindow();
     if (window === undefined) {
-      return this.#usageCollection.hasCounts() ? undefined : { requests, tokensPerSecond: 0 };
+      return this.#canLackCounts() ? undefined : { requests, tokensPerSecond: 0 };
     }
     if (this.#computeWindowAge(window) > this.#context.windowMs + MAX_COUNTS_DELAY_MS) {
       return undefined;
@@ -743,6 +751,7 @@
         tokensPerSecond: this.#computeDemand(service.name),
       })),
       nowMs,
+      this.#findDemandWindow() !== undefined || !this.#canLackCounts(),
     );
   }
 
--- a/packages/routing/src/OrderPlan.ts
+++ b/packages/routing/src/OrderPlan.ts
@@ -239,10 +239,10 @@
 export interface OrderPlanner {
   /**
    * Plans the orders of all services and selects those that must be sent now, the most urgent one
-   * first.
+   * first. Without `isDemandKnown`, no order is for fewer servers than there are.
    */
   readonly planDue: (
-    inputs: readonly OrderInput[], nowMs: Core.Millis,
+    inputs: readonly OrderInput[], nowMs: Core.Millis, isDemandKnown?: boolean,
   ) => readonly Ports.ServerOrder[];
   readonly recordAnswer: OrderTracker['recordAnswer'];
   /** Lists the newest plan of each service. */
@@ -351,7 +351,7 @@
   };
   return {
     listPlans: () => [...decisionsByService.values()],
-    planDue: (inputs, nowMs) => {
+    planDue: (inputs, nowMs, isDemandKnown = true) => {
       const due = inputs.flatMap((input) => {
         const { purchase } = input.service;
         if (purchase === undefined) return [];
@@ -359,7 +359,10 @@
         decisionsByService.set(decision.service, decision);
         const { orders, plan } = decision;
         return tracker.selectDue(orders, nowMs, () => plan.isShort)
-          .filter((order) => !mustWait(tracker, order, orders, purchase.maxServers, nowMs));
+          .filter((order) => !mustWait(tracker, order, orders, purchase.maxServers, nowMs))
+          .filter((order) => (
+            isDemandKnown || order.count >= tracker.getServers(order, nowMs).ready
+          ));
       });
       return due.sort((a, b) => rankOrder(a, nowMs) - rankOrder(b, nowMs));
     },
--- a/packages/routing/src/__tests__/unit/DutyOrders.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyOrders.test.ts
@@ -108,3 +108,79 @@
   runner.stop();
   await vi.advanceTimersByTimeAsync(1_000);
 });
+
+// Guards against a holder that takes the absence of counts, which were deleted from the log before
+// it read them, for the absence of demand.
+test('a new holder gives back no servers before it knows the demand', async () => {
+  const startMs = performance.now();
+  const countsLog = FakeDuties.createFakeLog(() => 'none');
+  const { prices } = SimulatedStock.SERVICE.purchase as Routing.PurchaseTerms;
+  const stock = SimulatedStock.createSimulatedStock();
+  // The demand needs more servers than the base plan has without a demand.
+  [...prices.keys()].forEach((dataCentre) => stock.order({
+    count: 7, dataCentre, isReclaimable: true, service: 'chat',
+  }, 0));
+  await vi.advanceTimersByTimeAsync(WINDOW_MS);
+  const orders: Routing.ServerOrder[] = [];
+  const appendCounts = (): Promise<number> => Effect.runPromise(
+    countsLog.connect('vm-other').append([{
+      cores: 1,
+      counts: {},
+      daemonId: 'vm-other',
+      dataCentre: 'b',
+      incarnation: '1',
+      tokens: { chat: 28 * 24_000 * (WINDOW_MS / 1_000) },
+      window: Routing.computeWindow(Date.now(), WINDOW_MS) - 1,
+      writtenMs: Date.now(),
+    } satisfies Routing.CountsRecord]),
+  );
+  await appendCounts();
+  countsLog.deleteHistory();
+  const runner = Routing.startDuties({
+    usageCounter: Routing.createUsageCounter(WINDOW_MS),
+    calls: {
+      orderServers: (order) => Effect.sync(() => {
+        orders.push(order);
+        return 'accepted' as const;
+      }),
+      sendUsage: () => Effect.succeed('accepted' as const),
+    },
+    clock: Core.systemClock,
+    cores: 1,
+    sendInterimCounts: () => undefined,
+    countsLog: countsLog.connect('vm-0'),
+    daemonId: 'vm-0',
+    dataCentre: 'a',
+    dutyLog: FakeDuties.createFakeLog(() => 'none').connect('vm-0'),
+    handOver: async () => true,
+    leaseMs: 3_000,
+    listServers: () => stock.listServers(performance.now() - startMs),
+    listServices: () => [SimulatedStock.SERVICE],
+    logger: Core.createLogger('silent', {}),
+    onOrderAnswered: () => undefined,
+    onRelaysChanged: () => undefined,
+    peerAddress: undefined,
+    region: undefined,
+    regionDataCentres: ['a'],
+    random: () => 0,
+    trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+    usageDueMs: 10_000,
+    usageErrorShare: 0.05,
+    windowMs: WINDOW_MS,
+  });
+  const listReductions = () => orders.filter(({ count, isReclaimable }) => (
+    isReclaimable && count < 7
+  ));
+  await vi.advanceTimersByTimeAsync(WINDOW_MS / 2);
+  expect(orders.length).toBeGreaterThan(0);
+  expect(listReductions()).toEqual([]);
+  await vi.advanceTimersByTimeAsync(WINDOW_MS);
+  await appendCounts();
+  await vi.advanceTimersByTimeAsync(WINDOW_MS);
+  expect(listReductions()).toEqual([]);
+  expect(orders).toContainEqual({
+    count: 7, dataCentre: 'b', isReclaimable: true, service: 'chat',
+  });
+  runner.stop();
+  await vi.advanceTimersByTimeAsync(1_000);
+});
