Keep windows sealed whose seals are no longer kept

What callers could see: a usage window reported twice, where windows are so short that more than 24 of them can still be reported (about 1 s). Cause: only the newest 24 seals are kept, and a window without a seal counted as unsealed. Change: when a seal is dropped, the first window that may be sealed rises above it. This also bounds the list of sealed windows that records state.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -122,10 +122,18 @@
     .sort((a, b) => a - b);
 }
 
-function addSeal(seals: DutyState['seals'], seal: Seal): DutyState['seals'] {
-  if (seals.has(seal.window)) return seals;
-  const kept = [...seals].sort(([a], [b]) => a - b).slice(1 - MAX_SEALS);
-  return new Map([...kept, [seal.window, seal]]);
+/** Adds a seal. Windows whose seals are dropped for it count as sealed by `sealFrom`. */
+function addSeal(state: DutyState, seal: Seal): DutyState {
+  if (state.seals.has(seal.window)) return state;
+  const seals = [...state.seals, [seal.window, seal] as const].sort(([a], [b]) => a - b);
+  const windows = listSealedWindows({ ...state, seals: new Map(seals) });
+  const sealFrom = windows.at(-MAX_SEALS) ?? state.sealFrom;
+  return {
+    ...state,
+    sealFrom,
+    sealedWindows: new Set([...state.sealedWindows].filter((window) => window >= sealFrom)),
+    seals: new Map(seals.slice(-MAX_SEALS)),
+  };
 }
 
 /** What is known of the windows that are sealed, apart from the seals themselves. */
@@ -178,14 +186,13 @@
   if (state.fence !== undefined && record.fence !== state.fence) return next;
   if (record.kind === 'release') return { ...next, fence: record.fence, holder: undefined };
   return {
-    ...next,
+    ...record.seal === undefined ? next : addSeal(next, record.seal),
     daemonCount: record.daemonCount ?? state.daemonCount,
     fence: record.fence,
     holder: record.holder,
     nonce: record.nonce,
     observedAt: readAt,
     relays: record.relays ?? state.relays,
-    seals: record.seal === undefined ? state.seals : addSeal(state.seals, record.seal),
     termMs: record.termMs,
     writtenMs: record.writtenMs,
   };
--- a/packages/routing/src/__tests__/unit/DutyLease.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyLease.test.ts
@@ -68,6 +68,26 @@
     expect(again.seals.get(5)?.counts).toEqual({ shop: 10 });
   });
 
+  // Guards against a window that is sealed again because its seal is no longer kept.
+  test('windows stay sealed when there are more seals than are kept', () => {
+    const windows = Array.from({ length: 60 }, (_, index) => index);
+    const claimed = Routing.applyDutyRecord(
+      Routing.INITIAL_DUTY_STATE,
+      0,
+      createRecord('claim', 'a', { fence: 0, sealFrom: 0, sealedWindows: [] }),
+      at(0),
+    );
+    const sealed = windows.reduce((state, window) => Routing.applyDutyRecord(
+      state,
+      window + 1,
+      createRecord('seal', 'a', { fence: 0, seal: { counts: { shop: 1 }, window } }),
+      at(window),
+    ), claimed);
+    expect(windows.filter((window) => !Routing.isSealed(sealed, window))).toEqual([]);
+    expect(Routing.isSealed(sealed, windows.length)).toBe(false);
+    expect(Routing.listSealedWindows(sealed).length).toBeLessThan(30);
+  });
+
   test('a record of a former holder has no effect', () => {
     const first = Routing.applyDutyRecord(
       Routing.INITIAL_DUTY_STATE,
