Read on at once after a gap in the duties log

What callers could see: more repeats than the shared retry budget allows. A daemon that starts while the store deletes records by age took the fleet for 8 daemons, whatever its size, and could neither use relays nor claim the lease. Cause: its first read fails because old records are gone. It read again from the first one that was left 1.5 s later, and by then that one was deleted as well: records are appended each 1.3 s and deleted at the same pace, so no poll ever succeeded. Change: after a gap the log is read on at once, but only once for each poll, so that a log that is never readable causes no burst of calls.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -333,14 +333,20 @@
     return Math.max(MIN_POLL_MS, (daemons / pollsPerS) * MS_PER_S);
   }
 
-  async #readDutyLog(): Promise<boolean> {
+  /**
+   * Reads the records of the duties log that are new; resolves with whether it was read. After a
+   * gap it reads on at once, because the first record that is left may be deleted before the next
+   * poll; it does so once, so that a log that is never readable causes no burst of calls.
+   */
+  async #readDutyLog(canReadOn = true): Promise<boolean> {
     const result = await Effect.runPromise(
       Effect.either(this.#context.dutyLog.read(this.#state.end)),
     );
     const readAt = this.#readClocks();
     if (Either.isLeft(result)) {
       if (result.left._tag === 'HistoryLost') {
-        return this.#applyLostHistory(result.left.first, readAt);
+        this.#applyLostHistory(result.left.first, readAt);
+        return canReadOn && this.#readDutyLog(false);
       }
       this.#context.logger.warn({ detail: result.left.message }, 'duties log not read');
       return false;
@@ -363,8 +369,8 @@
     this.#state = DutyLease.applyDutyGap(this.#state, end, readAt, this.#computeTerm());
   }
 
-  /** Applies a gap in the log; resolves with whether the log was read after it. */
-  async #applyLostHistory(first: number, readAt: ClockReading.ClockReading): Promise<boolean> {
+  /** Applies a gap in the log. */
+  #applyLostHistory(first: number, readAt: ClockReading.ClockReading): void {
     const { end } = this.#state;
     const isRestored = LogPosition.getGeneration(first) > LogPosition.getGeneration(end);
     // Nobody else can have sealed a window in the gap while this daemon holds the lease.
@@ -383,11 +389,10 @@
     }, isRestored
       ? 'duties log is from an older copy'
       : 'records of the duties log were deleted before they were read');
-    if (!isRestored) return false;
+    if (!isRestored) return;
     // The claim of this lease may be gone, and its appends have no effect on other daemons.
     if (this.#heldLease !== undefined) this.#pauseLease('the log returned from an older copy');
     this.#pendingAppends.clear();
-    return this.#readDutyLog();
   }
 
   /**
--- a/packages/routing/src/__tests__/support/FakeDuties.ts
+++ b/packages/routing/src/__tests__/support/FakeDuties.ts
@@ -9,8 +9,8 @@
 export interface FakeLog {
   readonly records: readonly unknown[];
   readonly connect: (daemonId: string) => Routing.SharedLog;
-  /** Deletes all records; the offsets go on. */
-  readonly deleteHistory: () => void;
+  /** Deletes all records but the newest `kept` ones; the offsets go on. */
+  readonly deleteHistory: (kept?: number) => void;
   /** Removes the records from an offset on, as a log that returns from an older copy. */
   readonly restore: (length: number) => void;
 }
@@ -78,8 +78,8 @@
         return effectsByFault[chooseFault(daemonId, 'read')]();
       },
     }),
-    deleteHistory: () => {
-      first = records.length;
+    deleteHistory: (kept = 0) => {
+      first = Math.max(first, records.length - kept);
     },
     records,
     restore: (length) => {
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -444,6 +444,27 @@
       expect(fleet.dutyLog.records.length).toBeGreaterThan(records);
     });
 
+    // Guards against a daemon that finds the first record that is left deleted at each poll. It
+    // shares the retry budget with too few daemons then, and cannot claim the lease.
+    test('a daemon that starts while records expire follows the log', async () => {
+      fleet = startFleet(3);
+      const { countsLog, dutyLog } = fleet;
+      await vi.advanceTimersByTimeAsync(3 * WINDOW_MS);
+      const restarted = startFleet(2, () => 'none', fleet);
+      const expireFor = async (rounds: number): Promise<void> => {
+        if (rounds === 0) return;
+        // Records are renewed less often than each second.
+        dutyLog.deleteHistory(1);
+        countsLog.deleteHistory(3);
+        await vi.advanceTimersByTimeAsync(100);
+        await expireFor(rounds - 1);
+      };
+      await expireFor(40);
+      expect(restarted.runners.map((runner) => runner.countDaemons())).toEqual([3, 3]);
+      expect(restarted.runners[1]?.getHolder()).toBe(fleet.runners[0]?.getHolder());
+      restarted.runners.forEach((runner) => runner.stop());
+    });
+
     // Guards against a seal that took effect unanswered and was deleted before its writer read it:
     // another daemon may have read it.
     test('a holder seals no window again whose seal was not answered before the gap', async () => {
