Follow the greatest fencing token after a gap in the duties log

What callers could see: two daemons that both order servers and report usage. Cause: after a gap, the first record that was read showed who holds the lease. In a log that returned from an older copy, a late append of a former holder can find the offset that it expects, and be that record; the renewals of the present holder were then ignored, and the lease was claimed beside it. Change: a record with a greater fencing token replaces the holder; a claim that the reader missed is the only way to a greater token. Result: the new test of DutyLease.test.ts had the former holder before and has the present one now.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -182,8 +182,9 @@
       writtenMs: record.writtenMs,
     };
   }
-  // The fencing token is unknown after a gap; the first renewal then shows who holds the lease.
-  if (state.fence !== undefined && record.fence !== state.fence) return next;
+  // The fencing token is unknown after a gap; renewals then show who holds the lease. A late append
+  // of a former holder may come first, so that a greater token shows a later claim in the gap.
+  if (state.fence !== undefined && (record.fence ?? -1) < state.fence) return next;
   if (record.kind === 'release') return { ...next, fence: record.fence, holder: undefined };
   return {
     ...record.seal === undefined ? next : addSeal(next, record.seal),
--- a/packages/routing/src/__tests__/unit/DutyLease.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyLease.test.ts
@@ -117,6 +117,27 @@
     expect(Routing.canClaim(renewed, at(1_000 + TERM_MS))).toBe(false);
   });
 
+  // Guards against a daemon that takes a former holder for the holder, ignores the renewals of the
+  // present one, and claims the lease beside it.
+  test('after a gap, the holder with the greatest fencing token holds the lease', () => {
+    const position = Routing.createPosition(1, 40);
+    const state = Routing.applyDutyGap(Routing.INITIAL_DUTY_STATE, position, at(0), TERM_MS);
+    const late = Routing.applyDutyRecord(
+      state,
+      position,
+      createRecord('renewal', 'former', { fence: 39 }),
+      at(0),
+    );
+    const renewed = Routing.applyDutyRecord(
+      late,
+      position + 1,
+      createRecord('renewal', 'present', { fence: Routing.createPosition(1, 20) }),
+      at(1_000),
+    );
+    expect(renewed).toMatchObject({ fence: Routing.createPosition(1, 20), holder: 'present' });
+    expect(Routing.canClaim(renewed, at(1_000 + TERM_MS))).toBe(false);
+  });
+
   test('a released lease can be claimed immediately', () => {
     const held = Routing.applyDutyRecord(
       Routing.INITIAL_DUTY_STATE,
