Log when a gap is bridged, and name its parts as elsewhere

Cause: the end of the assumption that a gap brings left no line, and some new names did not begin with a verb of docs/verbs.md or needed a comment. Change: one line when a record replaces the assumption; names and comments. No change of behaviour.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -338,7 +338,7 @@
    * gap it reads on at once, because the first record that is left may be deleted before the next
    * poll; it does so once, so that a log that is never readable causes no burst of calls.
    */
-  async #readDutyLog(canReadOn = true): Promise<boolean> {
+  async #readDutyLog(canReadAgain = true): Promise<boolean> {
     const result = await Effect.runPromise(
       Effect.either(this.#context.dutyLog.read(this.#state.end)),
     );
@@ -346,7 +346,7 @@
     if (Either.isLeft(result)) {
       if (result.left._tag === 'HistoryLost') {
         this.#applyLostHistory(result.left.first, readAt);
-        return canReadOn && this.#readDutyLog(false);
+        return canReadAgain && this.#readDutyLog(false);
       }
       this.#context.logger.warn({ detail: result.left.message }, 'duties log not read');
       return false;
@@ -355,14 +355,16 @@
     this.#state = { ...this.#state, end: result.right.next };
     if (!this.#hasReadLog) {
       this.#hasReadLog = true;
-      // Without a holder of this generation, the log may have returned before this daemon started.
-      if (!DutyLease.hasHolderOfGeneration(this.#state)) this.#applyUnseenReturn(readAt);
+      if (!DutyLease.hasHolderOfGeneration(this.#state)) this.#applyUnknownHolder(readAt);
     }
     return true;
   }
 
-  /** Applies that the log may have returned from an older copy, without the newest claim. */
-  #applyUnseenReturn(readAt: ClockReading.ClockReading): void {
+  /**
+   * Applies the first read of a log that states no holder of its generation. If it has returned
+   * from an older copy, seals and a claim may be gone.
+   */
+  #applyUnknownHolder(readAt: ClockReading.ClockReading): void {
     const { end } = this.#state;
     this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
     if (LogPosition.getGeneration(end) === 0) return;
@@ -427,11 +429,18 @@
     const decoded = decodeDuty(value);
     if (decoded._tag === 'None') return;
     const record = decoded.value;
-    const { holder: previousHolder, relays } = this.#state;
+    const { hasGap, holder: previousHolder, relays } = this.#state;
     this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
+    if (hasGap && !this.#state.hasGap) {
+      this.#context.logger.info({
+        offset,
+        sealFrom: this.#state.sealFrom,
+        sealedWindows: DutyLease.listSealedWindows(this.#state),
+      }, 'sealed windows are known after a gap');
+    }
     const { daemonId, trueTime } = this.#context;
     if (record.holder !== daemonId) trueTime.observeRemote(record.writtenMs);
-    if (record.countsFrom !== undefined) this.#handOverAgain(record.countsFrom);
+    if (record.countsFrom !== undefined) this.#resetHandOver(record.countsFrom);
     const sentAt = this.#pendingAppends.get(record.nonce);
     if (sentAt !== undefined) this.#updateHeldLease(sentAt);
     else if (this.#heldLease !== undefined && this.#state.fence !== this.#heldLease.fence) {
@@ -450,7 +459,7 @@
   }
 
   /** Hands the counts of this daemon over again after the holder stated that some are lost. */
-  #handOverAgain(countsFrom: number): void {
+  #resetHandOver(countsFrom: number): void {
     if (countsFrom <= this.#requestedCountsFrom) return;
     this.#requestedCountsFrom = countsFrom;
     this.#context.logger.info({ countsFrom }, 'usage counts are handed over again');
@@ -614,7 +623,7 @@
     this.#context.logger.info({
       counts, daemons: members.length, fence: this.#heldLease?.fence, window,
     }, 'sealing usage window');
-    this.#setSealAttempt(window);
+    this.#recordSealAttempt(window);
     await this.#append({
       daemonCount: this.#usageCollection.countDaemons(window) || this.#state.daemonCount,
       fence: this.#heldLease?.fence,
@@ -628,7 +637,7 @@
   }
 
   /** Records an attempt to seal; those at earlier positions were read or have failed for good. */
-  #setSealAttempt(window: number): void {
+  #recordSealAttempt(window: number): void {
     const { end } = this.#state;
     [...this.#sealAttempts].filter(([, position]) => position < end)
       .forEach(([each]) => this.#sealAttempts.delete(each));
@@ -715,8 +724,8 @@
       ));
   }
 
-  /** Checks whether the absence of counts says nothing of the demand. */
-  #canLackCounts(): boolean {
+  /** Checks whether there are or were counts, so that their absence does not show no demand. */
+  #hasHadCounts(): boolean {
     return this.#usageCollection.hasCounts()
       || this.#usageCollection.getCompleteFrom() !== undefined;
   }
@@ -736,7 +745,7 @@
     const requests = this.#context.countRequestsInProgress?.(service);
     const window = this.#findDemandWindow();
     if (window === undefined) {
-      return this.#canLackCounts() ? undefined : { requests, tokensPerSecond: 0 };
+      return this.#hasHadCounts() ? undefined : { requests, tokensPerSecond: 0 };
     }
     if (this.#computeWindowAge(window) > this.#context.windowMs + MAX_COUNTS_DELAY_MS) {
       return undefined;
@@ -756,7 +765,7 @@
         tokensPerSecond: this.#computeDemand(service.name),
       })),
       nowMs,
-      this.#findDemandWindow() !== undefined || !this.#canLackCounts(),
+      this.#findDemandWindow() !== undefined || !this.#hasHadCounts(),
     );
   }
 
