--- a/packages/cli/src/LogLines.ts
+++ b/packages/cli/src/LogLines.ts
@@ -116,6 +116,14 @@
   ...COMMON_FIELDS, dependency: Schema.Literal('configuration', 'crash reports', 'servers'),
 };
 
+/** What is known of the sealed windows. */
+const SEALED_FIELDS = { sealedWindows: Schema.Array(Count), sealFrom: Count } as const;
+
+/** Gap in the duties log, with positions as `GENERATION:OFFSET`. */
+const LOG_GAP_FIELDS = {
+  ...COMMON_FIELDS, ...SEALED_FIELDS, first: Schema.String, previousEnd: Schema.String,
+} as const;
+
 /** Fields of a line about what a server announced in the response to a request. */
 const SERVER_NOTICE_FIELDS = {
   ...COMMON_FIELDS, requestId: Schema.String, server: Schema.String, service: Schema.String,
@@ -191,9 +199,7 @@
   }),
   'dependency lost': Schema.Struct({ ...DEPENDENCY_FIELDS, detail: Schema.String }),
   'dependency regained': Schema.Struct(DEPENDENCY_FIELDS),
-  'duties log is from an older copy': Schema.Struct({
-    ...COMMON_FIELDS, first: Schema.String, previousEnd: Schema.String,
-  }),
+  'duties log is from an older copy': Schema.Struct(LOG_GAP_FIELDS),
   'duties log not read': FailureWithDetail,
   'duties lost': Schema.Struct({
     ...COMMON_FIELDS, fence: Schema.optional(Count), reason: Schema.String,
@@ -239,6 +245,7 @@
   'relay took no usage counts': Schema.Struct({
     ...COMMON_FIELDS, detail: Schema.String, relay: Schema.String,
   }),
+  'records of the duties log were deleted before they were read': Schema.Struct(LOG_GAP_FIELDS),
   'relays changed': Schema.Struct({
     ...COMMON_FIELDS,
     offset: Count,
@@ -280,6 +287,17 @@
       server: Schema.String,
     })),
   }),
+  'sealed windows are known after a gap': Schema.Struct({
+    ...COMMON_FIELDS, ...SEALED_FIELDS, offset: Count,
+  }),
+  'sealing usage window': Schema.Struct({
+    ...COMMON_FIELDS,
+    counts: Schema.Record({ key: Schema.String, value: Count }),
+    /** Daemons that handed over counts and listen for other daemons. */
+    daemons: Count,
+    fence: Schema.optional(Count),
+    window: Count,
+  }),
   'server entry': Schema.Struct({
     ...COMMON_FIELDS,
     id: Schema.String,
@@ -324,6 +342,7 @@
   'store returned from an older copy': Schema.Struct({
     ...COMMON_FIELDS, generation: Count, previous: Count,
   }),
+  'usage counts are handed over again': Schema.Struct({ ...COMMON_FIELDS, countsFrom: Count }),
   'usage counts not handed over': FailureWithDetail,
   'usage counts not read': FailureWithDetail,
   'usage reported': Schema.Struct({
