Share the set-up of the duty tests

Cause: the tests on gaps repeated what their files had: the context of a duty runner and a counts record in DutyOrders.test.ts, the generator of random numbers and the index of the holder in DutyRunner.test.ts. A parameter of startFleetWithGap was 2 at every call. No assertion, bound or seed is changed, and no product code. Result: 53 tests of the duties and seeds 1 to 300 of the random gaps pass. Lint and type check pass.

--- a/packages/routing/src/__tests__/unit/DutyOrders.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyOrders.test.ts
@@ -16,6 +16,50 @@
 /** Data centres that have no reclaimable servers. */
 const EMPTY_DATA_CENTRES: readonly string[] = ['a', 'c'];
 
+/** Starts the duty runner of `vm-0`, which nobody else competes with. */
+function startRunner(context: Pick<
+  Routing.DutyContext, 'countsLog' | 'listServers' | 'logger' | 'onOrderAnswered'
+> & Pick<Routing.DutyCalls, 'orderServers'>): Routing.DutyRunner {
+  const { orderServers, ...rest } = context;
+  return Routing.startDuties({
+    ...rest,
+    usageCounter: Routing.createUsageCounter(WINDOW_MS),
+    calls: { orderServers, sendUsage: () => Effect.succeed('accepted' as const) },
+    clock: Core.systemClock,
+    cores: 1,
+    sendInterimCounts: () => undefined,
+    daemonId: 'vm-0',
+    dataCentre: 'a',
+    dutyLog: FakeDuties.createFakeLog(() => 'none').connect('vm-0'),
+    handOver: async () => true,
+    leaseMs: 3_000,
+    listServices: () => [SimulatedStock.SERVICE],
+    onRelaysChanged: () => undefined,
+    peerAddress: undefined,
+    region: undefined,
+    regionDataCentres: ['a'],
+    random: () => 0,
+    trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+    usageDueMs: 10_000,
+    usageErrorShare: 0.05,
+    windowMs: WINDOW_MS,
+  });
+}
+
+/** Hands over the demand of the last window, in servers, for another daemon. */
+function appendDemand(countsLog: FakeDuties.FakeLog, servers: number): Promise<number> {
+  return Effect.runPromise(countsLog.connect('vm-other').append([{
+    cores: 1,
+    counts: {},
+    daemonId: 'vm-other',
+    dataCentre: 'b',
+    incarnation: '1',
+    tokens: { chat: servers * 24_000 * (WINDOW_MS / 1_000) },
+    window: Routing.computeWindow(Date.now(), WINDOW_MS) - 1,
+    writtenMs: Date.now(),
+  } satisfies Routing.CountsRecord]));
+}
+
 beforeEach(() => {
   vi.useFakeTimers({
     now: 1_000_000_000_000, toFake: ['Date', 'clearTimeout', 'performance', 'setTimeout'],
@@ -45,50 +89,18 @@
   await vi.advanceTimersByTimeAsync(WINDOW_MS);
   const ordersBefore = stock.received.length;
   const countsLog = FakeDuties.createFakeLog(() => 'none');
-  const countsRecord: Routing.CountsRecord = {
-    cores: 1,
-    counts: {},
-    daemonId: 'vm-other',
-    dataCentre: 'b',
-    incarnation: '1',
-    tokens: { chat: NEED * 24_000 * (WINDOW_MS / 1_000) },
-    window: Routing.computeWindow(Date.now(), WINDOW_MS) - 1,
-    writtenMs: Date.now(),
-  };
-  await Effect.runPromise(countsLog.connect('vm-other').append([countsRecord]));
+  await appendDemand(countsLog, NEED);
   const lines: string[] = [];
   const answers: Routing.DutyAnswer[] = [];
-  const runner = Routing.startDuties({
-    usageCounter: Routing.createUsageCounter(WINDOW_MS),
-    calls: {
-      orderServers: (order) => Effect.sync(() => stock.order(order, readTime())),
-      sendUsage: () => Effect.succeed('accepted' as const),
-    },
-    clock: Core.systemClock,
-    cores: 1,
-    sendInterimCounts: () => undefined,
+  const runner = startRunner({
     countsLog: countsLog.connect('vm-0'),
-    daemonId: 'vm-0',
-    dataCentre: 'a',
-    dutyLog: FakeDuties.createFakeLog(() => 'none').connect('vm-0'),
-    handOver: async () => true,
-    leaseMs: 3_000,
     listServers: () => stock.listServers(readTime()),
-    listServices: () => [SimulatedStock.SERVICE],
     logger: {
       ...Core.createLogger('silent', {}),
       info: (fields: unknown, text: string) => lines.push(`${text} ${JSON.stringify(fields)}`),
     } as unknown as Core.Logger,
     onOrderAnswered: (_, answer) => answers.push(answer),
-    onRelaysChanged: () => undefined,
-    peerAddress: undefined,
-    region: undefined,
-    regionDataCentres: ['a'],
-    random: () => 0,
-    trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
-    usageDueMs: 10_000,
-    usageErrorShare: 0.05,
-    windowMs: WINDOW_MS,
+    orderServers: (order) => Effect.sync(() => stock.order(order, readTime())),
   });
   await vi.waitFor(async () => {
     await vi.advanceTimersByTimeAsync(100);
@@ -122,51 +134,17 @@
   }, 0));
   await vi.advanceTimersByTimeAsync(WINDOW_MS);
   const orders: Routing.ServerOrder[] = [];
-  const appendCounts = (): Promise<number> => Effect.runPromise(
-    countsLog.connect('vm-other').append([{
-      cores: 1,
-      counts: {},
-      daemonId: 'vm-other',
-      dataCentre: 'b',
-      incarnation: '1',
-      tokens: { chat: 28 * 24_000 * (WINDOW_MS / 1_000) },
-      window: Routing.computeWindow(Date.now(), WINDOW_MS) - 1,
-      writtenMs: Date.now(),
-    } satisfies Routing.CountsRecord]),
-  );
-  await appendCounts();
+  await appendDemand(countsLog, 28);
   countsLog.deleteHistory();
-  const runner = Routing.startDuties({
-    usageCounter: Routing.createUsageCounter(WINDOW_MS),
-    calls: {
-      orderServers: (order) => Effect.sync(() => {
-        orders.push(order);
-        return 'accepted' as const;
-      }),
-      sendUsage: () => Effect.succeed('accepted' as const),
-    },
-    clock: Core.systemClock,
-    cores: 1,
-    sendInterimCounts: () => undefined,
+  const runner = startRunner({
     countsLog: countsLog.connect('vm-0'),
-    daemonId: 'vm-0',
-    dataCentre: 'a',
-    dutyLog: FakeDuties.createFakeLog(() => 'none').connect('vm-0'),
-    handOver: async () => true,
-    leaseMs: 3_000,
     listServers: () => stock.listServers(performance.now() - startMs),
-    listServices: () => [SimulatedStock.SERVICE],
     logger: Core.createLogger('silent', {}),
     onOrderAnswered: () => undefined,
-    onRelaysChanged: () => undefined,
-    peerAddress: undefined,
-    region: undefined,
-    regionDataCentres: ['a'],
-    random: () => 0,
-    trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
-    usageDueMs: 10_000,
-    usageErrorShare: 0.05,
-    windowMs: WINDOW_MS,
+    orderServers: (order) => Effect.sync(() => {
+      orders.push(order);
+      return 'accepted' as const;
+    }),
   });
   const listReductions = () => orders.filter(({ count, isReclaimable }) => (
     isReclaimable && count < 7
@@ -175,7 +153,7 @@
   expect(orders.length).toBeGreaterThan(0);
   expect(listReductions()).toEqual([]);
   await vi.advanceTimersByTimeAsync(WINDOW_MS);
-  await appendCounts();
+  await appendDemand(countsLog, 28);
   await vi.advanceTimersByTimeAsync(WINDOW_MS);
   expect(listReductions()).toEqual([]);
   expect(orders).toContainEqual({
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -17,6 +17,15 @@
 const [FIRST_SEED = 0, SEED_COUNT = 0] = (process.env.DUTY_SEEDS ?? '190,6').split(',').map(Number);
 const RANDOM_SEEDS = Array.from({ length: SEED_COUNT }, (_, index) => FIRST_SEED + index);
 
+/** Creates a linear congruential generator of numbers from 0 to below 1. */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+}
+
 interface Fleet {
   readonly platform: FakeDuties.FakePlatform;
   readonly dutyLog: FakeDuties.FakeLog;
@@ -88,6 +97,12 @@
   };
 }
 
+const getHolder = ({ runners }: Fleet): string => runners[0]?.getHolder() ?? 'none';
+
+const getIndex = (daemonId: string): number => Number(daemonId.slice('vm-'.length));
+
+const getHolderIndex = (fleet: Fleet): number => getIndex(getHolder(fleet));
+
 const listReports = ({ platform }: Fleet): readonly FakeDuties.ReceivedCall[] => (
   platform.seen.filter(({ window }) => window !== undefined)
 );
@@ -258,15 +273,11 @@
   test.each([1, 2, 3, 4, 5, 6, 7, 8])(
     'lost answers, refused calls and delayed appends never cause differing reports (seed %i)',
     async (seed) => {
-      let state = seed;
+      const random = createRandom(seed);
       const faults: readonly FakeDuties.Fault[] = [
         'none', 'none', 'none', 'lost-answer', 'refusal', 'delay',
       ];
-      fleet = startFleet(4, () => {
-        // A linear congruential generator, so that a seed always gives the same faults.
-        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-        return faults[Math.floor((state / 2_147_483_648) * faults.length)] ?? 'none';
-      });
+      fleet = startFleet(4, () => faults[Math.floor(random() * faults.length)] ?? 'none');
       const { usageCounters } = fleet;
       const rounds = Array.from({ length: 30 }, () => async () => {
         addRequests(usageCounters);
@@ -283,8 +294,6 @@
     const partitioned = new Set<string>();
     beforeEach(() => partitioned.clear());
 
-    const getHolder = ({ runners }: Fleet): string => runners[0]?.getHolder() ?? 'none';
-    const getIndex = (daemonId: string): number => Number(daemonId.slice('vm-'.length));
     const advanceTo = async (atMs: number): Promise<void> => {
       await vi.advanceTimersByTimeAsync(atMs - Date.now());
     };
@@ -294,7 +303,7 @@
     };
     /** Adds 99 requests to the holder and 1 to each other daemon. */
     const addUnevenRequests = (started: Fleet): void => {
-      const holder = getIndex(getHolder(started));
+      const holder = getHolderIndex(started);
       addRequests(started.usageCounters);
       Array.from({ length: 98 }).forEach(() => (
         addRequests(started.usageCounters.slice(holder, holder + 1))
@@ -302,22 +311,22 @@
     };
 
     /**
-     * Starts a fleet and cuts its last daemon, which has few requests, off the logs. The holder
+     * Starts two daemons and cuts the second one, which has few requests, off the logs. The holder
      * seals and reports a window without them, and then the logs delete all records.
      */
-    const startFleetWithGap = async (count: number): Promise<{
+    const startFleetWithGap = async (): Promise<{
       readonly started: Fleet; readonly endMs: number; readonly window: number;
     }> => {
-      const started = startFleet(count, (daemonId) => (
+      const started = startFleet(2, (daemonId) => (
         partitioned.has(daemonId) ? 'refusal' : 'none'
       ));
       await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
-      expect(getHolder(started)).not.toBe(`vm-${count - 1}`);
+      expect(getHolder(started)).not.toBe('vm-1');
       addUnevenRequests(started);
       const window = Math.floor(Date.now() / WINDOW_MS);
       const endMs = (window + 1) * WINDOW_MS;
       await advanceTo(endMs - 500);
-      partitioned.add(`vm-${count - 1}`);
+      partitioned.add('vm-1');
       await advanceTo(endMs + 3_000);
       expect(listReports(started)).toMatchObject([{ window }]);
       deleteHistory(started);
@@ -329,9 +338,9 @@
       'is cut off from the store for longer than its term': (started) => {
         partitioned.add(getHolder(started));
       },
-      'is killed': (started) => started.kill(getIndex(getHolder(started))),
+      'is killed': (started) => started.kill(getHolderIndex(started)),
       'stops as planned': (started) => {
-        const runner = started.runners[getIndex(getHolder(started))];
+        const runner = started.runners[getHolderIndex(started)];
         return runner?.resign().then(runner.stop);
       },
     } as const satisfies Readonly<Record<string, (started: Fleet) => Promise<void> | void>>;
@@ -341,7 +350,7 @@
     test.each(Object.entries(HOLDER_ENDS))(
       'no window is reported with two sets of counts if the holder %s',
       async (_, endHolder) => {
-        const { endMs, started } = await startFleetWithGap(2);
+        const { endMs, started } = await startFleetWithGap();
         fleet = started;
         await advanceTo(endMs + 4_000);
         partitioned.delete('vm-1');
@@ -357,7 +366,7 @@
     test.each([['once', 1], ['twice', 2]])(
       'no window is reported with two sets of counts if the holder ends in the gap (lost %s)',
       async (_, gaps) => {
-        const { endMs, started } = await startFleetWithGap(2);
+        const { endMs, started } = await startFleetWithGap();
         fleet = started;
         started.kill(0);
         partitioned.delete('vm-1');
@@ -372,7 +381,7 @@
     );
 
     test('a daemon that starts in the gap seals no window again', async () => {
-      const { endMs, started, window } = await startFleetWithGap(2);
+      const { endMs, started, window } = await startFleetWithGap();
       fleet = started;
       partitioned.delete('vm-1');
       // The counts of the window that are handed over now would be all that a new seal has.
@@ -393,7 +402,7 @@
     // Guards against windows that nobody reports, although the holder states that it did not seal
     // them.
     test('a window that was open at the gap is reported by the next holder', async () => {
-      const { endMs, started, window } = await startFleetWithGap(2);
+      const { endMs, started, window } = await startFleetWithGap();
       fleet = started;
       partitioned.delete('vm-1');
       addUnevenRequests(started);
@@ -420,7 +429,7 @@
       addRequests(fleet.usageCounters);
       await advanceTo(endMs + 1_000);
       expect(fleet.countsLog.records.slice(-3)).toMatchObject(Array(3).fill({ window }));
-      fleet.kill(getIndex(getHolder(fleet)));
+      fleet.kill(getHolderIndex(fleet));
       deleteHistory(fleet);
       await advanceTo(endMs + REPORT_DUE_MS);
       // The requests of the daemon that was killed are lost with the log.
@@ -502,12 +511,7 @@
   test.each(RANDOM_SEEDS)(
     'gaps beside other faults never cause differing reports (seed %i)',
     async (seed) => {
-      let state = seed;
-      const random = (): number => {
-        // A linear congruential generator, so that a seed always gives the same faults.
-        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-        return state / 2_147_483_648;
-      };
+      const random = createRandom(seed);
       const faults: readonly FakeDuties.Fault[] = [
         ...Array<FakeDuties.Fault>(9).fill('none'), 'lost-answer', 'refusal', 'delay',
       ];
@@ -530,7 +534,7 @@
           const holder = getLast().runners.map((runner) => runner.getHolder())
             .find((daemonId) => daemonId !== undefined);
           if (holder === undefined) return;
-          const index = Number(/\d+$/.exec(holder)?.[0]);
+          const index = getIndex(holder);
           // A stop that is not awaited overlaps what follows it.
           if (random() < 0.5) getLast().runners[index]?.resign();
           getLast().kill(index);
@@ -562,9 +566,6 @@
     const startFleetWithOutages = (count: number): Fleet => (
       startFleet(count, () => (isDown ? 'refusal' : 'none'))
     );
-    const getHolderIndex = ({ runners }: Fleet): number => (
-      Number(runners[0]?.getHolder()?.slice('vm-'.length))
-    );
     /** Makes the logs unavailable, and lets them return as they were at some lengths. */
     const restoreLogs = async (
       { countsLog, dutyLog }: Fleet,
