Allow for a clock that is behind after a gap in the duties log

What callers could see: a usage window reported twice with different counts, where the next holder starts in a gap of the duties log while its time of day is seconds behind, or had its VM suspended in the gap. Cause: after a gap, a window counts as sealed if it could have ended by the reader's own clock, with an allowance of 0.4 s. A clock that is further behind takes the newest sealed window for one that has not ended. Change: TrueTime also states the latest time that it may be. A record that the read before did not find yet bounds it; without one, an error of 5 s at the start of the process is allowed for, and the wall clock shows a suspension.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -19,7 +19,6 @@
 import * as RelayPlan from './RelayPlan.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as ServerTable from './ServerTable.js';
-import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 import * as WindowHandOver from './WindowHandOver.js';
 
@@ -176,6 +175,9 @@
 
   #hasReadLog = false;
 
+  /** Clock reading before the newest successful read of this generation of the log was sent. */
+  #newestReadAt: ClockReading.ClockReading | undefined;
+
   #nextPollMs = -Infinity;
 
   #lastRenewMs = -Infinity;
@@ -339,6 +341,7 @@
    * poll; it does so once, so that a log that is never readable causes no burst of calls.
    */
   async #readDutyLog(canReadAgain = true): Promise<boolean> {
+    const sentAt = this.#readClocks();
     const result = await Effect.runPromise(
       Effect.either(this.#context.dutyLog.read(this.#state.end)),
     );
@@ -353,6 +356,7 @@
     }
     result.right.records.forEach(({ offset, value }) => this.#applyRecord(offset, value, readAt));
     this.#state = { ...this.#state, end: result.right.next };
+    this.#newestReadAt = sentAt;
     if (!this.#hasReadLog) {
       this.#hasReadLog = true;
       if (!DutyLease.hasHolderOfGeneration(this.#state)) this.#applyUnknownHolder(readAt);
@@ -360,6 +364,15 @@
     return true;
   }
 
+  /** Computes the largest age of a record that is read now and was not there at the last read. */
+  #computeMaxRecordAge(readAt: ClockReading.ClockReading): Core.Millis {
+    const newestReadAt = this.#newestReadAt;
+    if (newestReadAt === undefined || ClockReading.hasDrifted(newestReadAt, readAt)) {
+      return Infinity;
+    }
+    return readAt.monotonicMs - newestReadAt.monotonicMs;
+  }
+
   /**
    * Applies the first read of a log that states no holder of its generation. If it has returned
    * from an older copy, seals and a claim may be gone.
@@ -393,6 +406,8 @@
       ? 'duties log is from an older copy'
       : 'records of the duties log were deleted before they were read');
     if (!isRestored) return;
+    // The records of the copy may be older than the newest read.
+    this.#newestReadAt = undefined;
     // The claim of this lease may be gone, and its appends have no effect on other daemons.
     if (this.#heldLease !== undefined) this.#pauseLease('the log returned from an older copy');
     this.#pendingAppends.clear();
@@ -421,7 +436,7 @@
     const { trueTime, windowMs } = this.#context;
     // Only a holder whose records are missing can have sealed a window by a clock that is ahead. A
     // fleet that starts must not skip its first seal, which assigns the relays.
-    const holderMs = trueTime.read() + (hasGap ? TrueTime.MAX_LAG_MS : 0);
+    const holderMs = hasGap ? trueTime.readLatest() : trueTime.read();
     return Math.max(
       sealFrom,
       UsageCounts.computeWindow(holderMs - HAND_OVER_PERIOD_MS, windowMs),
@@ -442,7 +457,9 @@
       }, 'sealed windows are known after a gap');
     }
     const { daemonId, trueTime } = this.#context;
-    if (record.holder !== daemonId) trueTime.observeRemote(record.writtenMs);
+    if (record.holder !== daemonId) {
+      trueTime.observeRemote(record.writtenMs, this.#computeMaxRecordAge(readAt));
+    }
     if (record.countsFrom !== undefined) this.#resetHandOver(record.countsFrom);
     const sentAt = this.#pendingAppends.get(record.nonce);
     if (sentAt !== undefined) this.#updateHeldLease(sentAt);
--- a/packages/routing/src/__tests__/unit/ClockReading.test.ts
+++ b/packages/routing/src/__tests__/unit/ClockReading.test.ts
@@ -27,7 +27,7 @@
     const time = Routing.createTrueTime(() => now);
     now = at(1_000, 103_000);
     expect(time.read()).toBe(101_000);
-    time.observeRemote(100_900);
+    time.observeRemote(100_900, Infinity);
     expect(time.read()).toBe(101_000);
   });
 
@@ -35,13 +35,39 @@
     let now = at(0, 100_000);
     const time = Routing.createTrueTime(() => now);
     now = at(1_000, 106_000);
-    time.observeRemote(105_500);
+    time.observeRemote(105_500, Infinity);
     expect(time.read()).toBe(106_000);
   });
 
   test('a record of a daemon whose wall clock stepped ahead does not change the estimate', () => {
     const time = Routing.createTrueTime(() => at(0, 100_000));
-    time.observeRemote(102_000);
+    time.observeRemote(102_000, Infinity);
     expect(time.read()).toBe(100_000);
   });
+
+  // Guards against a window that is sealed again by a daemon whose clock is behind that of the
+  // former holder.
+  test('the latest possible time allows for a step of the time of day before the start', () => {
+    let now = at(0, 100_000);
+    const time = Routing.createTrueTime(() => now);
+    expect(time.readLatest()).toBe(100_000 + Routing.MAX_STEP_MS + Routing.MAX_LAG_MS);
+    now = at(1_000, 101_000);
+    // A record of unknown age shows nothing.
+    time.observeRemote(100_800, Infinity);
+    expect(time.readLatest()).toBe(101_000 + Routing.MAX_STEP_MS + Routing.MAX_LAG_MS);
+    time.observeRemote(100_800, 500);
+    expect(time.readLatest()).toBe(101_300 + Routing.MAX_LAG_MS);
+    // A record of a daemon whose clock is behind does not make the estimate too late.
+    time.observeRemote(99_000, 500);
+    expect(time.readLatest()).toBe(101_000 + Routing.MAX_LAG_MS);
+  });
+
+  test('the latest possible time includes a suspension', () => {
+    let now = at(0, 100_000);
+    const time = Routing.createTrueTime(() => now);
+    time.observeRemote(100_000, 0);
+    now = at(1_000, 109_000);
+    expect(time.read()).toBe(101_000);
+    expect(time.readLatest()).toBe(109_000 + Routing.MAX_LAG_MS);
+  });
 });
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -13,9 +13,11 @@
 /** Time after the end of a window by which it must be reported. */
 const REPORT_DUE_MS = 10_000;
 
-/** Seeds of the random faults; `DUTY_SEEDS=FIRST,COUNT` runs others. */
-const [FIRST_SEED = 0, SEED_COUNT = 0] = (process.env.DUTY_SEEDS ?? '190,6').split(',').map(Number);
-const RANDOM_SEEDS = Array.from({ length: SEED_COUNT }, (_, index) => FIRST_SEED + index);
+/** Lists the seeds of random faults from `FIRST,COUNT`; `DUTY_SEEDS` replaces the usual ones. */
+function listSeeds(usual: string): readonly number[] {
+  const [first = 0, count = 0] = (process.env.DUTY_SEEDS ?? usual).split(',').map(Number);
+  return Array.from({ length: count }, (_, index) => first + index);
+}
 
 /** Creates a linear congruential generator of numbers from 0 to below 1. */
 function createRandom(seed: number): () => number {
@@ -26,6 +28,31 @@
   };
 }
 
+/** Step of the time of day of a VM. */
+const CLOCK_STEP_MS = 4_000;
+
+/** Clock of a VM. While the VM is suspended, its monotonic clock stands still. */
+interface SuspendableClock extends Core.Clock {
+  readonly suspend: () => void;
+  readonly resume: () => void;
+}
+
+function createSuspendableClock(): SuspendableClock {
+  let suspendedAtMs: number | undefined;
+  let suspendedMs = 0;
+  return {
+    readMonotonic: () => (suspendedAtMs ?? performance.now()) - suspendedMs,
+    readWall: () => Date.now(),
+    resume: () => {
+      suspendedMs += performance.now() - (suspendedAtMs ?? performance.now());
+      suspendedAtMs = undefined;
+    },
+    suspend: () => {
+      suspendedAtMs ??= performance.now();
+    },
+  };
+}
+
 interface Fleet {
   readonly platform: FakeDuties.FakePlatform;
   readonly dutyLog: FakeDuties.FakeLog;
@@ -46,16 +73,18 @@
     dutyLog: FakeDuties.createFakeLog(chooseFault),
   },
   platform = FakeDuties.createFakePlatform(() => performance.now()),
+  getClock: (daemonId: string) => Core.Clock = () => Core.systemClock,
 ): Fleet {
   const { countsLog, dutyLog } = logs;
   const assignments = new Map<string, Routing.RelayAssignment>();
   const daemons = Array.from({ length: count }, (_, index) => {
     const daemonId = `vm-${index}`;
+    const clock = getClock(daemonId);
     const usageCounter = Routing.createUsageCounter(WINDOW_MS);
     const runner = Routing.startDuties({
       usageCounter,
       calls: platform.connect(daemonId),
-      clock: Core.systemClock,
+      clock,
       cores: 1,
       sendInterimCounts: () => undefined,
       countsLog: countsLog.connect(daemonId),
@@ -77,7 +106,7 @@
       region: undefined,
       regionDataCentres: ['a'],
       random: () => index / count,
-      trueTime: Routing.createTrueTime(() => Routing.readClocks(Core.systemClock)),
+      trueTime: Routing.createTrueTime(() => Routing.readClocks(clock)),
       usageDueMs: REPORT_DUE_MS,
       usageErrorShare: 0.05,
       windowMs: WINDOW_MS,
@@ -311,15 +340,21 @@
     };
 
     /**
-     * Starts two daemons and cuts the second one, which has few requests, off the logs. The holder
-     * seals and reports a window without them, and then the logs delete all records.
+     * Starts two daemons and cuts the second one, which has few requests, off the logs; its VM may
+     * be suspended meanwhile. The holder seals and reports a window without it, and then the logs
+     * delete all records.
      */
-    const startFleetWithGap = async (): Promise<{
+    const startFleetWithGap = async ({ isSuspended = false } = {}): Promise<{
       readonly started: Fleet; readonly endMs: number; readonly window: number;
     }> => {
-      const started = startFleet(2, (daemonId) => (
-        partitioned.has(daemonId) ? 'refusal' : 'none'
-      ));
+      const vmClock = createSuspendableClock();
+      const started = startFleet(
+        2,
+        (daemonId) => (partitioned.has(daemonId) ? 'refusal' : 'none'),
+        undefined,
+        undefined,
+        (daemonId) => (daemonId === 'vm-1' ? vmClock : Core.systemClock),
+      );
       await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
       expect(getHolder(started)).not.toBe('vm-1');
       addUnevenRequests(started);
@@ -327,9 +362,11 @@
       const endMs = (window + 1) * WINDOW_MS;
       await advanceTo(endMs - 500);
       partitioned.add('vm-1');
+      if (isSuspended) vmClock.suspend();
       await advanceTo(endMs + 3_000);
       expect(listReports(started)).toMatchObject([{ window }]);
       deleteHistory(started);
+      vmClock.resume();
       return { endMs, started, window };
     };
 
@@ -399,6 +436,41 @@
       expect(windows).not.toContain(window);
     });
 
+    // Guards against a daemon that takes a sealed window for one that has not ended yet, because
+    // its time of day is behind and it has read no record of another daemon.
+    test('a daemon that starts in the gap with a late clock seals no window again', async () => {
+      const { endMs, started, window } = await startFleetWithGap();
+      fleet = started;
+      partitioned.delete('vm-1');
+      await vi.advanceTimersByTimeAsync(1_300);
+      expect(started.countsLog.records.slice(-1)).toMatchObject([{ counts: { shop: 1 }, window }]);
+      started.kill(0);
+      started.kill(1);
+      const restarted = startFleet(2, () => 'none', started, started.platform, () => ({
+        ...Core.systemClock, readWall: () => Date.now() - CLOCK_STEP_MS,
+      }));
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      addRequests(restarted.usageCounters);
+      await advanceTo(endMs + 8 * WINDOW_MS);
+      restarted.runners.forEach((runner) => runner.stop());
+      expect(listReports(restarted).length).toBeGreaterThan(1);
+      checkInvariants(restarted);
+    });
+
+    // Guards against a daemon that takes a sealed window for one that has not ended yet, because
+    // its monotonic clock stood still while its VM was suspended.
+    test('a daemon whose VM is suspended in the gap seals no window again', async () => {
+      const { endMs, started } = await startFleetWithGap({ isSuspended: true });
+      fleet = started;
+      started.kill(0);
+      partitioned.delete('vm-1');
+      await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+      addRequests(started.usageCounters.slice(1));
+      await advanceTo(endMs + 8 * WINDOW_MS);
+      expect(listReports(started).map(({ holder }) => holder)).toContain('vm-1');
+      checkInvariants(started);
+    });
+
     // Guards against windows that nobody reports, although the holder states that it did not seal
     // them.
     test('a window that was open at the gap is reported by the next holder', async () => {
@@ -507,10 +579,14 @@
     });
   });
 
-  // Guards against combinations of gaps, returns, cuts, lost answers and changes of the holder.
-  test.each(RANDOM_SEEDS)(
-    'gaps beside other faults never cause differing reports (seed %i)',
-    async (seed) => {
+  // Guards against combinations of gaps, returns, cuts, lost answers and changes of the holder, and
+  // of these with steps of the time of day and suspended VMs.
+  test.each([
+    ...listSeeds('190,6').map((seed) => ['other faults', seed, 0.08] as const),
+    ...listSeeds('270,4').map((seed) => ['clock faults', seed, 0.2] as const),
+  ])(
+    'gaps beside %s never cause differing reports (seed %i)',
+    async (kind, seed, eventShare) => {
       const random = createRandom(seed);
       const faults: readonly FakeDuties.Fault[] = [
         ...Array<FakeDuties.Fault>(9).fill('none'), 'lost-answer', 'refusal', 'delay',
@@ -521,7 +597,16 @@
         return faults[Math.floor(random() * faults.length)] ?? 'none';
       };
       const size = 3;
-      fleet = startFleet(size, chooseFault);
+      const vmClocks = Array.from({ length: size }, createSuspendableClock);
+      const stepsMs = Array<number>(size).fill(0);
+      const getClock = (daemonId: string): Core.Clock => {
+        const index = getIndex(daemonId);
+        return {
+          readMonotonic: () => vmClocks[index]?.readMonotonic() ?? 0,
+          readWall: () => Date.now() + (stepsMs[index] ?? 0),
+        };
+      };
+      fleet = startFleet(size, chooseFault, undefined, undefined, getClock);
       const { countsLog, dutyLog } = fleet;
       const fleets = [fleet];
       const getLast = (): Fleet => fleets.at(-1) as Fleet;
@@ -541,13 +626,25 @@
         },
         () => {
           getLast().runners.forEach((runner) => runner.stop());
-          fleets.push(startFleet(size, chooseFault, fleets[0], fleets[0]?.platform));
+          fleets.push(startFleet(size, chooseFault, fleets[0], fleets[0]?.platform, getClock));
         },
+        ...kind === 'other faults' ? [] : [
+          () => {
+            stepsMs[Math.floor(random() * size)] = (random() - 0.5) * CLOCK_STEP_MS;
+          },
+          () => {
+            const index = Math.floor(random() * size);
+            const lengthMs = 2_000 + random() * 4_000;
+            cutUntilMs.set(`vm-${index}`, performance.now() + lengthMs);
+            vmClocks[index]?.suspend();
+            setTimeout(() => vmClocks[index]?.resume(), lengthMs);
+          },
+        ],
       ];
       const runRounds = async (rounds: number): Promise<void> => {
         if (rounds === 0) return;
         addRequests(getLast().usageCounters.slice(Math.floor(random() * size)));
-        if (random() < 0.08) events[Math.floor(random() * events.length)]?.();
+        if (random() < eventShare) events[Math.floor(random() * events.length)]?.();
         await vi.advanceTimersByTimeAsync(500);
         await runRounds(rounds - 1);
       };
