Move the counts of the fleet out of the duty runner

Change: FleetCounts reads the counts log and derives what is known from it; DutyLease.buildSealStatement builds the statement.

--- a/packages/routing/src/DutyLease.ts
+++ b/packages/routing/src/DutyLease.ts
@@ -122,6 +122,13 @@
     .sort((a, b) => a - b);
 }
 
+/** Builds what a record of this process states about the sealed windows. */
+export function buildSealStatement(
+  state: DutyState,
+): Pick<DutyRecord, 'sealedWindows' | 'sealFrom'> {
+  return { sealedWindows: listSealedWindows(state), sealFrom: state.sealFrom };
+}
+
 /** Adds a seal. Windows whose seals are dropped for it count as sealed by `sealFrom`. */
 function addSeal(state: DutyState, seal: Seal): DutyState {
   if (state.seals.has(seal.window)) return state;
--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -5,14 +5,13 @@
  * The others watch the log, hand over their usage counts and claim the lease when it expires.
  */
 import * as Core from '@berylyoke/core';
-import type * as Scheduling from '@berylyoke/scheduling';
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
 import * as Schema from 'effect/Schema';
 import * as util from 'node:util';
 import * as ClockReading from './ClockReading.js';
-import * as CountsRecord from './CountsRecord.js';
 import * as DutyLease from './DutyLease.js';
+import * as FleetCounts from './FleetCounts.js';
 import * as LogPosition from './LogPosition.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
@@ -63,12 +62,6 @@
 /** Longest random delay of a claim; keeps daemons from claiming an expired lease all at once. */
 const MAX_CLAIM_JITTER_MS = 700;
 
-/** Time after the end of a window within which daemons hand over their counts. */
-const HAND_OVER_PERIOD_MS = 1_500;
-
-/** Interval between two reads of the counts log while counts of a window are still missing. */
-const COUNTS_READ_INTERVAL_MS = 1_000;
-
 /**
  * Time before the due time of a report at which its window is sealed at the latest. A seal and its
  * report need a step, an append and a call, which take 20 ms each.
@@ -78,22 +71,6 @@
 /** Age beyond which a window is no longer sealed or reported. */
 const MAX_WINDOW_AGE_MS = 28_000;
 
-/** Number of past windows whose largest demand determines the orders. */
-const DEMAND_WINDOWS = 4;
-
-/**
- * Share of the demand for which missing servers are replaced. A replacement costs several times the
- * price of a reclaimable server, and the reserve of the others carries the rest: a deployment whose
- * base plan is just large enough would otherwise order replacements for each single loss.
- */
-export const REPLACED_DEMAND_SHARE = 2 / 3;
-
-/**
- * Time after the end of a window by which its counts should have been read: the time for the
- * hand-over, and the interval between two reads.
- */
-const MAX_COUNTS_DELAY_MS = HAND_OVER_PERIOD_MS + 2 * COUNTS_READ_INTERVAL_MS;
-
 /** Maximum number of orders in one step; the next step renews the lease first. */
 const MAX_ORDERS_PER_STEP = 32;
 
@@ -109,12 +86,12 @@
 const LEASE_TERM_FACTOR = 1.25;
 
 /** Settings and dependencies of a duty runner. */
-export interface DutyContext extends WindowHandOver.WindowContext {
+export interface DutyContext
+  extends WindowHandOver.WindowContext, FleetCounts.FleetCountsContext {
   /** Data centres of this daemon's region, in the same order at every daemon. */
   readonly regionDataCentres: readonly string[];
   /** Called with the new assignment of relays when a record of the holder changed it. */
   readonly onRelaysChanged: (relays: RelayPlan.RelayAssignment) => void;
-  readonly logger: Core.Logger;
   /** Time within which two daemons may not alternate as the holder. */
   readonly leaseMs: Core.Millis;
   /** Time after the end of a window at which its report is due. */
@@ -122,14 +99,11 @@
   /** Allowed error of the reported counts of a window, as a share of them. */
   readonly usageErrorShare: number;
   readonly dutyLog: Ports.SharedLog;
-  readonly countsLog: Pick<Ports.SharedLog, 'read'>;
   readonly calls: Ports.DutyCalls;
   /** Lists the services of the configuration, for which servers may be ordered. */
   readonly listServices: () => readonly RoutingConfig.Service[];
   /** Lists the servers that have an entry. */
   readonly listServers: () => readonly ServerTable.BackendServer[];
-  /** Counts the requests in progress at a service over all daemons; undefined if not known. */
-  readonly countRequestsInProgress?: (service: string) => number | undefined;
   /** Called with the answer to each order of servers. */
   readonly onOrderAnswered: (order: Ports.ServerOrder, answer: Ports.DutyAnswer) => void;
   readonly random: () => number;
@@ -184,18 +158,10 @@
 
   #claimAtMs: Core.Millis | undefined;
 
-  #nextCountsOffset = 0;
-
-  /** True time of the last read of the counts log. */
-  #countsReadMs = -Infinity;
-
-  /** Whether counts were deleted unread since the newest read of the counts log. */
-  #hasCountsGap = false;
-
   /** First window of complete counts that a holder stated last; older ones were handed over. */
   #requestedCountsFrom = -Infinity;
 
-  readonly #usageCollection: UsageCounts.UsageCollection;
+  readonly #fleetCounts: FleetCounts.FleetCounts;
 
   readonly #reportedWindows = new Set<number>();
 
@@ -212,7 +178,7 @@
   constructor(context: DutyContext) {
     this.#context = context;
     this.#handOver = WindowHandOver.createWindowHandOver(context);
-    this.#usageCollection = UsageCounts.createUsageCollection(context.windowMs);
+    this.#fleetCounts = FleetCounts.createFleetCounts(context);
     this.#schedule();
   }
 
@@ -400,8 +366,7 @@
     this.#context.logger.warn({
       first: LogPosition.formatPosition(first),
       previousEnd: LogPosition.formatPosition(end),
-      sealFrom: this.#state.sealFrom,
-      sealedWindows: DutyLease.listSealedWindows(this.#state),
+      ...DutyLease.buildSealStatement(this.#state),
     }, isRestored
       ? 'duties log is from an older copy'
       : 'records of the duties log were deleted before they were read');
@@ -439,7 +404,7 @@
     const holderMs = hasGap ? trueTime.readLatest() : trueTime.read();
     return Math.max(
       sealFrom,
-      UsageCounts.computeWindow(holderMs - HAND_OVER_PERIOD_MS, windowMs),
+      UsageCounts.computeWindow(holderMs - FleetCounts.HAND_OVER_PERIOD_MS, windowMs),
     );
   }
 
@@ -450,11 +415,10 @@
     const { hasGap, holder: previousHolder, relays } = this.#state;
     this.#state = DutyLease.applyDutyRecord(this.#state, offset, record, readAt);
     if (hasGap && !this.#state.hasGap) {
-      this.#context.logger.info({
-        offset,
-        sealFrom: this.#state.sealFrom,
-        sealedWindows: DutyLease.listSealedWindows(this.#state),
-      }, 'sealed windows are known after a gap');
+      this.#context.logger.info(
+        { offset, ...DutyLease.buildSealStatement(this.#state) },
+        'sealed windows are known after a gap',
+      );
     }
     const { daemonId, trueTime } = this.#context;
     if (record.holder !== daemonId) {
@@ -500,8 +464,7 @@
     if (this.#heldLease?.fence !== fence) {
       this.#orderPlanner = OrderPlan.createOrderPlanner();
       this.#reportedWindows.clear();
-      this.#nextCountsOffset = 0;
-      this.#countsReadMs = -Infinity;
+      this.#fleetCounts.reset();
     }
     this.#heldLease = { fence, sentAt, termMs };
     this.#newestLease = this.#heldLease;
@@ -517,8 +480,7 @@
       ...countsFrom === undefined ? {} : { countsFrom },
       holder: this.#context.daemonId,
       nonce: Core.createId(),
-      sealedWindows: DutyLease.listSealedWindows(this.#state),
-      sealFrom: this.#state.sealFrom,
+      ...DutyLease.buildSealStatement(this.#state),
       termMs: this.#computeTerm(),
       writtenMs: Math.round(this.#context.trueTime.read()),
     };
@@ -553,9 +515,7 @@
     }
     await this.#sendReports();
     // A new holder reads the counts before its first orders, so that it knows the demand.
-    if (this.#countsReadMs === -Infinity && await this.#readCounts()) {
-      this.#countsReadMs = this.#context.trueTime.read();
-    }
+    if (this.#fleetCounts.getReadTime() === -Infinity) await this.#fleetCounts.read();
     await this.#sendOrders();
     this.#logChangedPlans();
   }
@@ -572,7 +532,7 @@
 
   /** Computes the true time by which the counts of a window should be in the log. */
   #computeHandOverEnd(window: number): Core.Millis {
-    return (window + 1) * this.#context.windowMs + HAND_OVER_PERIOD_MS;
+    return (window + 1) * this.#context.windowMs + FleetCounts.HAND_OVER_PERIOD_MS;
   }
 
   #listDueWindows(): readonly number[] {
@@ -591,23 +551,21 @@
     const due = this.#listDueWindows();
     if (due.length === 0) return [];
     const nowMs = this.#context.trueTime.read();
-    const isUnread = due.some((window) => this.#countsReadMs < this.#computeHandOverEnd(window));
-    if (isUnread || nowMs - this.#countsReadMs >= COUNTS_READ_INTERVAL_MS) {
-      if (!await this.#readCounts()) return [];
-      this.#countsReadMs = nowMs;
+    const readMs = this.#fleetCounts.getReadTime();
+    const isUnread = due.some((window) => readMs < this.#computeHandOverEnd(window));
+    if (isUnread || nowMs - readMs >= FleetCounts.COUNTS_READ_INTERVAL_MS) {
+      if (!await this.#fleetCounts.read()) return [];
     }
     const { usageDueMs, usageErrorShare, windowMs } = this.#context;
     return due.filter((window) => (
       (this.#hasAllCounts(window)
-        && this.#usageCollection.estimateMissingShare(window) <= usageErrorShare)
+        && this.#fleetCounts.collection.estimateMissingShare(window) <= usageErrorShare)
       || nowMs >= (window + 1) * windowMs + usageDueMs - SEAL_MARGIN_MS
     ));
   }
 
-  /** Checks whether no counts of a window can be missing because they were deleted unread. */
   #hasAllCounts(window: number): boolean {
-    return window >= (this.#usageCollection.getCompleteFrom() ?? -Infinity)
-      || this.#usageCollection.countDaemons(window) >= (this.#state.daemonCount ?? Infinity);
+    return this.#fleetCounts.hasAllCounts(window, this.#state.daemonCount);
   }
 
   /**
@@ -617,10 +575,10 @@
   #computeRequestedCounts(): number | undefined {
     if (this.#heldLease === undefined) return undefined;
     const lacksCounts = this.#listRecentWindows().some((window) => (
-      this.#computeWindowAge(window) < this.#context.usageDueMs
+      this.#fleetCounts.computeWindowAge(window) < this.#context.usageDueMs
       && !DutyLease.isSealed(this.#state, window) && !this.#hasAllCounts(window)
     ));
-    return lacksCounts ? this.#usageCollection.getCompleteFrom() : undefined;
+    return lacksCounts ? this.#fleetCounts.collection.getCompleteFrom() : undefined;
   }
 
   /**
@@ -638,14 +596,14 @@
 
   async #sealWindow(window: number): Promise<void> {
     this.#lastRenewMs = this.#context.clock.readMonotonic();
-    const members = this.#usageCollection.listMembers(window);
-    const counts = this.#usageCollection.sumWindow(window);
+    const members = this.#fleetCounts.collection.listMembers(window);
+    const counts = this.#fleetCounts.collection.sumWindow(window);
     this.#context.logger.info({
       counts, daemons: members.length, fence: this.#heldLease?.fence, window,
     }, 'sealing usage window');
     this.#recordSealAttempt(window);
     await this.#append({
-      daemonCount: this.#usageCollection.countDaemons(window) || this.#state.daemonCount,
+      daemonCount: this.#fleetCounts.collection.countDaemons(window) || this.#state.daemonCount,
       fence: this.#heldLease?.fence,
       kind: 'seal',
       // No counts arrive during an outage of the store; the previous relays are kept then.
@@ -664,32 +622,6 @@
     this.#sealAttempts.set(window, end);
   }
 
-  async #readCounts(): Promise<boolean> {
-    const result = await Effect.runPromise(
-      Effect.either(this.#context.countsLog.read(this.#nextCountsOffset)),
-    );
-    if (Either.isLeft(result)) {
-      if (result.left._tag === 'HistoryLost') {
-        this.#hasCountsGap = true;
-        this.#nextCountsOffset = result.left.first;
-        return this.#readCounts();
-      }
-      this.#context.logger.warn({ detail: result.left.message }, 'usage counts not read');
-      return false;
-    }
-    const records = result.right.records.flatMap(({ value }) => {
-      const decoded = CountsRecord.decodeCounts(value);
-      return decoded._tag === 'Some' ? [decoded.value] : [];
-    });
-    if (this.#hasCountsGap) {
-      this.#usageCollection.observeGap(records[0]?.writtenMs ?? this.#context.trueTime.read());
-      this.#hasCountsGap = false;
-    }
-    records.forEach(this.#usageCollection.apply);
-    this.#nextCountsOffset = result.right.next;
-    return true;
-  }
-
   async #sendReports(): Promise<void> {
     const due = this.#listRecentWindows().find((window) => (
       this.#state.seals.has(window) && !this.#reportedWindows.has(window)
@@ -724,78 +656,32 @@
     this.#loseLease('the platform refused the fencing token');
   }
 
-  /**
-   * Computes the demand for a service in prompt tokens per second: the largest one of the last
-   * windows, so that a short pause of the load does not reduce the orders.
-   */
-  #computeDemand(service: string): number {
-    const current = this.#computeCurrentWindow();
-    const windows = Array.from({ length: DEMAND_WINDOWS }, (_, index) => current - 1 - index);
-    const tokens = windows.map((window) => this.#usageCollection.sumTokens(window, service));
-    return Math.max(...tokens) / (this.#context.windowMs / MS_PER_S);
-  }
-
-  /** Finds the newest window for which all counts are known; undefined if none is recent. */
-  #findDemandWindow(): number | undefined {
-    const current = this.#computeCurrentWindow();
-    return Array.from({ length: DEMAND_WINDOWS }, (_, index) => current - 1 - index)
-      .find((window) => (
-        this.#usageCollection.countDaemons(window) > 0 && this.#hasAllCounts(window)
-      ));
-  }
-
-  /** Checks whether there are or were counts, so that their absence does not show no demand. */
-  #hasHadCounts(): boolean {
-    return this.#usageCollection.hasCounts()
-      || this.#usageCollection.getCompleteFrom() !== undefined;
-  }
-
-  /** Computes the time since the end of a window. */
-  #computeWindowAge(window: number): Core.Millis {
-    return this.#context.trueTime.read() - (window + 1) * this.#context.windowMs;
-  }
-
-  /**
-   * Returns the demand for which missing servers are replaced, by the newest window with counts;
-   * undefined if the counts of the window after it should be known as well. Before the first counts
-   * of a fleet, there is no demand.
-   */
-  #readMeasuredDemand(service: string): Scheduling.MeasuredDemand | undefined {
-    if (this.#countsReadMs === -Infinity) return undefined;
-    const requests = this.#context.countRequestsInProgress?.(service);
-    const window = this.#findDemandWindow();
-    if (window === undefined) {
-      return this.#hasHadCounts() ? undefined : { requests, tokensPerSecond: 0 };
-    }
-    if (this.#computeWindowAge(window) > this.#context.windowMs + MAX_COUNTS_DELAY_MS) {
-      return undefined;
-    }
-    const tokens = this.#usageCollection.sumTokens(window, service);
-    const tokensPerSecond = tokens / (this.#context.windowMs / MS_PER_S);
-    return { requests, tokensPerSecond: tokensPerSecond * REPLACED_DEMAND_SHARE };
-  }
-
   #planOrders(nowMs: Core.Millis): readonly Ports.ServerOrder[] {
     const servers = this.#context.listServers();
+    const { daemonCount } = this.#state;
     return this.#orderPlanner.planDue(
       this.#context.listServices().map((service) => ({
-        demand: this.#readMeasuredDemand(service.name),
+        demand: this.#fleetCounts.readMeasuredDemand(service.name, daemonCount),
         servers,
         service,
-        tokensPerSecond: this.#computeDemand(service.name),
+        tokensPerSecond: this.#fleetCounts.computePeakDemand(service.name),
       })),
       nowMs,
-      this.#findDemandWindow() !== undefined || !this.#hasHadCounts(),
+      this.#fleetCounts.isDemandKnown(daemonCount),
     );
   }
 
   #logChangedPlans(): void {
-    const window = this.#findDemandWindow();
+    const { daemonCount } = this.#state;
+    const window = this.#fleetCounts.findDemandWindow(daemonCount);
+    const demandAgeMs = window === undefined
+      ? undefined
+      : Math.round(this.#fleetCounts.computeWindowAge(window));
     this.#orderPlanner.takeChanges().forEach((decision) => this.#context.logger.info(
       {
         ...OrderPlan.describeDecision(decision),
-        demand: this.#readMeasuredDemand(decision.service),
-        demandAgeMs: window === undefined ? undefined : Math.round(this.#computeWindowAge(window)),
+        demand: this.#fleetCounts.readMeasuredDemand(decision.service, daemonCount),
+        demandAgeMs,
         fence: this.#heldLease?.fence,
       },
       'capacity planned',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,6 +16,7 @@
 export * from './FeedLoop.js';
 export * from './EnginePicker.js';
 export * from './EngineRates.js';
+export * from './FleetCounts.js';
 export * from './FleetLoad.js';
 export * from './FleetOutcomes.js';
 export * from './HandOverBatch.js';
