Read the duties and counts logs to their end before deciding by them

What callers could see: usage that is not reported, where the counts of a fleet do not fit into one answer of the store (1 MB, some 700 daemons with four windows in the log). A daemon that starts could take a former holder for the present one in the same way. Cause: one answer was taken for the whole log, so a window whose counts follow in the next answer was sealed without them. Evidence: two new tests of DutyRunner.test.ts with logs in pages of two records: a window with six requests was sealed without any and not reported, and a daemon that had just started named the former holder. Change: readToEnd reads page by page; the platform's logs state whether records follow. Logs that fit into one answer are read with as many calls as before.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -13,6 +13,7 @@
 import * as DutyLease from './DutyLease.js';
 import * as FleetCounts from './FleetCounts.js';
 import * as LogPosition from './LogPosition.js';
+import * as LogReading from './LogReading.js';
 import * as OrderPlan from './OrderPlan.js';
 import type * as Ports from './Ports.js';
 import * as RelayPlan from './RelayPlan.js';
@@ -309,7 +310,7 @@
   async #readDutyLog(canReadAgain = true): Promise<boolean> {
     const sentAt = this.#readClocks();
     const result = await Effect.runPromise(
-      Effect.either(this.#context.dutyLog.read(this.#state.end)),
+      Effect.either(LogReading.readToEnd(this.#context.dutyLog, this.#state.end)),
     );
     const readAt = this.#readClocks();
     if (Either.isLeft(result)) {
--- a/packages/routing/src/FleetCounts.ts
+++ b/packages/routing/src/FleetCounts.ts
@@ -8,6 +8,7 @@
 import * as Effect from 'effect/Effect';
 import * as Either from 'effect/Either';
 import * as CountsRecord from './CountsRecord.js';
+import * as LogReading from './LogReading.js';
 import type * as Ports from './Ports.js';
 import type * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
@@ -103,7 +104,9 @@
   };
   const read = async (): Promise<boolean> => {
     const sentMs = trueTime.read();
-    const result = await Effect.runPromise(Effect.either(countsLog.read(nextOffset)));
+    const result = await Effect.runPromise(
+      Effect.either(LogReading.readToEnd(countsLog, nextOffset)),
+    );
     if (Either.isLeft(result)) {
       if (result.left._tag === 'HistoryLost') {
         hasGap = true;
--- a/packages/routing/src/Ports.ts
+++ b/packages/routing/src/Ports.ts
@@ -75,15 +75,18 @@
   readonly value: unknown;
 }
 
+/** Records that were read from a log, and the offset at which to read on. */
+export interface LogPage {
+  readonly records: readonly OffsetRecord[];
+  readonly next: number;
+  /** Whether the log had further records, which did not fit into the page. */
+  readonly hasMore?: boolean;
+}
+
 /** Log of JSON records that all daemons read and write. */
 export interface SharedLog {
   /** Reads the records from an offset. */
-  readonly read: (
-    from: number,
-  ) => Effect.Effect<
-    { readonly records: readonly OffsetRecord[]; readonly next: number },
-    HistoryLost | StoreUnavailable
-  >;
+  readonly read: (from: number) => Effect.Effect<LogPage, HistoryLost | StoreUnavailable>;
   /**
    * Appends records. If `expectedEnd` is given, the append fails unless the log ends there.
    *
--- a/packages/routing/src/__tests__/support/FakeDuties.ts
+++ b/packages/routing/src/__tests__/support/FakeDuties.ts
@@ -17,8 +17,14 @@
 
 const DELAY_MS = 600;
 
-/** Creates an empty log; `chooseFault` returns the fault of each call of a daemon. */
-export function createFakeLog(chooseFault: (daemonId: string, call: string) => Fault): FakeLog {
+/**
+ * Creates an empty log; `chooseFault` returns the fault of each call of a daemon. A read returns at
+ * most `pageSize` records.
+ */
+export function createFakeLog(
+  chooseFault: (daemonId: string, call: string) => Fault,
+  pageSize = Infinity,
+): FakeLog {
   const records: unknown[] = [];
   let generation = 0;
   /** Offset of the oldest record that is not deleted. */
@@ -62,11 +68,12 @@
           if (isOtherGeneration || offset < first) {
             return Effect.fail(new Routing.HistoryLost({ first: at(first) }));
           }
+          const page = records.slice(offset, offset + pageSize);
+          const end = offset + page.length;
           return Effect.succeed({
-            next: at(records.length),
-            records: records.slice(offset).map((value, index) => (
-              { offset: at(offset + index), value }
-            )),
+            hasMore: end < records.length,
+            next: at(end),
+            records: page.map((value, index) => ({ offset: at(offset + index), value })),
           });
         });
         const effectsByFault = {
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -221,6 +221,32 @@
     expect(new Set(reports.map(({ holder }) => holder)).size).toBe(1);
   });
 
+  // Guards against a window that is sealed without the counts that follow in a later page.
+  test('a window has the requests of all daemons if the counts are read in pages', async () => {
+    const countsLog = FakeDuties.createFakeLog(() => 'none', 2);
+    const dutyLog = FakeDuties.createFakeLog(() => 'none');
+    fleet = startFleet(6, undefined, { countsLog, dutyLog });
+    addRequests(fleet.usageCounters);
+    await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+    expect(countsLog.records.length).toBeGreaterThan(6);
+    expect(listReports(fleet).map(({ counts }) => counts)).toEqual(['{"shop":6}']);
+  });
+
+  // Guards against a daemon that takes the holder of an old page for the present one.
+  test('a daemon that starts follows a duties log of several pages at once', async () => {
+    const countsLog = FakeDuties.createFakeLog(() => 'none');
+    const dutyLog = FakeDuties.createFakeLog(() => 'none', 2);
+    fleet = startFleet(3, undefined, { countsLog, dutyLog });
+    await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
+    await fleet.runners[getHolderIndex(fleet)]?.resign();
+    await vi.advanceTimersByTimeAsync(WINDOW_MS);
+    const restarted = startFleet(1, () => 'none', fleet);
+    await vi.advanceTimersByTimeAsync(500);
+    restarted.runners.forEach((runner) => runner.stop());
+    const newest = dutyLog.records.at(-1) as Routing.DutyRecord;
+    expect(restarted.runners[0]?.getHolder()).toBe(newest.holder);
+  });
+
   test('every daemon receives the relays even if there were no requests', async () => {
     fleet = startFleet(6);
     await vi.advanceTimersByTimeAsync(2 * WINDOW_MS);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,6 +25,7 @@
 export * from './LoadGauges.js';
 export * from './ListenerLimits.js';
 export * from './LogPosition.js';
+export * from './LogReading.js';
 export * from './OrderPlan.js';
 export * from './OutcomeExchange.js';
 export * from './Ports.js';
