Read the counts log at most twice in one step

What callers could see: no lease and so no orders and reports, while the store deletes counts as fast as the holder reads them. Cause: after a gap in the counts log the holder read again without a limit, in the step that renews its lease. Change: one further read at once, then a log line, and the next step goes on from the first record that was stated last.

--- a/packages/routing/src/FleetCounts.ts
+++ b/packages/routing/src/FleetCounts.ts
@@ -51,7 +51,10 @@
 export interface FleetCounts {
   /** Counts that were read; they are kept when the log is read again. */
   readonly collection: UsageCounts.UsageCollection;
-  /** Reads the new counts; resolves with whether that succeeded. A failure is logged. */
+  /**
+   * Reads the new counts; resolves with whether that succeeded. A failure is logged. After a gap it
+   * reads on at once, but only once, because the lease has to be renewed meanwhile.
+   */
   readonly read: () => Promise<boolean>;
   /** Makes the next read start at the oldest counts of the log. */
   readonly reset: () => void;
@@ -102,18 +105,20 @@
     hasGap = false;
     records.forEach(collection.apply);
   };
-  const read = async (): Promise<boolean> => {
+  const read = async (canReadAgain = true): Promise<boolean> => {
     const sentMs = trueTime.read();
     const result = await Effect.runPromise(
       Effect.either(LogReading.readToEnd(countsLog, nextOffset)),
     );
     if (Either.isLeft(result)) {
-      if (result.left._tag === 'HistoryLost') {
+      const error = result.left;
+      if (error._tag === 'HistoryLost') {
         hasGap = true;
-        nextOffset = result.left.first;
-        return read();
+        nextOffset = error.first;
+        if (canReadAgain) return read(false);
       }
-      logger.warn({ detail: result.left.message }, 'usage counts not read');
+      const detail = error._tag === 'HistoryLost' ? 'deleted before they were read' : error.message;
+      logger.warn({ detail }, 'usage counts not read');
       return false;
     }
     applyRecords(result.right.records.map(({ value }) => value));
@@ -158,7 +163,7 @@
     isDemandKnown: (daemonCount) => (
       findDemandWindow(daemonCount) !== undefined || !hasHadCounts()
     ),
-    read,
+    read: () => read(),
     readMeasuredDemand: (service, daemonCount) => {
       if (readMs === -Infinity) return undefined;
       const requests = countRequestsInProgress?.(service);
