Report the first windows of a fleet on a store that has returned

What callers could see: the usage of the first windows of a new fleet was not reported, where the store had ever returned from an older copy. Cause: a first read without a holder of the log's generation allowed for an error of 5 s of the time of day, as after a gap, so windows that had not begun counted as sealed.

--- a/packages/routing/src/DutyRunner.ts
+++ b/packages/routing/src/DutyRunner.ts
@@ -19,6 +19,7 @@
 import * as RelayPlan from './RelayPlan.js';
 import type * as RoutingConfig from './RoutingConfig.js';
 import type * as ServerTable from './ServerTable.js';
+import * as TrueTime from './TrueTime.js';
 import * as UsageCounts from './UsageCounts.js';
 import * as WindowHandOver from './WindowHandOver.js';
 
@@ -346,10 +347,13 @@
    */
   #applyUnknownHolder(readAt: ClockReading.ClockReading): void {
     const { end } = this.#state;
-    if (LogPosition.getGeneration(end) > 0) {
+    const isRestored = LogPosition.getGeneration(end) > 0;
+    if (isRestored) {
       this.#state = DutyLease.applyDutyGap(this.#state, end, readAt, this.#computeTerm());
     }
-    this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
+    // A fleet that starts must not skip its first windows: their seals also assign the relays.
+    const holderMs = this.#context.trueTime.read() + (isRestored ? TrueTime.MAX_LAG_MS : 0);
+    this.#state = { ...this.#state, sealFrom: this.#computeSealFrom(holderMs) };
   }
 
   /** Applies a gap in the log. */
@@ -363,7 +367,10 @@
       ...gapState,
       sealedWindows: new Set([...gapState.sealedWindows, ...this.#listUncertainSeals(end)]),
     };
-    if (!isHolder) this.#state = { ...this.#state, sealFrom: this.#computeSealFrom() };
+    if (!isHolder) {
+      const sealFrom = this.#computeSealFrom(this.#context.trueTime.readLatest());
+      this.#state = { ...this.#state, sealFrom };
+    }
     this.#context.logger.warn({
       first: LogPosition.formatPosition(first),
       previousEnd: LogPosition.formatPosition(end),
@@ -391,22 +398,19 @@
   /**
    * Computes the first window that may be sealed after records of the log were lost. The former
    * holder of a log that returned from an older copy knows its seals, also those that are gone. For
-   * any other daemon, each window that could be sealed by now may have been.
+   * any other daemon, each window that could be sealed by `holderMs` may have been: the time by the
+   * clock of the holder, which may be ahead.
    */
-  #computeSealFrom(): number {
-    const { hasGap, sealFrom } = this.#state;
+  #computeSealFrom(holderMs: Core.Millis): number {
+    const { sealFrom } = this.#state;
     if (DutyLease.canReclaim(this.#state, this.#newestLease, this.#readClocks())) {
       const lastSealed = DutyLease.listSealedWindows(this.#state).at(-1);
       return lastSealed === undefined ? sealFrom : lastSealed + 1;
     }
-    const { trueTime, windowMs } = this.#context;
-    // Only a holder whose records are missing can have sealed a window by a clock that is ahead. A
-    // fleet that starts must not skip its first seal, which assigns the relays.
-    const holderMs = hasGap ? trueTime.readLatest() : trueTime.read();
-    return Math.max(
-      sealFrom,
-      UsageCounts.computeWindow(holderMs - FleetCounts.HAND_OVER_PERIOD_MS, windowMs),
-    );
+    return Math.max(sealFrom, UsageCounts.computeWindow(
+      holderMs - FleetCounts.HAND_OVER_PERIOD_MS,
+      this.#context.windowMs,
+    ));
   }
 
   #applyRecord(offset: number, value: unknown, readAt: ClockReading.ClockReading): void {
--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -184,6 +184,19 @@
     },
   );
 
+  // Guards against first windows that are not reported because the store has returned before.
+  test('a fleet that starts after a return of the store reports its first window', async () => {
+    const [countsLog, dutyLog] = [0, 1].map(() => FakeDuties.createFakeLog(() => 'none')) as [
+      FakeDuties.FakeLog, FakeDuties.FakeLog,
+    ];
+    [countsLog, dutyLog].forEach(({ restore }) => restore(0));
+    await vi.advanceTimersByTimeAsync(2_000);
+    fleet = startFleet(2, undefined, { countsLog, dutyLog });
+    addRequests(fleet.usageCounters);
+    await vi.advanceTimersByTimeAsync(REPORT_DUE_MS + 3_000);
+    expect(listReports(fleet)).toMatchObject([{ counts: '{"shop":2}' }]);
+  });
+
   // Guards against sealing one window per step: an outage of the store may begin before the last.
   test('all due windows are sealed and reported in one step', async () => {
     const startMs = performance.now();
