Share the end of both daemons in two duty tests

Cause: two tests of a daemon that starts in a gap repeated how the other daemon hands its counts over and both end; a test built its logs through a cast. No assertion, delay or bound is changed, and no product code.

--- a/packages/routing/src/__tests__/unit/DutyRunner.test.ts
+++ b/packages/routing/src/__tests__/unit/DutyRunner.test.ts
@@ -186,9 +186,8 @@
 
   // Guards against first windows that are not reported because the store has returned before.
   test('a fleet that starts after a return of the store reports its first window', async () => {
-    const [countsLog, dutyLog] = [0, 1].map(() => FakeDuties.createFakeLog(() => 'none')) as [
-      FakeDuties.FakeLog, FakeDuties.FakeLog,
-    ];
+    const countsLog = FakeDuties.createFakeLog(() => 'none');
+    const dutyLog = FakeDuties.createFakeLog(() => 'none');
     [countsLog, dutyLog].forEach(({ restore }) => restore(0));
     await vi.advanceTimersByTimeAsync(2_000);
     fleet = startFleet(2, undefined, { countsLog, dutyLog });
@@ -456,15 +455,20 @@
       },
     );
 
-    test('a daemon that starts in the gap seals no window again', async () => {
-      const { endMs, started, window } = await startFleetWithGap();
-      fleet = started;
+    /** Lets the daemon that was cut off hand its counts over, and ends both after `delayMs`. */
+    const endDaemons = async (started: Fleet, window: number, delayMs: number): Promise<void> => {
       partitioned.delete('vm-1');
       // The counts of the window that are handed over now would be all that a new seal has.
-      await vi.advanceTimersByTimeAsync(1_700);
+      await vi.advanceTimersByTimeAsync(delayMs);
       expect(started.countsLog.records.slice(-1)).toMatchObject([{ counts: { shop: 1 }, window }]);
       started.kill(0);
       started.kill(1);
+    };
+
+    test('a daemon that starts in the gap seals no window again', async () => {
+      const { endMs, started, window } = await startFleetWithGap();
+      fleet = started;
+      await endDaemons(started, window, 1_700);
       const restarted = startFleet(2, () => 'none', started);
       await vi.advanceTimersByTimeAsync(WINDOW_MS);
       addRequests(restarted.usageCounters);
@@ -480,11 +484,7 @@
     test('a daemon that starts in the gap with a late clock seals no window again', async () => {
       const { endMs, started, window } = await startFleetWithGap();
       fleet = started;
-      partitioned.delete('vm-1');
-      await vi.advanceTimersByTimeAsync(1_300);
-      expect(started.countsLog.records.slice(-1)).toMatchObject([{ counts: { shop: 1 }, window }]);
-      started.kill(0);
-      started.kill(1);
+      await endDaemons(started, window, 1_300);
       const restarted = startFleet(2, () => 'none', started, started.platform, () => ({
         ...Core.systemClock, readWall: () => Date.now() - CLOCK_STEP_MS,
       }));
